--- /dev/null
+++ b/crates/clementinectl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The clementinedock command-line tool.
--- /dev/null
+++ b/crates/clementined/src/actions.rs
@@ -0,0 +1,129 @@
+//! Carries out what the engine wants done.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ::peers::wire::Ask;
+use dispatch::engine::{Action, Event};
+use dispatch::jobs::JobRequest;
+use dispatch::ticket::{Incarnation, TaskId};
+use upstreams::wire::StartCall;
+
+use crate::daemon::Daemon;
+
+impl Daemon {
+    /// Carries out one action.
+    pub fn carry_out(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Reply { request, answer } => self.answer(request, answer),
+            Action::Start {
+                task,
+                worker,
+                work,
+                lease_ms,
+                hold,
+            } => {
+                self.start(task, worker, &work, lease_ms, hold);
+            }
+            Action::AskWorker { task, worker } => self.settle(task, worker),
+            Action::Stop { worker, tasks } => self.stop(worker, tasks),
+            Action::Renew {
+                worker,
+                tasks,
+                lease_ms,
+            } => self.renew(worker, tasks, lease_ms),
+            Action::Journal(job) => self.journal_start(job),
+            Action::AskSlots(peer, ask) => self.tell_peer(peer, Ask::Slots(ask)),
+            Action::GiveSlots(peer, grant) => self.tell_peer(peer, Ask::Give(grant)),
+            Action::JobEnded {
+                kind,
+                verdict,
+                response_ms,
+                ideal_ms,
+            } => {
+                self.metrics
+                    .job_ended(&kind, verdict, response_ms, ideal_ms);
+            }
+        }
+    }
+
+    fn start(
+        self: &Rc<Self>,
+        task: TaskId,
+        worker: SocketAddr,
+        work: &Rc<JobRequest>,
+        lease_ms: u64,
+        hold: bool,
+    ) {
+        let call = StartCall {
+            task: task.to_string(),
+            kind: work.kind.clone(),
+            input: work.tasks[task.index as usize].input.clone(),
+            lease_ms,
+            hold,
+        };
+        let daemon = Rc::clone(self);
+        daemon.count_worker_messages(worker, 2);
+        actix_rt::spawn(async move {
+            let (end, hint) = daemon.workers.start(worker, task, &call).await;
+            daemon.drive(Event::Ended { task, end, hint });
+        });
+    }
+
+    fn settle(self: &Rc<Self>, task: TaskId, worker: SocketAddr) {
+        let daemon = Rc::clone(self);
+        daemon.count_worker_messages(worker, 2);
+        actix_rt::spawn(async move {
+            let (end, hint) = daemon.workers.settle(worker, task).await;
+            log::info!("upstreams: Task {task} in doubt on {worker}: {end:?}.");
+            daemon.drive(Event::Ended { task, end, hint });
+        });
+    }
+
+    fn stop(self: &Rc<Self>, worker: SocketAddr, tasks: Vec<TaskId>) {
+        let daemon = Rc::clone(self);
+        daemon.count_worker_messages(worker, 2);
+        actix_rt::spawn(async move {
+            if let Err(error) = daemon.workers.stop(worker, &tasks).await {
+                log::warn!("upstreams: Stop failed: {error}.");
+            }
+        });
+    }
+
+    fn renew(self: &Rc<Self>, worker: SocketAddr, tasks: Vec<TaskId>, lease_ms: u64) {
+        let daemon = Rc::clone(self);
+        daemon.count_worker_messages(worker, 2);
+        actix_rt::spawn(async move {
+            if let Err(error) = daemon.workers.renew(worker, &tasks, lease_ms).await {
+                log::warn!("upstreams: Renewal failed: {error}.");
+            }
+        });
+    }
+
+    fn tell_peer(self: &Rc<Self>, peer: Incarnation, ask: Ask) {
+        let found = self.membership.borrow().find(peer).map(|peer| {
+            let far = peer.last.zone != self.config.zone;
+            (peer.last.addr, far)
+        });
+        let Some((addr, far)) = found else { return };
+        self.far_peer_messages
+            .set(self.far_peer_messages.get() + u64::from(far));
+        let daemon = Rc::clone(self);
+        actix_rt::spawn(async move {
+            if let Err(error) = daemon.links.tell(addr, ask).await {
+                log::debug!("peers: {error}.");
+            }
+        });
+    }
+
+    fn count_worker_messages(&self, worker: SocketAddr, count: u64) {
+        self.worker_messages.set(self.worker_messages.get() + count);
+        let far = self
+            .engine
+            .try_borrow()
+            .is_ok_and(|engine| engine.is_far(worker));
+        if far {
+            self.far_messages.set(self.far_messages.get() + count);
+        }
+    }
+}
--- /dev/null
+++ b/crates/clementined/src/beats.rs
@@ -0,0 +1,139 @@
+//! Sends and hears heartbeats, and acts on changes among the daemons.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dispatch::engine::Event;
+use dispatch::membership::{Heard, Heartbeat, Peer};
+use dispatch::shares::PeerLoad;
+use dispatch::ticket::Incarnation;
+
+use crate::daemon::{Daemon, Phase};
+
+const INHERITANCES_TOLD: usize = 8;
+const ASIDE_TOLD: usize = 8;
+
+impl Daemon {
+    /// Sends heartbeats until the process ends.
+    pub async fn send_beats(self: Rc<Self>) {
+        let mut seen: BTreeSet<Incarnation> = BTreeSet::new();
+        let mut count = 0;
+        loop {
+            count += 1;
+            self.send_beat(count).await;
+            self.notice_changes(&mut seen);
+            actix_rt::time::sleep(Duration::from_millis(self.config.heartbeat_ms)).await;
+        }
+    }
+
+    /// Hears heartbeats until the process ends.
+    pub async fn hear_beats(self: Rc<Self>) {
+        loop {
+            let beat = self.beats.hear().await;
+            let now = self.now();
+            let heard = self.membership.borrow_mut().heard(beat.clone(), now);
+            match heard {
+                Heard::News(changed) => self.take_news(&beat, changed),
+                Heard::Replayed => self.traffic.count_dropped(),
+            }
+        }
+    }
+
+    /// Sends one heartbeat to every known daemon.
+    pub async fn send_beat(&self, count: u64) {
+        let (idle, queued) = self.engine.borrow().load();
+        let now = self.now();
+        let inheritances = self
+            .membership
+            .borrow_mut()
+            .inheritances_to_tell(INHERITANCES_TOLD);
+        let offset = self
+            .follower
+            .borrow()
+            .fold()
+            .map_or(0, dispatch::catalogue::Fold::next_offset);
+        let beat = Heartbeat {
+            incarnation: self.incarnation,
+            count: count_of(now.0, count),
+            addr: self.config.peers,
+            operators: self.config.operators,
+            zone: self.config.zone.clone(),
+            draining: self.phase.get() != Phase::Serving,
+            catalogue_offset: offset,
+            log_reached: self.reaches_log(),
+            idle,
+            queued,
+            inheritances,
+            aside: self.engine.borrow().aside(ASIDE_TOLD),
+        };
+        let to: Vec<(SocketAddr, bool)> = {
+            let membership = self.membership.borrow();
+            let is_far = |peer: Option<&Peer>| peer.is_some_and(|p| p.last.zone != beat.zone);
+            membership
+                .peers(now)
+                .map(|(addr, _, peer)| (addr, is_far(peer)))
+                .collect()
+        };
+        let far = to.iter().filter(|(_, far)| *far).count() as u64;
+        self.far_peer_messages
+            .set(self.far_peer_messages.get() + far);
+        let to: Vec<SocketAddr> = to.into_iter().map(|(addr, _)| addr).collect();
+        self.beats.send(&beat, &to).await;
+    }
+
+    fn take_news(self: &Rc<Self>, beat: &Heartbeat, changed: bool) {
+        let own_zone = beat.zone == self.config.zone;
+        let load = PeerLoad {
+            own_zone,
+            idle: beat.idle,
+            queued: beat.queued,
+        };
+        if !beat.draining {
+            self.drive(Event::PeerLoad {
+                peer: beat.incarnation,
+                load,
+            });
+        }
+        for addr in &beat.aside {
+            self.drive(Event::ToldBad(*addr));
+        }
+        if changed {
+            log::info!("membership: {} at {} is live.", beat.incarnation, beat.addr);
+            if own_zone {
+                self.take_rank();
+            }
+        }
+        self.catch_up_from(beat);
+    }
+
+    fn notice_changes(self: &Rc<Self>, seen: &mut BTreeSet<Incarnation>) {
+        let now = self.now();
+        self.membership.borrow_mut().expire(now);
+        let live: BTreeSet<Incarnation> = {
+            let membership = self.membership.borrow();
+            let serving = membership.live(now).filter(|peer| !peer.last.draining);
+            serving.map(|peer| peer.last.incarnation).collect()
+        };
+        let gone: Vec<Incarnation> = seen.difference(&live).copied().collect();
+        for peer in &gone {
+            log::warn!("membership: {peer} is silent or leaves.");
+            self.drive(Event::PeerGone(*peer));
+        }
+        if !gone.is_empty() {
+            self.take_rank();
+        }
+        *seen = live;
+    }
+
+    fn take_rank(self: &Rc<Self>) {
+        let (rank, count) = self.membership.borrow().rank(self.now());
+        self.drive(Event::Rank { rank, count });
+    }
+}
+
+/// Heartbeats sent out of turn must still count up, so the clock leads the count.
+const fn count_of(now_ms: u64, count: u64) -> u64 {
+    now_ms * 1_024 + count % 1_024
+}
--- /dev/null
+++ b/crates/clementined/src/drain.rs
@@ -0,0 +1,97 @@
+//! Shuts a daemon down without cutting off a request or losing a ticket.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ::peers::wire::{Ask, Tell};
+use dispatch::home::HandedTable;
+use dispatch::membership::{Inheritance, Peer};
+
+use crate::daemon::{Daemon, Phase};
+
+const LOOK: Duration = Duration::from_millis(20);
+const OFFER_WAIT_MS: u64 = 3_000;
+const TAKE_OVER_TRIES: u32 = 20;
+const TAKE_OVER_PAUSE: Duration = Duration::from_millis(100);
+const FAREWELL_BEATS: u64 = 4;
+const FAREWELL_PAUSE: Duration = Duration::from_millis(250);
+/// Heartbeats of the farewell count above the ordinary ones of the same millisecond.
+const FAREWELL_COUNT: u64 = 900;
+
+impl Daemon {
+    /// Finishes what is in flight, gives the tables to an heir and tells the others.
+    pub async fn drain(self: &Rc<Self>) {
+        log::info!("drain: Begins.");
+        self.phase.set(Phase::Draining);
+        self.send_beat(FAREWELL_COUNT).await;
+        let until = self.now().plus(self.config.drain_limit_ms);
+        while self.engine.borrow().open_jobs() > 0 && self.now() < until {
+            actix_rt::time::sleep(LOOK).await;
+        }
+        let open = self.engine.borrow().open_jobs();
+        if open > 0 {
+            log::error!("drain: {open} jobs cut off; raise drain.limit_ms.");
+        }
+        self.phase.set(Phase::HandedOver);
+        let tables = self.engine.borrow_mut().hand_over(self.now());
+        if self.find_heir(&tables).await {
+            for beat in 0..FAREWELL_BEATS {
+                self.send_beat(FAREWELL_COUNT + beat).await;
+                actix_rt::time::sleep(FAREWELL_PAUSE).await;
+            }
+        }
+        while self.waiting_requests() > 0 && self.now() < until {
+            actix_rt::time::sleep(LOOK).await;
+        }
+        log::info!("drain: Ends.");
+    }
+
+    async fn find_heir(self: &Rc<Self>, tables: &[HandedTable]) -> bool {
+        let until = self.now().plus(self.config.drain_limit_ms);
+        loop {
+            let heirs = self.membership.borrow().heirs(self.now());
+            for heir in &heirs {
+                if self.offer(heir, tables).await {
+                    return self.hand_to(heir, tables).await;
+                }
+            }
+            if self.now() > until {
+                log::error!("drain: No heir; answers for these tickets become unknown.");
+                return false;
+            }
+            actix_rt::time::sleep(TAKE_OVER_PAUSE).await;
+        }
+    }
+
+    async fn offer(&self, heir: &Peer, tables: &[HandedTable]) -> bool {
+        let offer = Ask::OfferTables(tables.to_vec());
+        let told = self.links.call(heir.last.addr, offer, OFFER_WAIT_MS).await;
+        matches!(told, Ok(Tell::Done))
+    }
+
+    /// Orders the heir to answer from now on; no other may be asked after this.
+    async fn hand_to(&self, heir: &Peer, tables: &[HandedTable]) -> bool {
+        for _ in 0..TAKE_OVER_TRIES {
+            let told = self
+                .links
+                .call(heir.last.addr, Ask::TakeOver, OFFER_WAIT_MS)
+                .await;
+            if matches!(told, Ok(Tell::Done)) {
+                let now = self.now();
+                for table in tables {
+                    let inheritance = Inheritance {
+                        from: table.incarnation,
+                        to: heir.last.incarnation,
+                        to_addr: heir.last.addr,
+                    };
+                    self.membership.borrow_mut().inherits(inheritance, now);
+                }
+                log::info!("drain: {} answers from now on.", heir.last.incarnation);
+                return true;
+            }
+            actix_rt::time::sleep(TAKE_OVER_PAUSE).await;
+        }
+        log::error!("drain: The heir {} is lost.", heir.last.incarnation);
+        false
+    }
+}
--- /dev/null
+++ b/crates/clementined/src/error.rs
@@ -0,0 +1,29 @@
+//! Why the daemon could not run.
+
+use std::net::SocketAddr;
+
+use crate::config::ConfigError;
+
+/// Why the daemon could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// The settings are wrong.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// An address could not be listened on.
+    #[error("cannot listen on {addr} for {part}: {why}; free the address or change the settings")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What it was for.
+        part: &'static str,
+        /// The system's words.
+        why: std::io::Error,
+    },
+    /// Logging could not be set up.
+    #[error("cannot set up logging: {0}; start one daemon in a process")]
+    Logging(#[from] log::SetLoggerError),
+    /// Metrics could not be set up.
+    #[error("cannot set up metrics: {0}; report this")]
+    Metrics(String),
+}
--- /dev/null
+++ b/crates/dispatch/src/slots.rs
@@ -0,0 +1,92 @@
+//! Binds waiting tasks to free slots, and moves slots between daemons.
+
+use crate::clock::Millis;
+use crate::engine::{Action, Engine};
+use crate::shares::SlotGrant;
+use crate::ticket::Incarnation;
+use crate::workers::Choice;
+
+/// Flows looked at when the first ones cannot be served.
+const FLOWS_TRIED: usize = 16;
+/// How long a task waits without a slot before unclaimed free slots are taken.
+const CLAIM_AFTER_MS: u64 = 300;
+
+impl Engine {
+    /// Starts what can be started, asks for slots and gives some.
+    pub(crate) fn pump(&mut self, now: Millis) {
+        if self.shares.has_asks() {
+            self.give_slots(now);
+        }
+        self.serve_queue(now);
+        if self.choice != Choice::Shares {
+            return;
+        }
+        if self.queue.is_empty() {
+            return;
+        }
+        self.ask_for_slots(now);
+    }
+
+    /// Takes slots that a peer gave.
+    pub(crate) fn granted(&mut self, peer: Incarnation, grant: &SlotGrant) {
+        self.shares.granted(peer, grant.idle_left);
+        for (addr, slots) in &grant.slots {
+            self.counters.slots_received += u64::from(*slots);
+            self.workers.grant(*addr, *slots);
+        }
+    }
+
+    fn serve_queue(&mut self, now: Millis) {
+        let mut place = 0;
+        while let Some(head) = self.queue.peek(place) {
+            let Some(job) = self.jobs.get(&head.task.job) else {
+                break;
+            };
+            let needs = job.request.tasks[head.task.index as usize].needs;
+            let waited_ms = now.since(head.queued_at);
+            let worker =
+                self.workers
+                    .choose(&needs, job.idempotent, head.expected_ms, waited_ms, now);
+            match worker {
+                Some(worker) => {
+                    self.queue.pop(place);
+                    self.start(head, worker, now);
+                }
+                None if place < FLOWS_TRIED && self.workers.free_slots() > 0 => place += 1,
+                None => break,
+            }
+        }
+    }
+
+    fn ask_for_slots(&mut self, now: Millis) {
+        let waited_ms = self.queue.oldest().map_or(0, |oldest| now.since(oldest));
+        if let Some((peer, ask)) = self.shares.ask(self.queue.len(), waited_ms, now) {
+            self.counters.slot_asks += 1;
+            self.actions.push(Action::AskSlots(peer, ask));
+        }
+        if waited_ms > CLAIM_AFTER_MS {
+            let since = Millis(now.0.saturating_sub(CLAIM_AFTER_MS));
+            if self.workers.claim_unused(since).is_some() {
+                self.counters.slots_claimed += 1;
+                self.serve_queue(now);
+            }
+        }
+    }
+
+    fn give_slots(&mut self, now: Millis) {
+        loop {
+            let free = self.workers.free_slots();
+            let Some((peer, count)) = self.shares.give(free, self.queue.oldest(), now) else {
+                return;
+            };
+            let slots = self.workers.release(count);
+            if slots.is_empty() {
+                return;
+            }
+            self.counters.slots_given += u64::from(count);
+            let idle_left = self.workers.free_slots() as u32;
+            self.actions
+                .push(Action::GiveSlots(peer, SlotGrant { slots, idle_left }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/window.rs
@@ -0,0 +1,140 @@
+//! The window of used bits over the dense sequence of one incarnation's tickets.
+//!
+//! It costs one bit a ticket and one expiry a block; see `docs/design/tickets.md`.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+
+/// Tickets that share one block and so one expiry.
+pub const BLOCK_TICKETS: u64 = 512;
+
+const WORD_BITS: u64 = 64;
+const BLOCK_WORDS: usize = (BLOCK_TICKETS / WORD_BITS) as usize;
+
+/// What the window knows of one sequence number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mark {
+    /// The ticket was issued and not used.
+    Unused,
+    /// The ticket was used, by a run or by a refusal.
+    Used,
+    /// The ticket's block has expired and been dropped.
+    Expired,
+    /// The ticket was never issued.
+    NeverIssued,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Block {
+    words: [u64; BLOCK_WORDS],
+    expiry_ms: Millis,
+}
+
+/// One bit for each issued ticket that has not expired.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Window {
+    first_block: u64,
+    blocks: VecDeque<Block>,
+    next_seq: u64,
+}
+
+impl Window {
+    /// Issues the next sequence number, valid until `expiry_ms`.
+    pub fn issue(&mut self, expiry_ms: Millis) -> u64 {
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        if self.blocks.is_empty() {
+            self.first_block = seq / BLOCK_TICKETS;
+        }
+        if seq / BLOCK_TICKETS >= self.first_block + self.blocks.len() as u64 {
+            self.blocks.push_back(Block {
+                words: used_before(seq),
+                expiry_ms,
+            });
+        }
+        if let Some(block) = self.blocks.back_mut() {
+            block.expiry_ms = block.expiry_ms.latest(expiry_ms);
+        }
+        seq
+    }
+
+    /// Tells what is known of `seq`.
+    pub fn mark(&self, seq: u64) -> Mark {
+        if seq >= self.next_seq {
+            return Mark::NeverIssued;
+        }
+        let Some(block) = self.block_of(seq) else {
+            return Mark::Expired;
+        };
+        let (word, bit) = place(seq);
+        if block.words[word] & bit == 0 {
+            Mark::Unused
+        } else {
+            Mark::Used
+        }
+    }
+
+    /// Burns `seq` and tells whether it was unused before.
+    pub fn burn(&mut self, seq: u64) -> bool {
+        if self.mark(seq) != Mark::Unused {
+            return false;
+        }
+        let index = (seq / BLOCK_TICKETS - self.first_block) as usize;
+        let (word, bit) = place(seq);
+        self.blocks[index].words[word] |= bit;
+        true
+    }
+
+    /// Drops the blocks whose every ticket has expired.
+    pub fn expire(&mut self, now: Millis) {
+        while self
+            .blocks
+            .front()
+            .is_some_and(|block| block.expiry_ms < now)
+        {
+            self.blocks.pop_front();
+            self.first_block += 1;
+        }
+    }
+
+    /// Forgets every used bit: the planted fault of the failure tests.
+    #[doc(hidden)]
+    pub fn forget_used(&mut self) {
+        for block in &mut self.blocks {
+            block.words = [0; BLOCK_WORDS];
+        }
+    }
+
+    /// Gives the number of tickets issued so far.
+    pub const fn issued(&self) -> u64 {
+        self.next_seq
+    }
+
+    /// Gives the bytes that the window holds.
+    pub fn held_bytes(&self) -> usize {
+        self.blocks.len() * size_of::<Block>() + size_of::<Self>()
+    }
+
+    fn block_of(&self, seq: u64) -> Option<&Block> {
+        let index = (seq / BLOCK_TICKETS).checked_sub(self.first_block)?;
+        self.blocks.get(index as usize)
+    }
+}
+
+/// Marks what precedes `seq` in its block: a block begun anew must not revive dropped tickets.
+fn used_before(seq: u64) -> [u64; BLOCK_WORDS] {
+    let mut words = [0; BLOCK_WORDS];
+    for earlier in 0..seq % BLOCK_TICKETS {
+        let (word, bit) = place(earlier);
+        words[word] |= bit;
+    }
+    words
+}
+
+const fn place(seq: u64) -> (usize, u64) {
+    let within = seq % BLOCK_TICKETS;
+    ((within / WORD_BITS) as usize, 1 << (within % WORD_BITS))
+}
--- /dev/null
+++ b/crates/httpedge/src/client.rs
@@ -0,0 +1,194 @@
+//! The calling side, with errors that tell whether the request can have arrived.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::error::SendRequestError;
+use awc::{Client, Connector};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const IDLE_CONNECTION: Duration = Duration::from_secs(30);
+const MOST_CONNECTIONS: usize = 8_192;
+const LARGEST_REPLY_BYTES: usize = 64 << 20;
+
+/// Why a call brought no reply.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// No connection was made, so nothing was sent.
+    #[error("no connection to {0}; check that it runs and that the address is right")]
+    NoConnection(SocketAddr),
+    /// The request may have arrived; its reply did not.
+    #[error("no whole reply from {0}; the request may have taken effect")]
+    ReplyLost(SocketAddr),
+    /// The other side answered with an error status.
+    #[error("{addr} answered {status}: {body}")]
+    Status {
+        /// The other side.
+        addr: SocketAddr,
+        /// Its status.
+        status: u16,
+        /// Its words.
+        body: String,
+    },
+    /// The reply is not what was expected.
+    #[error("{0} gave a reply that cannot be read; check the versions on both sides")]
+    Unreadable(SocketAddr),
+}
+
+/// Addresses that are cut off for a failure test.
+pub type Cuts = Rc<RefCell<Vec<SocketAddr>>>;
+
+/// A pool of connections for the local thread.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+    cuts: Cuts,
+}
+
+impl std::fmt::Debug for Caller {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Caller")
+    }
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Caller {
+    /// Builds a pool.
+    pub fn new() -> Self {
+        Self::with_cuts(Cuts::default())
+    }
+
+    /// Builds a pool that makes no calls to the given addresses.
+    pub fn with_cuts(cuts: Cuts) -> Self {
+        let connector = Connector::new()
+            .limit(MOST_CONNECTIONS)
+            .timeout(CONNECT_TIMEOUT)
+            .conn_keep_alive(IDLE_CONNECTION)
+            .conn_lifetime(Duration::from_hours(1));
+        let client = Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .finish();
+        Self { client, cuts }
+    }
+
+    /// Posts JSON and reads JSON, within `timeout_ms`.
+    ///
+    /// # Errors
+    /// Fails with the kind that tells whether the request can have arrived.
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+        timeout_ms: u64,
+    ) -> Result<T, CallError> {
+        self.check(addr)?;
+        let request = self.client.post(format!("http://{addr}{path}"));
+        let sent = request
+            .timeout(Duration::from_millis(timeout_ms))
+            .send_json(body);
+        read_reply(addr, sent.await).await
+    }
+
+    /// Gets JSON, within `timeout_ms`.
+    ///
+    /// # Errors
+    /// Fails with the kind that tells what went wrong.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        timeout_ms: u64,
+    ) -> Result<T, CallError> {
+        self.check(addr)?;
+        let request = self.client.get(format!("http://{addr}{path}"));
+        let sent = request.timeout(Duration::from_millis(timeout_ms)).send();
+        read_reply(addr, sent.await).await
+    }
+
+    fn check(&self, addr: SocketAddr) -> Result<(), CallError> {
+        if self.cuts.borrow().contains(&addr) {
+            return Err(CallError::NoConnection(addr));
+        }
+        Ok(())
+    }
+
+    /// Sends a request as a caller would and gives status and body as they come.
+    ///
+    /// # Errors
+    /// Fails where no whole reply came.
+    pub async fn raw(&self, call: RawCall<'_>) -> Result<(u16, Vec<u8>), CallError> {
+        let addr = call.addr;
+        let url = format!("http://{addr}{}", call.path);
+        let method = call.method.parse().unwrap_or(actix_http::Method::GET);
+        let mut request = self.client.request(method, url);
+        for (name, value) in call.headers {
+            request = request.insert_header((*name, value.as_str()));
+        }
+        let request = request.timeout(Duration::from_millis(call.timeout_ms));
+        let mut reply = request
+            .send_body(call.body)
+            .await
+            .map_err(|e| lost(addr, &e))?;
+        let body = reply.body().limit(LARGEST_REPLY_BYTES).await;
+        let body = body.map_err(|_| CallError::ReplyLost(addr))?;
+        Ok((reply.status().as_u16(), body.to_vec()))
+    }
+}
+
+/// A request as a caller would send it.
+#[derive(Clone, Debug)]
+pub struct RawCall<'a> {
+    /// Where to.
+    pub addr: SocketAddr,
+    /// The method's name.
+    pub method: &'a str,
+    /// The path with its query.
+    pub path: &'a str,
+    /// Headers.
+    pub headers: &'a [(&'static str, String)],
+    /// The body.
+    pub body: Vec<u8>,
+    /// The longest wait for the reply's head.
+    pub timeout_ms: u64,
+}
+
+async fn read_reply<T, S>(
+    addr: SocketAddr,
+    sent: Result<awc::ClientResponse<S>, SendRequestError>,
+) -> Result<T, CallError>
+where
+    T: DeserializeOwned,
+    S: futures_util::Stream<Item = Result<bytes::Bytes, actix_http::error::PayloadError>> + Unpin,
+{
+    let mut reply = sent.map_err(|error| lost(addr, &error))?;
+    let body = reply.body().limit(LARGEST_REPLY_BYTES).await;
+    let body = body.map_err(|_| CallError::ReplyLost(addr))?;
+    let status = reply.status();
+    if !status.is_success() {
+        let body = String::from_utf8_lossy(&body).into_owned();
+        return Err(CallError::Status {
+            addr,
+            status: status.as_u16(),
+            body,
+        });
+    }
+    serde_json::from_slice(&body).map_err(|_| CallError::Unreadable(addr))
+}
+
+fn lost(addr: SocketAddr, error: &SendRequestError) -> CallError {
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::NoConnection(addr),
+        _ => CallError::ReplyLost(addr),
+    }
+}
--- /dev/null
+++ b/crates/measure/examples/tour.rs
@@ -0,0 +1,162 @@
+//! A tour: two zones, four daemons and ten workers in one process, and one real job.
+//!
+//! `cargo run --release --example tour` exits with 0 where every answer is whole;
+//! `--serve` keeps the fleet up and prints commands to try.
+
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::net::TcpListener;
+use clementined::daemon::Daemon;
+use dispatch::answer::Verdict;
+use gumdrop::Options;
+use httpedge::client::Caller;
+use measure::calls::{await_ready, coverage_job, edit, is_whole, submit};
+use measure::fleet::{Fleet, sample_catalogue};
+use measure::ideal::central_queue;
+use measure::trace::{TraceJob, draw_work_ms};
+use rand::SeedableRng as _;
+
+const TASKS: usize = 240;
+const WORKERS: usize = 10;
+const SLOTS: u32 = 8;
+const SEED: u64 = 11;
+const LONGEST_MS: u64 = 1_000;
+
+#[derive(Debug, Options)]
+struct Args {
+    /// Prints this help.
+    help: bool,
+    /// Keeps the fleet up and prints commands to try.
+    serve: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    match actix_rt::System::new().block_on(tour(args.serve)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("tour: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn tour(serve: bool) -> Result<(), String> {
+    let fleet = Fleet::lay_out(&["bergamo", "sondrio"], 4, WORKERS, SLOTS);
+    let daemons = start(&fleet).await?;
+    let caller = Caller::new();
+    let operators: Vec<_> = fleet
+        .daemons
+        .iter()
+        .map(|daemon| daemon.operators)
+        .collect();
+    await_ready(&caller, &operators, 0).await?;
+    edit(&caller, operators[0], "tour", sample_catalogue()).await?;
+    await_ready(&caller, &operators, 1).await?;
+
+    let mut rng = rand::rngs::SmallRng::seed_from_u64(SEED);
+    let work_ms: Vec<u64> = std::iter::repeat_with(|| draw_work_ms(&mut rng))
+        .filter(|ms| *ms <= LONGEST_MS)
+        .take(TASKS)
+        .collect();
+    let job = coverage_job("coverage-check", &work_ms, &work_ms, SEED);
+    println!("submitting one job of {TASKS} coverage checks of 50 ms to 1 s ...");
+    let began = Instant::now();
+    let (status, answer) = submit(&caller, fleet.daemons[0].callers, None, &job, 60_000)
+        .await
+        .map_err(|error| error.to_string())?;
+    let response_ms = began.elapsed().as_secs_f64() * 1_000.0;
+    let answer = answer.ok_or("the answer cannot be read")?;
+    let whole = answer.verdict == Verdict::Complete && is_whole(&job, &answer);
+    let messages: u64 = daemons
+        .iter()
+        .map(|daemon| daemon.worker_messages.get() + daemon.traffic.sent.get())
+        .sum();
+    let trace = TraceJob {
+        at_ms: 0.0,
+        kind: "coverage-check",
+        declared_ms: work_ms.clone(),
+        work_ms,
+        entry: 0.0,
+    };
+    let ideal_ms = central_queue(&[trace], WORKERS as u32 * SLOTS)[0];
+    println!(
+        "answer: {:?}, status {status}, ticket {:.24}...",
+        answer.verdict, answer.ticket
+    );
+    println!(
+        "digests: {} of {TASKS} tasks, {}",
+        answer.tasks.len(),
+        verdict_of(whole)
+    );
+    println!(
+        "response: {response_ms:.0} ms; ideal on {} slots: {ideal_ms:.0} ms; ratio {:.2}",
+        WORKERS as u32 * SLOTS,
+        response_ms / ideal_ms
+    );
+    println!(
+        "messages per task, control included: {:.2}",
+        messages as f64 / TASKS as f64
+    );
+    if serve {
+        print_commands(&fleet, &answer.ticket);
+        std::future::pending::<()>().await;
+    }
+    if whole {
+        Ok(())
+    } else {
+        Err("the answer is not whole".to_owned())
+    }
+}
+
+const fn verdict_of(whole: bool) -> &'static str {
+    if whole {
+        "all match their input"
+    } else {
+        "NOT all match"
+    }
+}
+
+async fn start(fleet: &Fleet) -> Result<Vec<Rc<Daemon>>, String> {
+    let listen = async |addr| {
+        TcpListener::bind(addr)
+            .await
+            .map_err(|error| error.to_string())
+    };
+    actix_rt::spawn(standins::log::serve_log(listen(fleet.log).await?));
+    actix_rt::spawn(standins::vms::serve_vms(
+        listen(fleet.vms).await?,
+        fleet.vm_list(),
+    ));
+    for (addr, _) in &fleet.workers {
+        let slots = fleet.slots as usize;
+        actix_rt::spawn(standins::worker::serve_worker(listen(*addr).await?, slots));
+    }
+    let mut daemons = Vec::new();
+    for place in 0..fleet.daemons.len() {
+        let config = clementined::config::parse("tour", &fleet.settings(place));
+        let config = config.map_err(|error| error.to_string())?;
+        let daemon = clementined::run::begin(config)
+            .await
+            .map_err(|error| error.to_string())?;
+        daemons.push(daemon);
+    }
+    actix_rt::time::sleep(Duration::from_millis(100)).await;
+    Ok(daemons)
+}
+
+fn print_commands(fleet: &Fleet, ticket: &str) {
+    let (callers, operators) = (fleet.daemons[0].callers, fleet.daemons[0].operators);
+    println!("\nThe fleet stays up until you press Ctrl-C. Try:");
+    println!("  curl 'http://{callers}/v1/tickets?count=2'");
+    println!(
+        "  curl 'http://{callers}/v1/jobs' -d '{{\"kind\":\"coverage-check\",\"tasks\":\
+         [{{\"input\":\"{{\\\"work_ms\\\":80,\\\"contract\\\":\\\"C003\\\"}}\"}}]}}'"
+    );
+    println!("  curl 'http://{operators}/metrics'");
+    println!("  clementinectl --operators {operators} catalogue list");
+    println!("  clementinectl --operators {operators} explain {ticket}");
+    println!("  clementinectl --operators {operators} state");
+}
--- /dev/null
+++ b/crates/measure/src/cli.rs
@@ -0,0 +1,65 @@
+//! The command line of the measurements.
+
+use std::net::SocketAddr;
+
+use gumdrop::Options;
+
+/// Measures clementinedock on loopback.
+#[derive(Debug, Options)]
+pub struct Args {
+    /// Prints this help.
+    pub help: bool,
+    /// What to do.
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// What to do.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// Runs a daemon; measurements start it themselves.
+    Daemon(DaemonArgs),
+    /// Runs stand-in workers; measurements start them themselves.
+    Workers(WorkersArgs),
+    /// Runs the platform's stand-ins; measurements start them themselves.
+    Platform(PlatformArgs),
+}
+
+/// Options of a daemon.
+#[derive(Debug, Options)]
+pub struct DaemonArgs {
+    /// Prints this help.
+    pub help: bool,
+    /// INI file with the settings.
+    #[options(required)]
+    pub settings: String,
+}
+
+/// Options of stand-in workers.
+#[derive(Debug, Options)]
+pub struct WorkersArgs {
+    /// Prints this help.
+    pub help: bool,
+    /// Addresses to serve on, separated by commas.
+    #[options(required)]
+    pub listen: String,
+    /// Tasks that each runs at once.
+    #[options(default = "8")]
+    pub slots: usize,
+}
+
+/// Options of the platform's stand-ins.
+#[derive(Debug, Options)]
+pub struct PlatformArgs {
+    /// Prints this help.
+    pub help: bool,
+    /// Address of the log service.
+    #[options(required)]
+    pub log: Option<SocketAddr>,
+    /// Address of the VM list.
+    #[options(required)]
+    pub vms: Option<SocketAddr>,
+    /// JSON file with the VMs.
+    #[options(required)]
+    pub list: String,
+}
--- /dev/null
+++ b/crates/measure/src/ledgers.rs
@@ -0,0 +1,64 @@
+//! Reads the workers' own ledgers, against which invariants are checked.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use httpedge::client::Caller;
+use standins::ledger::{Deed, Ledger};
+
+const LEDGER_TIMEOUT_MS: u64 = 20_000;
+
+/// What all workers together recorded.
+#[derive(Clone, Debug, Default)]
+pub struct Ledgers {
+    /// Starts by task, over all workers.
+    pub starts: HashMap<String, usize>,
+    /// Starts by worker.
+    pub by_worker: HashMap<SocketAddr, usize>,
+    /// Messages that workers received.
+    pub messages: u64,
+    /// The most starts that were open on one worker at once.
+    pub most_open: usize,
+    /// The most tasks that ran on one worker at once.
+    pub most_running: usize,
+    /// Refused starts.
+    pub refused: usize,
+}
+
+impl Ledgers {
+    /// Gives the most starts of one task.
+    pub fn most_starts(&self) -> usize {
+        self.starts.values().copied().max().unwrap_or(0)
+    }
+
+    /// Tells whether any task of a job, by its identity, ever started.
+    pub fn job_started(&self, job: &str, tasks: usize) -> bool {
+        (0..tasks).any(|index| {
+            self.starts
+                .get(&format!("{job}.{index}"))
+                .is_some_and(|starts| *starts > 0)
+        })
+    }
+}
+
+/// Reads the ledgers of all workers.
+///
+/// # Errors
+/// Fails where a worker cannot be read.
+pub async fn read(caller: &Caller, workers: &[SocketAddr]) -> Result<Ledgers, String> {
+    let mut all = Ledgers::default();
+    for addr in workers {
+        let ledger: Result<Ledger, _> = caller.get(*addr, "/ledger", LEDGER_TIMEOUT_MS).await;
+        let ledger = ledger.map_err(|error| error.to_string())?;
+        for (task, starts) in ledger.starts() {
+            *all.starts.entry(task.to_owned()).or_insert(0) += starts;
+            *all.by_worker.entry(*addr).or_insert(0) += starts;
+        }
+        let deeds = ledger.tasks.values().flatten();
+        all.refused += deeds.filter(|deed| **deed == Deed::Refused).count();
+        all.messages += ledger.messages;
+        all.most_open = all.most_open.max(ledger.most_open);
+        all.most_running = all.most_running.max(ledger.most_running);
+    }
+    Ok(all)
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,11 @@
+//! Measurements of clementinedock: real daemons and stand-ins on loopback, bounded in time.
+
+pub mod calls;
+pub mod children;
+pub mod cli;
+pub mod fleet;
+pub mod ideal;
+pub mod ledgers;
+pub mod play;
+pub mod roles;
+pub mod trace;
--- /dev/null
+++ b/crates/operators/src/lib.rs
@@ -0,0 +1,7 @@
+//! The operators' HTTP interface: state, explanations, the catalogue and metrics.
+//!
+//! Operators read about it in `docs/OPERATORS.md`.
+
+pub mod metrics;
+pub mod parse;
+pub mod wire;
--- /dev/null
+++ b/crates/peers/src/beats.rs
@@ -0,0 +1,81 @@
+//! Heartbeats between daemons: one small sealed datagram each.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_rt::net::UdpSocket;
+use dispatch::membership::Heartbeat;
+use dispatch::ticket::Keyring;
+
+use crate::links::{Cuts, Traffic};
+
+/// The largest datagram that is sent or taken.
+pub const LARGEST_BEAT_BYTES: usize = 1_400;
+
+/// The socket over which a daemon sends and hears heartbeats.
+#[derive(Clone)]
+pub struct Beats {
+    socket: Rc<UdpSocket>,
+    keys: Rc<Keyring>,
+    traffic: Rc<Traffic>,
+    cuts: Cuts,
+}
+
+impl std::fmt::Debug for Beats {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Beats")
+    }
+}
+
+impl Beats {
+    /// Builds the exchange on a bound socket.
+    pub fn new(socket: UdpSocket, keys: Rc<Keyring>, traffic: Rc<Traffic>, cuts: Cuts) -> Self {
+        Self {
+            socket: Rc::new(socket),
+            keys,
+            traffic,
+            cuts,
+        }
+    }
+
+    /// Sends a heartbeat to the given daemons.
+    pub async fn send(&self, heartbeat: &Heartbeat, to: &[SocketAddr]) {
+        let sealed = self
+            .keys
+            .seal(postcard::to_allocvec(heartbeat).unwrap_or_default());
+        for addr in to {
+            if self.cuts.borrow().contains(addr) {
+                continue;
+            }
+            if self.socket.send_to(&sealed, addr).await.is_ok() {
+                self.traffic.count_sent(sealed.len());
+            }
+        }
+    }
+
+    /// Waits for the next heartbeat that can be read and trusted.
+    pub async fn hear(&self) -> Heartbeat {
+        let mut buffer = [0; LARGEST_BEAT_BYTES + 1];
+        loop {
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            self.traffic.count_received(length);
+            match open(&self.keys, &buffer[..length]) {
+                Some(beat) if !self.cuts.borrow().contains(&beat.addr) => return beat,
+                Some(_) => {}
+                None => self.traffic.count_dropped(),
+            }
+        }
+    }
+}
+
+/// Reads a datagram; garbage, forged, truncated and oversized ones give nothing.
+pub fn open(keys: &Keyring, datagram: &[u8]) -> Option<Heartbeat> {
+    if datagram.len() > LARGEST_BEAT_BYTES {
+        return None;
+    }
+    let content = keys.open(datagram).ok()?;
+    let (beat, rest): (Heartbeat, &[u8]) = postcard::take_from_bytes(content).ok()?;
+    rest.is_empty().then_some(beat)
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,10 @@
+//! Small stand-ins for the systems that clementinedock talks to.
+//!
+//! They keep their own ledgers, so that invariants are checked against what happened
+//! and never against the daemon's word. Faults are switched on over HTTP.
+
+pub mod coverage;
+pub mod ledger;
+pub mod log;
+pub mod vms;
+pub mod worker;
--- /dev/null
+++ b/crates/standins/src/worker.rs
@@ -0,0 +1,343 @@
+//! A stand-in worker: slots, leases, a ledger, and faults over HTTP.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::Method;
+use actix_rt::net::TcpListener;
+use futures_util::future::{Either, select};
+use httpedge::server::{Request, Response, serve};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, Semaphore};
+use upstreams::wire::{Done, RenewCall, SettleCall, StartCall, StopCall, WorkerEnd, WorkerReply};
+
+use crate::coverage::{Sample, answer, digest_of, question_of, sample};
+use crate::ledger::{Deed, Ledger};
+
+const LARGEST_BODY_BYTES: usize = 4 << 20;
+const MOST_OPEN_STARTS: usize = 64;
+
+/// Faults of a worker.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// The work takes so many times longer.
+    pub slow_factor: f64,
+    /// Nothing is answered, and nothing more is done.
+    pub dead: bool,
+    /// Every start fails at once.
+    pub fail_fast: bool,
+    /// Every start is refused.
+    pub refuse: bool,
+    /// The answer of each task is lost after its work.
+    pub lose_answer: bool,
+    /// Every start's request is lost before the worker knows of it.
+    pub lose_request: bool,
+    /// Leases lapse at once.
+    pub lapse: bool,
+    /// The worker is leaving.
+    pub leaving: bool,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            slow_factor: 1.0,
+            dead: false,
+            fail_fast: false,
+            refuse: false,
+            lose_answer: false,
+            lose_request: false,
+            lapse: false,
+            leaving: false,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct RunningTask {
+    stop: Rc<Notify>,
+    lease_until: Instant,
+}
+
+/// One worker's state.
+#[derive(Debug)]
+pub struct Worker {
+    slots: usize,
+    free: Rc<Semaphore>,
+    open: usize,
+    running: HashMap<String, RunningTask>,
+    barred: HashSet<String>,
+    ended: HashMap<String, WorkerEnd>,
+    faults: Faults,
+    ledger: Ledger,
+    sample: Rc<Sample>,
+}
+
+type Shared = Rc<RefCell<Worker>>;
+
+impl Worker {
+    /// Builds a worker with so many slots.
+    pub fn new(slots: usize) -> Self {
+        Self {
+            slots,
+            free: Rc::new(Semaphore::new(slots)),
+            open: 0,
+            running: HashMap::new(),
+            barred: HashSet::new(),
+            ended: HashMap::new(),
+            faults: Faults::default(),
+            ledger: Ledger::default(),
+            sample: Rc::new(sample()),
+        }
+    }
+
+    fn reply(&self, task: &str, end: WorkerEnd) -> Response {
+        let reply = WorkerReply {
+            end,
+            task: task.to_owned(),
+            free: self.free.available_permits() as u32,
+            leaving: self.faults.leaving,
+        };
+        Response::json(200, &reply)
+    }
+}
+
+/// Serves a worker until the returned future is dropped.
+pub async fn serve_worker(listener: TcpListener, slots: usize) {
+    let worker = Rc::new(RefCell::new(Worker::new(slots)));
+    serve(listener, LARGEST_BODY_BYTES, move |request| {
+        route(Rc::clone(&worker), request)
+    })
+    .await;
+}
+
+async fn route(worker: Shared, request: Request) -> Response {
+    let segments = request.segments();
+    let body = request.body.clone().unwrap_or_default();
+    if worker.borrow().faults.dead && segments != ["faults"] && segments != ["ledger"] {
+        std::future::pending::<()>().await;
+    }
+    match (&request.method, segments.as_slice()) {
+        (&Method::POST, ["start"]) => with_body(&body, |call| start(worker, call)).await,
+        (&Method::POST, ["settle"]) => {
+            with_body(&body, |call| async move { settle(&worker, &call) }).await
+        }
+        (&Method::POST, ["stop"]) => {
+            with_body(&body, |call| async move { stop(&worker, &call) }).await
+        }
+        (&Method::POST, ["renew"]) => {
+            with_body(&body, |call| async move { renew(&worker, &call) }).await
+        }
+        (&Method::POST, ["faults"]) => {
+            with_body(&body, |faults| async move { set_faults(&worker, faults) }).await
+        }
+        (&Method::GET, ["faults"]) => Response::json(200, &worker.borrow().faults),
+        (&Method::GET, ["ledger"]) => Response::json(200, &worker.borrow().ledger),
+        _ => Response::text(
+            404,
+            "no such call; POST /start, /settle, /stop, /renew, /faults",
+        ),
+    }
+}
+
+/// Reads a JSON body and hands it on, or says what is wrong with it.
+pub(crate) async fn with_body<T, F, Fut>(body: &[u8], handle: F) -> Response
+where
+    T: serde::de::DeserializeOwned,
+    F: FnOnce(T) -> Fut,
+    Fut: Future<Output = Response>,
+{
+    match serde_json::from_slice(body) {
+        Ok(call) => handle(call).await,
+        Err(error) => Response::text(400, format!("the body cannot be read: {error}")),
+    }
+}
+
+async fn start(worker: Shared, call: StartCall) -> Response {
+    if let Some(refusal) = refusal_of(&worker, &call) {
+        return refusal;
+    }
+    let task = call.task.clone();
+    // The work goes on when the daemon's connection breaks, as on a real worker.
+    let running = actix_rt::spawn(hold_and_run(Rc::clone(&worker), call));
+    let Ok(end) = running.await else {
+        return Response::broken();
+    };
+    let lost = worker.borrow().faults.lose_answer;
+    if worker.borrow().faults.dead {
+        std::future::pending::<()>().await;
+    }
+    if lost {
+        Response::broken()
+    } else {
+        worker.borrow().reply(&task, end)
+    }
+}
+
+async fn hold_and_run(worker: Shared, call: StartCall) -> WorkerEnd {
+    let free = {
+        let mut state = worker.borrow_mut();
+        state.open += 1;
+        state.ledger.most_open = state.ledger.most_open.max(state.open);
+        Rc::clone(&state.free)
+    };
+    let permit = free.acquire().await;
+    let end = run(&worker, &call).await;
+    drop(permit);
+    worker.borrow_mut().open -= 1;
+    end
+}
+
+fn refusal_of(worker: &Shared, call: &StartCall) -> Option<Response> {
+    let mut state = worker.borrow_mut();
+    state.ledger.messages += 1;
+    if state.faults.lose_request {
+        return Some(Response::broken());
+    }
+    let full = !call.hold && state.free.available_permits() == 0;
+    let crowded = state.open >= MOST_OPEN_STARTS;
+    let end = if state.barred.contains(&call.task) {
+        WorkerEnd::NeverWill
+    } else if state.faults.leaving {
+        WorkerEnd::Leaving
+    } else if state.faults.refuse {
+        WorkerEnd::Refused
+    } else if full || crowded {
+        WorkerEnd::Full
+    } else {
+        return None;
+    };
+    state.ledger.note(&call.task, Deed::Refused);
+    Some(state.reply(&call.task, end))
+}
+
+async fn run(worker: &Shared, call: &StartCall) -> WorkerEnd {
+    let question = question_of(&call.input);
+    let began = Instant::now();
+    let stop = Rc::new(Notify::new());
+    let (faults, sample) = {
+        let mut state = worker.borrow_mut();
+        state.ledger.note(&call.task, Deed::Started);
+        let lease_until = began + Duration::from_millis(call.lease_ms);
+        let task = RunningTask {
+            stop: Rc::clone(&stop),
+            lease_until,
+        };
+        state.running.insert(call.task.clone(), task);
+        state.ledger.most_running = state.ledger.most_running.max(state.running.len());
+        (state.faults, Rc::clone(&state.sample))
+    };
+    let work_ms = if faults.fail_fast {
+        1.0
+    } else {
+        question.work_ms as f64 * faults.slow_factor
+    };
+    let work = actix_rt::time::sleep(Duration::from_micros((work_ms * 1_000.0) as u64));
+    let stopped = lapse_or_stop(worker, &call.task, &stop);
+    let (work, stopped) = (std::pin::pin!(work), std::pin::pin!(stopped));
+    let ended = select(work, stopped).await;
+    let run_ms = began.elapsed().as_millis() as u64;
+    let (deed, end) = match ended {
+        Either::Right(_) => (Deed::Stopped, WorkerEnd::Stopped),
+        Either::Left(_) if faults.fail_fast || question.broken => {
+            let detail = "the work failed".to_owned();
+            (Deed::Failed, WorkerEnd::Failed { detail, run_ms })
+        }
+        Either::Left(_) => {
+            let output = answer(&sample, &question);
+            let digest = digest_of(&call.input);
+            (
+                Deed::Finished,
+                WorkerEnd::Done {
+                    output,
+                    digest,
+                    run_ms,
+                },
+            )
+        }
+    };
+    let mut state = worker.borrow_mut();
+    state.running.remove(&call.task);
+    state.ledger.note(&call.task, deed);
+    state.ended.insert(call.task.clone(), end.clone());
+    end
+}
+
+async fn lapse_or_stop(worker: &Shared, task: &str, stop: &Notify) {
+    loop {
+        let lease_until = worker
+            .borrow()
+            .running
+            .get(task)
+            .map(|running| running.lease_until);
+        let Some(lease_until) = lease_until else {
+            return;
+        };
+        let left = lease_until.saturating_duration_since(Instant::now());
+        if left.is_zero() || worker.borrow().faults.lapse {
+            return;
+        }
+        if actix_rt::time::timeout(left, stop.notified()).await.is_ok() {
+            let lapsed = worker
+                .borrow()
+                .running
+                .get(task)
+                .is_none_or(|r| r.lease_until == lease_until);
+            if lapsed {
+                return;
+            }
+        }
+    }
+}
+
+fn settle(worker: &Shared, call: &SettleCall) -> Response {
+    let mut state = worker.borrow_mut();
+    state.ledger.messages += 1;
+    let end = if let Some(end) = state.ended.get(&call.task) {
+        end.clone()
+    } else if state.running.contains_key(&call.task) {
+        WorkerEnd::StillRuns
+    } else {
+        if state.barred.insert(call.task.clone()) {
+            state.ledger.note(&call.task, Deed::Barred);
+        }
+        WorkerEnd::NeverWill
+    };
+    state.reply(&call.task, end)
+}
+
+fn stop(worker: &Shared, call: &StopCall) -> Response {
+    let mut state = worker.borrow_mut();
+    state.ledger.messages += 1;
+    let running = call.tasks.iter().filter_map(|task| state.running.get(task));
+    let count = running.map(|task| task.stop.notify_one()).count();
+    Response::json(200, &Done { count })
+}
+
+fn renew(worker: &Shared, call: &RenewCall) -> Response {
+    let mut state = worker.borrow_mut();
+    state.ledger.messages += 1;
+    let lease_until = Instant::now() + Duration::from_millis(call.lease_ms);
+    let mut count = 0;
+    for task in &call.tasks {
+        if let Some(running) = state.running.get_mut(task) {
+            running.lease_until = lease_until;
+            count += 1;
+        }
+    }
+    Response::json(200, &Done { count })
+}
+
+fn set_faults(worker: &Shared, faults: Faults) -> Response {
+    let mut state = worker.borrow_mut();
+    state.faults = faults;
+    if faults.lapse {
+        for running in state.running.values() {
+            running.stop.notify_one();
+        }
+    }
+    Response::json(200, &Done { count: state.slots })
+}
--- /dev/null
+++ b/crates/upstreams/src/client.rs
@@ -0,0 +1,140 @@
+//! Calls to workers, turned into what the engine understands.
+
+use std::net::SocketAddr;
+
+use dispatch::engine::{Hint, StartEnd};
+use dispatch::ticket::TaskId;
+use httpedge::client::{CallError, Caller};
+
+use crate::wire::{Done, RenewCall, SettleCall, StartCall, StopCall, WorkerEnd, WorkerReply};
+
+/// The longest time that a start may stay open.
+const LONGEST_RUN_MS: u64 = 600_000;
+/// How long a question or an order may take.
+const ORDER_TIMEOUT_MS: u64 = 1_500;
+
+/// The calls that a daemon makes to workers.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerClient {
+    caller: Caller,
+}
+
+impl WorkerClient {
+    /// Builds the client over a pool of connections.
+    pub const fn new(caller: Caller) -> Self {
+        Self { caller }
+    }
+
+    /// Starts a task and waits for its end.
+    pub async fn start(
+        &self,
+        worker: SocketAddr,
+        task: TaskId,
+        call: &StartCall,
+    ) -> (StartEnd, Option<Hint>) {
+        let reply = self
+            .caller
+            .post(worker, "/start", call, LONGEST_RUN_MS)
+            .await;
+        ended(task, reply, StartEnd::ReplyLost)
+    }
+
+    /// Asks about a task in doubt; one that never began is barred from beginning.
+    pub async fn settle(&self, worker: SocketAddr, task: TaskId) -> (StartEnd, Option<Hint>) {
+        let call = SettleCall {
+            task: task.to_string(),
+        };
+        let reply = self
+            .caller
+            .post(worker, "/settle", &call, ORDER_TIMEOUT_MS)
+            .await;
+        match ended(task, reply, StartEnd::NoAnswer) {
+            (StartEnd::NoConnection, hint) => (StartEnd::NoAnswer, hint),
+            other => other,
+        }
+    }
+
+    /// Stops tasks.
+    ///
+    /// # Errors
+    /// Fails where the worker gave no reply.
+    pub async fn stop(&self, worker: SocketAddr, tasks: &[TaskId]) -> Result<(), CallError> {
+        let call = StopCall {
+            tasks: names(tasks),
+        };
+        let done: Done = self
+            .caller
+            .post(worker, "/stop", &call, ORDER_TIMEOUT_MS)
+            .await?;
+        log::debug!("upstreams: Stopped {} tasks on {worker}.", done.count);
+        Ok(())
+    }
+
+    /// Renews leases.
+    ///
+    /// # Errors
+    /// Fails where the worker gave no reply.
+    pub async fn renew(
+        &self,
+        worker: SocketAddr,
+        tasks: &[TaskId],
+        lease_ms: u64,
+    ) -> Result<(), CallError> {
+        let call = RenewCall {
+            tasks: names(tasks),
+            lease_ms,
+        };
+        let done: Done = self
+            .caller
+            .post(worker, "/renew", &call, ORDER_TIMEOUT_MS)
+            .await?;
+        log::debug!("upstreams: Renewed {} leases on {worker}.", done.count);
+        Ok(())
+    }
+}
+
+fn names(tasks: &[TaskId]) -> Vec<String> {
+    tasks.iter().map(ToString::to_string).collect()
+}
+
+fn ended(
+    task: TaskId,
+    reply: Result<WorkerReply, CallError>,
+    lost: StartEnd,
+) -> (StartEnd, Option<Hint>) {
+    match reply {
+        Ok(reply) if reply.task == task.to_string() => {
+            let hint = Hint {
+                free: reply.free,
+                leaving: reply.leaving,
+            };
+            (end_of(reply.end), Some(hint))
+        }
+        Err(CallError::NoConnection(_)) => (StartEnd::NoConnection, None),
+        Ok(_)
+        | Err(CallError::ReplyLost(_) | CallError::Status { .. } | CallError::Unreadable(_)) => {
+            (lost, None)
+        }
+    }
+}
+
+fn end_of(end: WorkerEnd) -> StartEnd {
+    match end {
+        WorkerEnd::Done {
+            output,
+            digest,
+            run_ms,
+        } => StartEnd::Done {
+            output,
+            digest,
+            run_ms,
+        },
+        WorkerEnd::Failed { detail, run_ms } => StartEnd::Failed { detail, run_ms },
+        WorkerEnd::Stopped => StartEnd::Stopped,
+        WorkerEnd::Full => StartEnd::Full,
+        WorkerEnd::Leaving => StartEnd::Leaving,
+        WorkerEnd::Refused => StartEnd::Refused,
+        WorkerEnd::NeverWill => StartEnd::NeverWill,
+        WorkerEnd::StillRuns => StartEnd::StillRuns,
+    }
+}
--- /dev/null
+++ b/crates/upstreams/src/wire.rs
@@ -0,0 +1,97 @@
+//! What workers and daemons say to each other, as JSON over HTTP.
+
+use serde::{Deserialize, Serialize};
+
+/// A start; the reply comes when the task has ended or is refused.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StartCall {
+    /// The task's identity.
+    pub task: String,
+    /// The kind of work.
+    pub kind: String,
+    /// What to work on.
+    pub input: String,
+    /// The worker stops the task where it hears nothing of it for so long.
+    pub lease_ms: u64,
+    /// Whether the worker may hold the start until a slot is free.
+    #[serde(default)]
+    pub hold: bool,
+}
+
+/// What became of a start, or of a task that is asked about.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "end", rename_all = "snake_case")]
+pub enum WorkerEnd {
+    /// The task ran.
+    Done {
+        /// Its output.
+        output: String,
+        /// The digest of the input.
+        digest: String,
+        /// How long it ran.
+        run_ms: u64,
+    },
+    /// The task ran and failed.
+    Failed {
+        /// Why.
+        detail: String,
+        /// How long it ran.
+        run_ms: u64,
+    },
+    /// The task was stopped.
+    Stopped,
+    /// No slot is free; nothing began.
+    Full,
+    /// The worker is leaving; nothing began.
+    Leaving,
+    /// The worker refuses; nothing began.
+    Refused,
+    /// The task never began and never will.
+    NeverWill,
+    /// The task still runs.
+    StillRuns,
+}
+
+/// A worker's reply with what it tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerReply {
+    /// The end.
+    #[serde(flatten)]
+    pub end: WorkerEnd,
+    /// The task's identity, by which a crossed reply shows.
+    pub task: String,
+    /// Free slots now.
+    pub free: u32,
+    /// Whether the worker is leaving.
+    pub leaving: bool,
+}
+
+/// A question about a task in doubt.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SettleCall {
+    /// The task's identity.
+    pub task: String,
+}
+
+/// Tasks to stop.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StopCall {
+    /// The tasks' identities.
+    pub tasks: Vec<String>,
+}
+
+/// Leases to renew.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RenewCall {
+    /// The tasks' identities.
+    pub tasks: Vec<String>,
+    /// The new time.
+    pub lease_ms: u64,
+}
+
+/// A worker's word that it has done what it was told.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Done {
+    /// How many tasks it concerned.
+    pub count: usize,
+}
