--- a/crates/dispatch/src/workers.rs
+++ b/crates/dispatch/src/workers.rs
@@ -220,7 +220,7 @@
     /// Notes that a start has ended in whatever way.
     pub fn ended(&mut self, index: u32) {
         self.change(index, |worker| {
-            worker.outstanding = worker.outstanding.saturating_sub(1)
+            worker.outstanding = worker.outstanding.saturating_sub(1);
         });
     }
 
@@ -237,7 +237,7 @@
     /// Drops one share after the worker itself had no slot for it.
     pub fn was_full(&mut self, index: u32) {
         self.change(index, |worker| {
-            worker.credits = worker.credits.saturating_sub(1)
+            worker.credits = worker.credits.saturating_sub(1);
         });
     }
 
@@ -258,7 +258,7 @@
     /// Notes a connection that could not be made.
     pub fn unreachable(&mut self, index: u32, now: Millis) {
         self.change(index, |worker| {
-            worker.unreachable_until = now.plus(UNREACHABLE_MS)
+            worker.unreachable_until = now.plus(UNREACHABLE_MS);
         });
     }
 
@@ -267,7 +267,7 @@
         let step =
             LEARN_SHARE * (log_ratio.clamp(-3.0, 3.0) - self.list[index as usize].slowness.ln());
         self.change(index, |worker| {
-            worker.slowness = (worker.slowness.ln() + step).exp()
+            worker.slowness = (worker.slowness.ln() + step).exp();
         });
     }
 
@@ -382,7 +382,7 @@
         if own_zone {
             let (rank, count) = self.rank;
             self.change(index, |worker| {
-                worker.credits = base_share(&worker.info, rank, count)
+                worker.credits = base_share(&worker.info, rank, count);
             });
         }
     }
