--- a/crates/callers/src/parse.rs
+++ b/crates/callers/src/parse.rs
@@ -122,14 +122,12 @@
             ticket: (*ticket).to_owned(),
             wait_ms: number(request, "wait_ms", 0, LONGEST_WAIT_MS)?,
         }),
-        (&Method::DELETE, ["v1", "jobs", ticket]) => Ok(Call::Cancel {
-            ticket: (*ticket).to_owned(),
-        }),
+        (&Method::DELETE, ["v1", "jobs", ticket]) => {
+            Ok(Call::Cancel { ticket: (*ticket).to_owned() })
+        }
         (&Method::GET, ["v1", "tickets"]) => {
             let count = number(request, "count", 1, MOST_TICKETS as u64)?;
-            Ok(Call::Tickets {
-                count: count as usize,
-            })
+            Ok(Call::Tickets { count: count as usize })
         }
         (&Method::GET, ["healthz"]) => Ok(Call::Health),
         _ => Err(CallProblem::NoSuchCall),
@@ -149,12 +147,7 @@
     if job.tasks.len() > max_tasks {
         return Err(CallProblem::TooManyTasks(job.tasks.len(), max_tasks));
     }
-    Ok(Call::Submit {
-        under,
-        wait_ms,
-        next_tickets,
-        request: job,
-    })
+    Ok(Call::Submit { under, wait_ms, next_tickets, request: job })
 }
 
 fn identity(request: &Request) -> Result<Under, CallProblem> {
@@ -173,10 +166,7 @@
     if key.len() > LONGEST_KEY {
         return Err(CallProblem::Key);
     }
-    Ok(Under::Key {
-        key: key.to_owned(),
-        key_ms,
-    })
+    Ok(Under::Key { key: key.to_owned(), key_ms })
 }
 
 fn number(
--- a/crates/callers/src/render.rs
+++ b/crates/callers/src/render.rs
@@ -80,10 +80,5 @@
 
 /// Renders a problem with the call itself.
 pub fn render_problem(problem: &CallProblem) -> Response {
-    Response::json(
-        problem.status(),
-        &ErrorBody {
-            error: problem.to_string(),
-        },
-    )
+    Response::json(problem.status(), &ErrorBody { error: problem.to_string() })
 }
--- a/crates/clementinectl/src/catalogue.rs
+++ b/crates/clementinectl/src/catalogue.rs
@@ -33,10 +33,7 @@
                 Item::Kind(kind) => format!("kind of {}", kind.owner),
                 Item::Team(team) => format!("team with share {}", team.share),
             };
-            println!(
-                "{name:24} revision {:<6} by {:12} {what}",
-                entry.revision, entry.by
-            );
+            println!("{name:24} revision {:<6} by {:12} {what}", entry.revision, entry.by);
         }
         Ok(SUCCESS)
     }
@@ -66,11 +63,7 @@
             return Ok(SUCCESS);
         }
         let id = format!("{}-{:016x}", args.by, rand::random::<u64>());
-        let edit = Edit {
-            id,
-            by: args.by.clone(),
-            changes,
-        };
+        let edit = Edit { id, by: args.by.clone(), changes };
         validate(&edit).map_err(|invalid| CtlError::File {
             file: args.file.clone(),
             why: invalid.to_string(),
@@ -96,10 +89,7 @@
     /// Fails where the daemon cannot be asked.
     pub async fn history(&self) -> Result<u8, CtlError> {
         let path = "/v1/catalogue/history";
-        let body: HistoryBody = self
-            .caller
-            .get(self.operators, path, OPERATOR_TIMEOUT_MS)
-            .await?;
+        let body: HistoryBody = self.caller.get(self.operators, path, OPERATOR_TIMEOUT_MS).await?;
         if self.json {
             output::json(&body);
             return Ok(SUCCESS);
@@ -143,13 +133,8 @@
     async fn await_offset(&self, offset: u64) -> Result<u8, CtlError> {
         for _ in 0..LOOKS {
             let fleet = self.fleet().await?;
-            let reachable = fleet
-                .daemons
-                .iter()
-                .filter(|d| d.state == "self" || d.state == "live");
-            let behind = reachable
-                .filter(|d| d.catalogue_offset < Some(offset))
-                .count();
+            let reachable = fleet.daemons.iter().filter(|d| d.state == "self" || d.state == "live");
+            let behind = reachable.filter(|d| d.catalogue_offset < Some(offset)).count();
             if behind == 0 {
                 self.print_fleet(&fleet);
                 println!("in force on every reachable daemon");
@@ -167,11 +152,7 @@
             output::json(fleet);
             return;
         }
-        let newest = fleet
-            .daemons
-            .iter()
-            .filter_map(|daemon| daemon.catalogue_offset)
-            .max();
+        let newest = fleet.daemons.iter().filter_map(|daemon| daemon.catalogue_offset).max();
         for daemon in &fleet.daemons {
             let offset = daemon.catalogue_offset;
             let lag = newest.zip(offset).map(|(newest, offset)| newest - offset);
@@ -191,17 +172,11 @@
     }
 
     async fn catalogue(&self) -> Result<CatalogueBody, CtlError> {
-        Ok(self
-            .caller
-            .get(self.operators, "/v1/catalogue", OPERATOR_TIMEOUT_MS)
-            .await?)
+        Ok(self.caller.get(self.operators, "/v1/catalogue", OPERATOR_TIMEOUT_MS).await?)
     }
 
     async fn fleet(&self) -> Result<FleetBody, CtlError> {
-        Ok(self
-            .caller
-            .get(self.operators, "/v1/fleet", OPERATOR_TIMEOUT_MS)
-            .await?)
+        Ok(self.caller.get(self.operators, "/v1/fleet", OPERATOR_TIMEOUT_MS).await?)
     }
 
     async fn append(&self, edit: &Edit) -> Result<u64, CtlError> {
@@ -224,23 +199,13 @@
     ) -> Result<EditBody, CtlError> {
         let addr = self.operators;
         let timeout_ms = OPERATOR_TIMEOUT_MS;
-        let call = RawCall {
-            addr,
-            method,
-            path,
-            headers: &[],
-            body,
-            timeout_ms,
-        };
+        let call = RawCall { addr, method, path, headers: &[], body, timeout_ms };
         let (status, body) = self.caller.raw(call).await?;
         if let Ok(body) = serde_json::from_slice(&body) {
             return Ok(body);
         }
         match serde_json::from_slice::<ErrorBody>(&body) {
-            Ok(error) => Err(CtlError::Refused {
-                status,
-                why: error.error,
-            }),
+            Ok(error) => Err(CtlError::Refused { status, why: error.error }),
             Err(_) => Err(CallError::Unreadable(addr).into()),
         }
     }
@@ -248,18 +213,14 @@
 
 fn revision_of(body: EditBody) -> Result<u64, CtlError> {
     match body {
-        EditBody::Known {
-            outcome: Outcome::Applied { revision },
-        } => Ok(revision),
-        EditBody::Known {
-            outcome: Outcome::Conflict { name, current, by },
-        } => {
+        EditBody::Known { outcome: Outcome::Applied { revision } } => Ok(revision),
+        EditBody::Known { outcome: Outcome::Conflict { name, current, by } } => {
             let current = current.map_or("removed".to_owned(), |revision| revision.to_string());
             Err(CtlError::Conflict { name, by, current })
         }
-        EditBody::Known {
-            outcome: Outcome::Invalid { why },
-        } => Err(CtlError::Refused { status: 422, why }),
+        EditBody::Known { outcome: Outcome::Invalid { why } } => {
+            Err(CtlError::Refused { status: 422, why })
+        }
         EditBody::NotAccepted { why } => Err(CtlError::Refused { status: 503, why }),
         EditBody::Unknown { id, .. } => Err(CtlError::EditUnknown(id)),
     }
@@ -268,15 +229,10 @@
 type Entries = BTreeMap<String, Option<Item>>;
 
 fn read_entries(file: &str) -> Result<Entries, CtlError> {
-    let wrong = |why: String| CtlError::File {
-        file: file.to_owned(),
-        why,
-    };
+    let wrong = |why: String| CtlError::File { file: file.to_owned(), why };
     let text = std::fs::read_to_string(file).map_err(|error| wrong(error.to_string()))?;
     serde_json::from_str(&text).map_err(|error| {
-        wrong(format!(
-            "{error}; write {{\"NAME\": {{\"kind\": {{...}}}}}} as in docs/OPERATORS.md"
-        ))
+        wrong(format!("{error}; write {{\"NAME\": {{\"kind\": {{...}}}}}} as in docs/OPERATORS.md"))
     })
 }
 
@@ -327,10 +283,7 @@
     };
     let value = value.unwrap_or_default();
     let fields = value.as_object().cloned().unwrap_or_default();
-    fields
-        .into_iter()
-        .map(|(key, value)| (key, value.to_string()))
-        .collect()
+    fields.into_iter().map(|(key, value)| (key, value.to_string())).collect()
 }
 
 #[cfg(test)]
@@ -342,37 +295,14 @@
 
     #[test]
     fn only_differences_are_edited_and_shown() {
-        let team = |share| {
-            Item::Team(TeamSpec {
-                share,
-                max_queued_tasks: 10,
-            })
-        };
-        let versioned = |share| Versioned {
-            revision: 4,
-            by: "anna".into(),
-            item: team(share),
-        };
-        let items = [
-            ("a".to_owned(), versioned(1)),
-            ("b".to_owned(), versioned(2)),
-        ]
-        .into();
-        let current = CatalogueBody {
-            next_offset: 9,
-            items,
-        };
-        let wanted = [
-            ("a".to_owned(), Some(team(1))),
-            ("b".to_owned(), Some(team(3))),
-        ]
-        .into();
+        let team = |share| Item::Team(TeamSpec { share, max_queued_tasks: 10 });
+        let versioned = |share| Versioned { revision: 4, by: "anna".into(), item: team(share) };
+        let items = [("a".to_owned(), versioned(1)), ("b".to_owned(), versioned(2))].into();
+        let current = CatalogueBody { next_offset: 9, items };
+        let wanted = [("a".to_owned(), Some(team(1))), ("b".to_owned(), Some(team(3)))].into();
         let changes = changes_of(&current, wanted);
         assert_eq!(changes.len(), 1);
         assert_eq!(changes[0].base, Some(4));
-        assert_eq!(
-            preview(&current, &changes),
-            ["~ b", "    - share = 2", "    + share = 3"]
-        );
+        assert_eq!(preview(&current, &changes), ["~ b", "    - share = 2", "    + share = 3"]);
     }
 }
--- a/crates/clementinectl/src/cli.rs
+++ b/crates/clementinectl/src/cli.rs
@@ -20,18 +20,10 @@
     /// Prints this help.
     pub help: bool,
     /// Address where the daemon serves callers.
-    #[options(
-        no_short,
-        default_expr = "([127, 0, 0, 1], 7000).into()",
-        meta = "IP:PORT"
-    )]
+    #[options(no_short, default_expr = "([127, 0, 0, 1], 7000).into()", meta = "IP:PORT")]
     pub entry: SocketAddr,
     /// Address where the daemon serves operators.
-    #[options(
-        no_short,
-        default_expr = "([127, 0, 0, 1], 7001).into()",
-        meta = "IP:PORT"
-    )]
+    #[options(no_short, default_expr = "([127, 0, 0, 1], 7001).into()", meta = "IP:PORT")]
     pub operators: SocketAddr,
     /// Prints JSON.
     #[options(no_short)]
--- a/crates/clementinectl/src/jobs.rs
+++ b/crates/clementinectl/src/jobs.rs
@@ -28,13 +28,7 @@
         // A ticket of our own makes a repetition after a lost answer safe.
         let ticket = match &args.ticket {
             Some(ticket) => ticket.clone(),
-            None => self
-                .draw(1)
-                .await?
-                .tickets
-                .into_iter()
-                .next()
-                .unwrap_or_default(),
+            None => self.draw(1).await?.tickets.into_iter().next().unwrap_or_default(),
         };
         let headers = [("ticket", ticket.clone())];
         let path = format!("/v1/jobs?wait_ms={STEP_MS}&next_tickets=0");
@@ -111,38 +105,23 @@
         body: Vec<u8>,
     ) -> Result<AnswerBody, CtlError> {
         let timeout_ms = STEP_MS + CALL_MARGIN_MS;
-        let call = RawCall {
-            addr: self.entry,
-            method,
-            path,
-            headers,
-            body,
-            timeout_ms,
-        };
+        let call = RawCall { addr: self.entry, method, path, headers, body, timeout_ms };
         let (status, body) = self.caller.raw(call).await?;
         if let Ok(answer) = serde_json::from_slice(&body) {
             return Ok(answer);
         }
         match serde_json::from_slice::<ErrorBody>(&body) {
-            Ok(error) => Err(CtlError::Refused {
-                status,
-                why: error.error,
-            }),
+            Ok(error) => Err(CtlError::Refused { status, why: error.error }),
             Err(_) => Err(CallError::Unreadable(self.entry).into()),
         }
     }
 }
 
 fn read_job(file: &str) -> Result<Vec<u8>, CtlError> {
-    let wrong = |why: String| CtlError::File {
-        file: file.to_owned(),
-        why,
-    };
+    let wrong = |why: String| CtlError::File { file: file.to_owned(), why };
     let text = std::fs::read_to_string(file).map_err(|error| wrong(error.to_string()))?;
     let job: JobRequest = serde_json::from_str(&text).map_err(|error| {
-        wrong(format!(
-            "no job: {error}; write {{\"kind\": ..., \"tasks\": [...]}}"
-        ))
+        wrong(format!("no job: {error}; write {{\"kind\": ..., \"tasks\": [...]}}"))
     })?;
     serde_json::to_vec(&job).map_err(|error| wrong(error.to_string()))
 }
--- a/crates/clementinectl/src/output.rs
+++ b/crates/clementinectl/src/output.rs
@@ -14,10 +14,7 @@
 
 /// Prints a value as JSON.
 pub fn json(value: &impl Serialize) {
-    println!(
-        "{}",
-        serde_json::to_string_pretty(value).unwrap_or_default()
-    );
+    println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
 }
 
 /// Prints an answer.
@@ -54,10 +51,7 @@
 
     #[test]
     fn each_end_has_its_own_words() {
-        let done = TaskEnd::Done {
-            output: "ok".into(),
-            digest: String::new(),
-        };
+        let done = TaskEnd::Done { output: "ok".into(), digest: String::new() };
         assert_eq!(task_line(3, &done), "    3  done         ok");
         assert!(task_line(0, &TaskEnd::InDoubt).ends_with("it may have run"));
         assert!(task_line(0, &TaskEnd::NotStarted).ends_with("not started"));
--- a/crates/clementinectl/src/run.rs
+++ b/crates/clementinectl/src/run.rs
@@ -30,19 +30,11 @@
 /// Fails with what went wrong and the remedy.
 pub fn run(args: Args) -> Result<u8, CtlError> {
     let Some(command) = args.command else {
-        return Err(CtlError::Usage(format!(
-            "name a command\n{}",
-            Args::usage()
-        )));
+        return Err(CtlError::Usage(format!("name a command\n{}", Args::usage())));
     };
     actix_rt::System::new().block_on(async move {
         let (entry, operators, json) = (args.entry, args.operators, args.json);
-        let tool = Tool {
-            entry,
-            operators,
-            json,
-            caller: Caller::new(),
-        };
+        let tool = Tool { entry, operators, json, caller: Caller::new() };
         match command {
             Command::Submit(args) => tool.submit(&args).await,
             Command::Status(args) => tool.status(&args).await,
--- a/crates/clementinectl/src/state.rs
+++ b/crates/clementinectl/src/state.rs
@@ -14,37 +14,20 @@
     /// # Errors
     /// Fails where the daemon cannot be asked.
     pub async fn state(&self) -> Result<u8, CtlError> {
-        let state: Value = self
-            .caller
-            .get(self.operators, "/v1/state", OPERATOR_TIMEOUT_MS)
-            .await?;
+        let state: Value =
+            self.caller.get(self.operators, "/v1/state", OPERATOR_TIMEOUT_MS).await?;
         if self.json {
             output::json(&state);
             return Ok(SUCCESS);
         }
-        for key in [
-            "incarnation",
-            "zone",
-            "phase",
-            "catalogue_offset",
-            "reaches_log",
-        ] {
+        for key in ["incarnation", "zone", "phase", "catalogue_offset", "reaches_log"] {
             println!("{key:20} {}", state[key]);
         }
         println!("{:20} {}", "cut_off_zones", state["cut_off_zones"]);
-        for key in [
-            "open_jobs",
-            "queued_tasks",
-            "running_tasks",
-            "free_slots",
-            "in_doubt",
-        ] {
+        for key in ["open_jobs", "queued_tasks", "running_tasks", "free_slots", "in_doubt"] {
             println!("{key:20} {}", state["engine"][key]);
         }
-        println!(
-            "{:20} {}",
-            "refusals", state["engine"]["counters"]["refusals"]
-        );
+        println!("{:20} {}", "refusals", state["engine"]["counters"]["refusals"]);
         for worker in state["engine"]["workers"].as_array().into_iter().flatten() {
             println!(
                 "worker {:21} {:14} slots held {:3} in use {:3} {}",
@@ -64,10 +47,7 @@
     /// Fails where the daemon cannot be asked or does not take the ticket.
     pub async fn explain(&self, args: &TicketArgs) -> Result<u8, CtlError> {
         let path = format!("/v1/explain/{}", args.ticket);
-        let body: Value = self
-            .caller
-            .get(self.operators, &path, OPERATOR_TIMEOUT_MS)
-            .await?;
+        let body: Value = self.caller.get(self.operators, &path, OPERATOR_TIMEOUT_MS).await?;
         if self.json {
             output::json(&body);
             return Ok(SUCCESS);
@@ -82,10 +62,7 @@
             return Ok(SUCCESS);
         }
         let here = &body["here"];
-        println!(
-            "phase {}, accepted {} ms ago",
-            here["phase"], here["age_ms"]
-        );
+        println!("phase {}, accepted {} ms ago", here["phase"], here["age_ms"]);
         println!("waiting {}, ended {}", here["waiting"], here["ended"]);
         for sent in here["sent"].as_array().into_iter().flatten() {
             println!("task {} on {} since {} ms", sent[0], sent[1], sent[2]);
--- a/crates/clementined/src/actions.rs
+++ b/crates/clementined/src/actions.rs
@@ -5,7 +5,6 @@
 
 use ::peers::wire::Ask;
 use dispatch::engine::{Action, Event};
-use dispatch::jobs::JobRequest;
 use dispatch::ticket::{Incarnation, TaskId};
 use upstreams::wire::StartCall;
 
@@ -16,67 +15,44 @@
     pub fn carry_out(self: &Rc<Self>, action: Action) {
         match action {
             Action::Reply { request, answer } => self.answer(request, answer),
-            Action::Start {
-                task,
-                worker,
-                work,
-                lease_ms,
-                hold,
-            } => {
-                self.start(task, worker, &work, lease_ms, hold);
+            Action::Start { task, attempt, worker, work, lease_ms, hold } => {
+                let call = StartCall {
+                    task: task.to_string(),
+                    kind: work.kind.clone(),
+                    input: work.tasks[task.index as usize].input.clone(),
+                    lease_ms,
+                    hold,
+                };
+                self.start(task, attempt, worker, call);
             }
-            Action::AskWorker { task, worker } => self.settle(task, worker),
+            Action::AskWorker { task, attempt, worker } => self.settle(task, attempt, worker),
             Action::Stop { worker, tasks } => self.stop(worker, tasks),
-            Action::Renew {
-                worker,
-                tasks,
-                lease_ms,
-            } => self.renew(worker, tasks, lease_ms),
+            Action::Renew { worker, tasks, lease_ms } => self.renew(worker, tasks, lease_ms),
             Action::Journal(job) => self.journal_start(job),
             Action::AskSlots(peer, ask) => self.tell_peer(peer, Ask::Slots(ask)),
             Action::GiveSlots(peer, grant) => self.tell_peer(peer, Ask::Give(grant)),
-            Action::JobEnded {
-                kind,
-                verdict,
-                response_ms,
-                ideal_ms,
-            } => {
-                self.metrics
-                    .job_ended(&kind, verdict, response_ms, ideal_ms);
+            Action::JobEnded { kind, verdict, response_ms, ideal_ms } => {
+                self.metrics.job_ended(&kind, verdict, response_ms, ideal_ms);
             }
         }
     }
 
-    fn start(
-        self: &Rc<Self>,
-        task: TaskId,
-        worker: SocketAddr,
-        work: &Rc<JobRequest>,
-        lease_ms: u64,
-        hold: bool,
-    ) {
-        let call = StartCall {
-            task: task.to_string(),
-            kind: work.kind.clone(),
-            input: work.tasks[task.index as usize].input.clone(),
-            lease_ms,
-            hold,
-        };
+    fn start(self: &Rc<Self>, task: TaskId, attempt: u64, worker: SocketAddr, call: StartCall) {
         let daemon = Rc::clone(self);
         daemon.count_worker_messages(worker, 2);
         actix_rt::spawn(async move {
             let (end, hint) = daemon.workers.start(worker, task, &call).await;
-            daemon.drive(Event::Ended { task, end, hint });
+            daemon.drive(Event::Ended { task, attempt, end, hint });
         });
     }
 
-    fn settle(self: &Rc<Self>, task: TaskId, worker: SocketAddr) {
+    fn settle(self: &Rc<Self>, task: TaskId, attempt: u64, worker: SocketAddr) {
         let daemon = Rc::clone(self);
         daemon.count_worker_messages(worker, 2);
         actix_rt::spawn(async move {
             let (end, hint) = daemon.workers.settle(worker, task).await;
             log::info!("upstreams: Task {task} in doubt on {worker}: {end:?}.");
-            daemon.drive(Event::Ended { task, end, hint });
+            daemon.drive(Event::Ended { task, attempt, end, hint });
         });
     }
 
@@ -94,8 +70,13 @@
         let daemon = Rc::clone(self);
         daemon.count_worker_messages(worker, 2);
         actix_rt::spawn(async move {
-            if let Err(error) = daemon.workers.renew(worker, &tasks, lease_ms).await {
-                log::warn!("upstreams: Renewal failed: {error}.");
+            let renewed = daemon.workers.renew(worker, &tasks, lease_ms).await;
+            if renewed.as_ref().is_ok_and(|count| *count == tasks.len()) {
+                return;
+            }
+            log::warn!("upstreams: Renewal on {worker} failed; asking about its tasks.");
+            for task in tasks {
+                daemon.drive(Event::Unconfirmed(task));
             }
         });
     }
@@ -106,8 +87,7 @@
             (peer.last.addr, far)
         });
         let Some((addr, far)) = found else { return };
-        self.far_peer_messages
-            .set(self.far_peer_messages.get() + u64::from(far));
+        self.far_peer_messages.set(self.far_peer_messages.get() + u64::from(far));
         let daemon = Rc::clone(self);
         actix_rt::spawn(async move {
             if let Err(error) = daemon.links.tell(addr, ask).await {
@@ -118,10 +98,7 @@
 
     fn count_worker_messages(&self, worker: SocketAddr, count: u64) {
         self.worker_messages.set(self.worker_messages.get() + count);
-        let far = self
-            .engine
-            .try_borrow()
-            .is_ok_and(|engine| engine.is_far(worker));
+        let far = self.engine.try_borrow().is_ok_and(|engine| engine.is_far(worker));
         if far {
             self.far_messages.set(self.far_messages.get() + count);
         }
--- a/crates/clementined/src/beats.rs
+++ b/crates/clementined/src/beats.rs
@@ -12,6 +12,8 @@
 
 use crate::daemon::{Daemon, Phase};
 
+/// Daemons of other zones get every so-many-th heartbeat.
+const FAR_BEAT_EVERY: u64 = 2;
 const INHERITANCES_TOLD: usize = 8;
 const ASIDE_TOLD: usize = 8;
 
@@ -22,7 +24,7 @@
         let mut count = 0;
         loop {
             count += 1;
-            self.send_beat(count).await;
+            self.send_beat(count, count % FAR_BEAT_EVERY == 1).await;
             self.notice_changes(&mut seen);
             actix_rt::time::sleep(Duration::from_millis(self.config.heartbeat_ms)).await;
         }
@@ -41,19 +43,13 @@
         }
     }
 
-    /// Sends one heartbeat to every known daemon.
-    pub async fn send_beat(&self, count: u64) {
+    /// Sends one heartbeat to the daemons of the own zone, and `also_far` to all others.
+    pub async fn send_beat(&self, count: u64, also_far: bool) {
         let (idle, queued) = self.engine.borrow().load();
         let now = self.now();
-        let inheritances = self
-            .membership
-            .borrow_mut()
-            .inheritances_to_tell(INHERITANCES_TOLD);
-        let offset = self
-            .follower
-            .borrow()
-            .fold()
-            .map_or(0, dispatch::catalogue::Fold::next_offset);
+        let inheritances = self.membership.borrow_mut().inheritances_to_tell(INHERITANCES_TOLD);
+        let offset =
+            self.follower.borrow().fold().map_or(0, dispatch::catalogue::Fold::next_offset);
         let beat = Heartbeat {
             incarnation: self.incarnation,
             count: count_of(now.0, count),
@@ -71,30 +67,21 @@
         let to: Vec<(SocketAddr, bool)> = {
             let membership = self.membership.borrow();
             let is_far = |peer: Option<&Peer>| peer.is_some_and(|p| p.last.zone != beat.zone);
-            membership
-                .peers(now)
-                .map(|(addr, _, peer)| (addr, is_far(peer)))
-                .collect()
+            membership.peers(now).map(|(addr, _, peer)| (addr, is_far(peer))).collect()
         };
+        let to: Vec<(SocketAddr, bool)> =
+            to.into_iter().filter(|(_, far)| also_far || !far).collect();
         let far = to.iter().filter(|(_, far)| *far).count() as u64;
-        self.far_peer_messages
-            .set(self.far_peer_messages.get() + far);
+        self.far_peer_messages.set(self.far_peer_messages.get() + far);
         let to: Vec<SocketAddr> = to.into_iter().map(|(addr, _)| addr).collect();
         self.beats.send(&beat, &to).await;
     }
 
     fn take_news(self: &Rc<Self>, beat: &Heartbeat, changed: bool) {
         let own_zone = beat.zone == self.config.zone;
-        let load = PeerLoad {
-            own_zone,
-            idle: beat.idle,
-            queued: beat.queued,
-        };
+        let load = PeerLoad { zone: beat.zone.clone(), idle: beat.idle, queued: beat.queued };
         if !beat.draining {
-            self.drive(Event::PeerLoad {
-                peer: beat.incarnation,
-                load,
-            });
+            self.drive(Event::PeerLoad { peer: beat.incarnation, load });
         }
         for addr in &beat.aside {
             self.drive(Event::ToldBad(*addr));
--- a/crates/clementined/src/callers.rs
+++ b/crates/clementined/src/callers.rs
@@ -66,12 +66,9 @@
             Err(problem) => return render_problem(&problem),
         };
         match call {
-            Call::Submit {
-                under,
-                wait_ms,
-                next_tickets,
-                request,
-            } => self.submit(under, wait_ms, next_tickets, request).await,
+            Call::Submit { under, wait_ms, next_tickets, request } => {
+                self.submit(under, wait_ms, next_tickets, request).await
+            }
             Call::Wait { ticket, wait_ms } => {
                 self.by_ticket(&ticket, HomeCall::Wait { wait_ms }, 0).await
             }
@@ -94,23 +91,14 @@
             Under::Key { key, key_ms } => self.by_key(key, key_ms, call).await,
             Under::Nothing => self.run_here_or_near(call).await,
         };
-        render(
-            &ticketed.ticket,
-            &ticketed.answer,
-            self.draw_tickets(next_tickets),
-        )
+        render(&ticketed.ticket, &ticketed.answer, self.draw_tickets(next_tickets))
     }
 
     async fn by_ticket(self: Rc<Self>, text: &str, call: HomeCall, next: usize) -> Response {
         let ticket = match self.keys.check(text) {
             Ok(ticket) => ticket,
             Err(error) => {
-                return Response::json(
-                    400,
-                    &ErrorBody {
-                        error: error.to_string(),
-                    },
-                );
+                return Response::json(400, &ErrorBody { error: error.to_string() });
             }
         };
         let answer = self.call_home(&ticket, text, call).await;
@@ -124,13 +112,7 @@
                 "no tickets here: the daemon drains or has no catalogue; ask another".into();
             return Response::json(503, &ErrorBody { error });
         }
-        Response::json(
-            200,
-            &TicketsBody {
-                tickets,
-                valid_ms: self.config.ticket_valid_ms,
-            },
-        )
+        Response::json(200, &TicketsBody { tickets, valid_ms: self.config.ticket_valid_ms })
     }
 
     fn health(&self) -> Response {
@@ -138,10 +120,7 @@
         if ready && self.phase.get() == Phase::Serving {
             return Response::text(200, "serving\n");
         }
-        Response::text(
-            503,
-            "draining or without a catalogue; use another entry VM\n",
-        )
+        Response::text(503, "draining or without a catalogue; use another entry VM\n")
     }
 
     /// Runs a job under a new ticket: here, or at a peer where this daemon does not serve.
@@ -150,43 +129,24 @@
         if ready && self.phase.get() == Phase::Serving {
             let (ticket, text) = self.draw_ticket();
             let answer = self.call_engine(&ticket, call).await;
-            return Ticketed {
-                ticket: text,
-                answer,
-            };
+            return Ticketed { ticket: text, answer };
         }
-        let reason = if ready {
-            Reason::Draining
-        } else {
-            Reason::NotReady
-        };
+        let reason = if ready { Reason::Draining } else { Reason::NotReady };
         let heirs = self.membership.borrow().heirs(self.now());
         let (Some(peer), HomeCall::Submit { request, wait_ms }) = (heirs.first(), call) else {
-            return Ticketed {
-                ticket: String::new(),
-                answer: Answer::not_run(reason),
-            };
-        };
-        let ask = Ask::Submit {
-            ticket: None,
-            request,
-            wait_ms,
+            return Ticketed { ticket: String::new(), answer: Answer::not_run(reason) };
         };
+        let ask = Ask::Submit { ticket: None, request, wait_ms };
         self.count_forward();
-        let told = self
-            .links
-            .call(peer.last.addr, ask, wait_ms + LINK_MARGIN_MS)
-            .await;
+        let told = self.links.call(peer.last.addr, ask, wait_ms + LINK_MARGIN_MS).await;
         match told {
             Ok(Tell::Answer { ticket, answer }) => Ticketed { ticket, answer },
-            Err(::peers::links::LinkError::NoConnection(_)) => Ticketed {
-                ticket: String::new(),
-                answer: Answer::not_run(reason),
-            },
-            Ok(_) | Err(::peers::links::LinkError::ReplyLost(_)) => Ticketed {
-                ticket: String::new(),
-                answer: Answer::unknown(Reason::HomeUnreachable),
-            },
+            Err(::peers::links::LinkError::NoConnection(_)) => {
+                Ticketed { ticket: String::new(), answer: Answer::not_run(reason) }
+            }
+            Ok(_) | Err(::peers::links::LinkError::ReplyLost(_)) => {
+                Ticketed { ticket: String::new(), answer: Answer::unknown(Reason::HomeUnreachable) }
+            }
         }
     }
 
@@ -246,30 +206,16 @@
                 let digest = digest_of(&request);
                 let work = Rc::new(request);
                 self.ask_engine(job, wait_ms, |request| {
-                    Event::Submit(Submission {
-                        request,
-                        job,
-                        expiry_ms,
-                        digest,
-                        work,
-                    })
+                    Event::Submit(Submission { request, job, expiry_ms, digest, work })
                 })
                 .await
             }
             HomeCall::Wait { .. } => {
-                let event = |request| Event::Wait {
-                    request,
-                    job,
-                    expiry_ms,
-                };
+                let event = |request| Event::Wait { request, job, expiry_ms };
                 self.ask_engine(job, wait_ms, event).await
             }
             HomeCall::Cancel => {
-                let event = |request| Event::Cancel {
-                    request,
-                    job,
-                    expiry_ms,
-                };
+                let event = |request| Event::Cancel { request, job, expiry_ms };
                 self.ask_engine(job, wait_ms, event).await
             }
         };
@@ -285,11 +231,9 @@
         let wait_ms = call.wait_ms() + LINK_MARGIN_MS;
         let ticket = text.to_owned();
         let ask = match call {
-            HomeCall::Submit { request, wait_ms } => Ask::Submit {
-                ticket: Some(ticket),
-                request,
-                wait_ms,
-            },
+            HomeCall::Submit { request, wait_ms } => {
+                Ask::Submit { ticket: Some(ticket), request, wait_ms }
+            }
             HomeCall::Wait { wait_ms } => Ask::Wait { ticket, wait_ms },
             HomeCall::Cancel => Ask::Cancel { ticket },
         };
@@ -306,10 +250,7 @@
 
     fn is_journalled(&self, kind: &str) -> bool {
         let follower = self.follower.borrow();
-        follower
-            .fold()
-            .and_then(|fold| fold.kind(kind))
-            .is_some_and(|kind| kind.journal)
+        follower.fold().and_then(|fold| fold.kind(kind)).is_some_and(|kind| kind.journal)
     }
 }
 
--- a/crates/clementined/src/catalogue.rs
+++ b/crates/clementined/src/catalogue.rs
@@ -25,11 +25,7 @@
     pub async fn follow_catalogue(self: Rc<Self>) {
         loop {
             let from = self.follower.borrow().read_from();
-            let wait_ms = if self.follower.borrow().fold().is_some() {
-                LONG_POLL_MS
-            } else {
-                0
-            };
+            let wait_ms = if self.follower.borrow().fold().is_some() { LONG_POLL_MS } else { 0 };
             self.platform_messages.set(self.platform_messages.get() + 2);
             match self.log.read(CATALOGUE_STREAM, from, wait_ms).await {
                 Ok(page) => self.take_page(page).await,
@@ -54,10 +50,7 @@
         }
         let (daemon, addr) = (Rc::clone(self), beat.addr);
         actix_rt::spawn(async move {
-            let told = daemon
-                .links
-                .call(addr, Ask::CatalogueFrom(own), PEER_WAIT_MS)
-                .await;
+            let told = daemon.links.call(addr, Ask::CatalogueFrom(own), PEER_WAIT_MS).await;
             match told {
                 Ok(Tell::Records(records)) if ready => {
                     daemon.follower.borrow_mut().read_from_peer(records);
@@ -77,9 +70,7 @@
     /// Appends an operator's edit and tells what it came to.
     pub async fn edit(self: Rc<Self>, edit: Edit) -> EditBody {
         if let Err(invalid) = validate(&edit) {
-            return EditBody::NotAccepted {
-                why: invalid.to_string(),
-            };
+            return EditBody::NotAccepted { why: invalid.to_string() };
         }
         let id = edit.id.clone();
         let record = serde_json::to_string(&CatalogueRecord::Edit(edit)).unwrap_or_default();
@@ -89,12 +80,8 @@
                 let why = "the log service cannot be reached; try again when it is back".to_owned();
                 return EditBody::NotAccepted { why };
             }
-            Err(CallError::Status {
-                status: 429, body, ..
-            }) => {
-                return EditBody::NotAccepted {
-                    why: format!("{body}; try again in a second"),
-                };
+            Err(CallError::Status { status: 429, body, .. }) => {
+                return EditBody::NotAccepted { why: format!("{body}; try again in a second") };
             }
             Ok(_) | Err(_) => {}
         }
@@ -105,20 +92,13 @@
     pub async fn await_outcome(&self, id: &str) -> EditBody {
         let until = self.now().plus(OUTCOME_WAIT_MS);
         loop {
-            let outcome = self
-                .follower
-                .borrow()
-                .fold()
-                .and_then(|fold| fold.outcome(id).cloned());
+            let outcome = self.follower.borrow().fold().and_then(|fold| fold.outcome(id).cloned());
             if let Some(outcome) = outcome {
                 return EditBody::Known { outcome };
             }
             if self.now() > until {
                 let remedy = "ask again with: clementinectl catalogue outcome ID".to_owned();
-                return EditBody::Unknown {
-                    id: id.to_owned(),
-                    remedy,
-                };
+                return EditBody::Unknown { id: id.to_owned(), remedy };
             }
             actix_rt::time::sleep(OUTCOME_LOOK).await;
         }
@@ -132,11 +112,7 @@
             let record = record.map_err(|error| log::error!("catalogue: Bad record: {error}."));
             // An unreadable record must still take its offset, or the fold would stop there.
             let record = record.unwrap_or_else(|()| CatalogueRecord::Edit(no_edit(kept.offset)));
-            LogRecord {
-                offset: kept.offset,
-                at_ms: Millis(kept.at_ms),
-                record,
-            }
+            LogRecord { offset: kept.offset, at_ms: Millis(kept.at_ms), record }
         });
         let records: Vec<LogRecord> = records.collect();
         let waits_for_snapshot = {
@@ -147,8 +123,7 @@
         if changed {
             self.publish_catalogue("the log service");
         }
-        self.snapshot_if_due(Millis(page.now_ms), page.retention_ms)
-            .await;
+        self.snapshot_if_due(Millis(page.now_ms), page.retention_ms).await;
         if waits_for_snapshot {
             log::warn!("catalogue: No snapshot yet; serving nothing.");
             actix_rt::time::sleep(RETRY).await;
@@ -181,9 +156,5 @@
 }
 
 fn no_edit(offset: u64) -> Edit {
-    Edit {
-        id: format!("unreadable-{offset}"),
-        by: String::new(),
-        changes: Vec::new(),
-    }
+    Edit { id: format!("unreadable-{offset}"), by: String::new(), changes: Vec::new() }
 }
--- a/crates/clementined/src/claims.rs
+++ b/crates/clementined/src/claims.rs
@@ -55,25 +55,15 @@
         }
         if self.phase.get() != Phase::Serving || self.follower.borrow().fold().is_none() {
             let answer = Answer::unknown(Reason::Draining);
-            return Ticketed {
-                ticket: String::new(),
-                answer,
-            };
+            return Ticketed { ticket: String::new(), answer };
         }
         if !self.is_key_in_time(key_ms).await {
             let answer = Answer::unknown(Reason::KeyTooOld);
-            return Ticketed {
-                ticket: String::new(),
-                answer,
-            };
+            return Ticketed { ticket: String::new(), answer };
         }
         let (_, ticket) = self.draw_ticket();
         let (done, claimed) = oneshot::channel();
-        self.claims.waiting.borrow_mut().push(OpenClaim {
-            key: hash,
-            ticket,
-            done,
-        });
+        self.claims.waiting.borrow_mut().push(OpenClaim { key: hash, ticket, done });
         let daemon = Rc::clone(self);
         actix_rt::spawn(async move { daemon.append_claims().await });
         let _ = claimed.await;
@@ -81,10 +71,7 @@
             return self.to_winner(winner, call).await;
         }
         let answer = Answer::unknown(Reason::LogOut);
-        Ticketed {
-            ticket: String::new(),
-            answer,
-        }
+        Ticketed { ticket: String::new(), answer }
     }
 
     async fn to_winner(self: &Rc<Self>, winner: String, call: HomeCall) -> Ticketed {
@@ -92,10 +79,7 @@
             Ok(ticket) => self.call_home(&ticket, &winner, call).await,
             Err(_) => Answer::unknown(Reason::HomeGone),
         };
-        Ticketed {
-            ticket: winner,
-            answer,
-        }
+        Ticketed { ticket: winner, answer }
     }
 
     /// Tells whether the log still holds every claim that a key of this time can have.
@@ -127,10 +111,8 @@
 
     async fn append_claim_group(&self, group: Vec<OpenClaim>) {
         let until = self.now().plus(CLAIM_LIMIT_MS);
-        let claims: Vec<(KeyHash, String)> = group
-            .iter()
-            .map(|open| (open.key, open.ticket.clone()))
-            .collect();
+        let claims: Vec<(KeyHash, String)> =
+            group.iter().map(|open| (open.key, open.ticket.clone())).collect();
         let record = ClaimRecord { claims };
         while self.append_claims_once(&record).await.is_err() && self.now() < until {
             actix_rt::time::sleep(RETRY).await;
@@ -146,10 +128,7 @@
         let appended = self.log.append(CLAIMS_STREAM, vec![data]).await;
         self.read_claims().await?;
         let fold = self.claims.fold.borrow();
-        let known = record
-            .claims
-            .iter()
-            .all(|(key, _)| fold.winner(key).is_some());
+        let known = record.claims.iter().all(|(key, _)| fold.winner(key).is_some());
         if known { Ok(()) } else { appended.map(|_| ()) }
     }
 
--- a/crates/clementined/src/config.rs
+++ b/crates/clementined/src/config.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
+use dispatch::engine::DEFAULT_SPILL_MS;
 use dispatch::home::HoldLimits;
 use dispatch::ticket::{Key, Keyring};
 use dispatch::workers::Choice;
@@ -101,6 +102,8 @@
     pub hold: HoldLimits,
     /// How workers are chosen.
     pub choice: Choice,
+    /// The wait from which daemons of other zones are asked for slots, in milliseconds.
+    pub spill_ms: u64,
     /// How long a shutdown waits for what is in flight, in milliseconds.
     pub drain_limit_ms: u64,
     /// The least level of what is logged.
@@ -119,50 +122,17 @@
 }
 
 const KNOWN: &[Known] = &[
-    Known {
-        section: "daemon",
-        keys: &["zone"],
-    },
-    Known {
-        section: "callers",
-        keys: &["listen", "max_body_bytes", "max_tasks"],
-    },
-    Known {
-        section: "operators",
-        keys: &["listen"],
-    },
-    Known {
-        section: "peers",
-        keys: &["listen", "seeds", "heartbeat_ms"],
-    },
-    Known {
-        section: "platform",
-        keys: &["log_service", "vm_list", "vm_poll_ms"],
-    },
-    Known {
-        section: "keys",
-        keys: &["current"],
-    },
-    Known {
-        section: "tickets",
-        keys: &["valid_ms", "hold_ms", "hold_bytes"],
-    },
-    Known {
-        section: "policy",
-        keys: &["choice"],
-    },
-    Known {
-        section: "drain",
-        keys: &["limit_ms"],
-    },
-    Known {
-        section: "log",
-        keys: &["level", "format"],
-    },
-    Known {
-        section: "testing",
-        keys: &["allow_faults"],
-    },
+    Known { section: "daemon", keys: &["zone"] },
+    Known { section: "callers", keys: &["listen", "max_body_bytes", "max_tasks"] },
+    Known { section: "operators", keys: &["listen"] },
+    Known { section: "peers", keys: &["listen", "seeds", "heartbeat_ms"] },
+    Known { section: "platform", keys: &["log_service", "vm_list", "vm_poll_ms"] },
+    Known { section: "keys", keys: &["current"] },
+    Known { section: "tickets", keys: &["valid_ms", "hold_ms", "hold_bytes"] },
+    Known { section: "policy", keys: &["choice", "spill_ms"] },
+    Known { section: "drain", keys: &["limit_ms"] },
+    Known { section: "log", keys: &["level", "format"] },
+    Known { section: "testing", keys: &["allow_faults"] },
 ];
 
 /// Reads and checks a settings file.
@@ -170,10 +140,8 @@
 /// # Errors
 /// Fails with the first thing that is wrong: file, section, key and remedy.
 pub fn load(file: &str) -> Result<Config, ConfigError> {
-    let text = std::fs::read_to_string(file).map_err(|error| ConfigError::File {
-        file: file.to_owned(),
-        why: error.to_string(),
-    })?;
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| ConfigError::File { file: file.to_owned(), why: error.to_string() })?;
     parse(file, &text)
 }
 
@@ -182,10 +150,8 @@
 /// # Errors
 /// Fails with the first thing that is wrong: file, section, key and remedy.
 pub fn parse(file: &str, text: &str) -> Result<Config, ConfigError> {
-    let ini = Ini::load_from_str(text).map_err(|error| ConfigError::File {
-        file: file.to_owned(),
-        why: error.to_string(),
-    })?;
+    let ini = Ini::load_from_str(text)
+        .map_err(|error| ConfigError::File { file: file.to_owned(), why: error.to_string() })?;
     let reader = Reader { file, ini: &ini };
     reader.check_known()?;
     Ok(Config {
@@ -200,7 +166,7 @@
         heartbeat_ms: reader.number("peers", "heartbeat_ms", 1_000, 50..=2_000)?,
         log_service: reader.address("platform", "log_service", "127.0.0.1:7100")?,
         vm_list: reader.address("platform", "vm_list", "127.0.0.1:7101")?,
-        vm_poll_ms: reader.number("platform", "vm_poll_ms", 1_000, SECONDS_RANGE_MS)?,
+        vm_poll_ms: reader.number("platform", "vm_poll_ms", 2_000, SECONDS_RANGE_MS)?,
         keys: reader.keys()?,
         ticket_valid_ms: reader.number("tickets", "valid_ms", 600_000, SECONDS_RANGE_MS)?,
         hold: HoldLimits {
@@ -209,6 +175,7 @@
                 as usize,
         },
         choice: reader.choice()?,
+        spill_ms: reader.number("policy", "spill_ms", DEFAULT_SPILL_MS, 0..=60_000)?,
         drain_limit_ms: reader.number("drain", "limit_ms", 120_000, SECONDS_RANGE_MS)?,
         log_level: reader.level()?,
         log_format: reader.format()?,
@@ -291,23 +258,14 @@
     ) -> Result<SocketAddr, ConfigError> {
         let text = self.needed(section, key, example)?;
         let remedy = "write an IP number and a port, such as 127.0.0.1:7000";
-        text.parse()
-            .map_err(|_| self.wrong(section, key, text, remedy))
+        text.parse().map_err(|_| self.wrong(section, key, text, remedy))
     }
 
     fn addresses(&self, section: &'static str, key: &str) -> Result<Vec<SocketAddr>, ConfigError> {
         let text = self.text(section, key).unwrap_or_default();
-        let parts = text
-            .split(',')
-            .map(str::trim)
-            .filter(|part| !part.is_empty());
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
         let remedy = "write IP numbers with ports, separated by commas";
-        parts
-            .map(|part| {
-                part.parse()
-                    .map_err(|_| self.wrong(section, key, part, remedy))
-            })
-            .collect()
+        parts.map(|part| part.parse().map_err(|_| self.wrong(section, key, part, remedy))).collect()
     }
 
     fn number(
@@ -361,8 +319,7 @@
     fn level(&self) -> Result<log::LevelFilter, ConfigError> {
         let text = self.text("log", "level").unwrap_or("info");
         let remedy = "write off, error, warn, info, debug or trace";
-        text.parse()
-            .map_err(|_| self.wrong("log", "level", text, remedy))
+        text.parse().map_err(|_| self.wrong("log", "level", text, remedy))
     }
 
     fn format(&self) -> Result<LogFormat, ConfigError> {
@@ -376,16 +333,10 @@
     fn keys(&self) -> Result<Keyring, ConfigError> {
         let current = self.needed("keys", "current", "1")?;
         let remedy = "write the number of the key that makes new tags, 0 to 255";
-        let current: u8 = current
-            .parse()
-            .map_err(|_| self.wrong("keys", "current", current, remedy))?;
+        let current: u8 =
+            current.parse().map_err(|_| self.wrong("keys", "current", current, remedy))?;
         let mut keys = Vec::new();
-        for (name, secret) in self
-            .ini
-            .section(Some("keys"))
-            .into_iter()
-            .flat_map(|s| s.iter())
-        {
+        for (name, secret) in self.ini.section(Some("keys")).into_iter().flat_map(|s| s.iter()) {
             if let Some(id) = name.strip_prefix("key.") {
                 keys.push(self.key(name, id, secret.trim())?);
             }
@@ -404,9 +355,7 @@
     fn key(&self, name: &str, id: &str, secret: &str) -> Result<Key, ConfigError> {
         let hidden = "(not shown)";
         let remedy = "write key.N = 64 hexadecimal digits, with N from 0 to 255";
-        let id = id
-            .parse()
-            .map_err(|_| self.wrong("keys", name, hidden, remedy))?;
+        let id = id.parse().map_err(|_| self.wrong("keys", name, hidden, remedy))?;
         let digits = secret.as_bytes();
         if digits.len() != 64 || !digits.iter().all(u8::is_ascii_hexdigit) {
             return Err(self.wrong("keys", name, hidden, remedy));
@@ -431,62 +380,28 @@
 
     #[test]
     fn good_settings_pass() {
-        assert_eq!(
-            parse("x.ini", GOOD).map(|config| config.zone),
-            Ok("bergamo".to_owned())
-        );
+        assert_eq!(parse("x.ini", GOOD).map(|config| config.zone), Ok("bergamo".to_owned()));
     }
 
     #[test]
     fn each_fault_names_file_section_key_and_remedy() {
         let cases = [
             ("zone = bergamo", "", "[daemon] zone is missing"),
-            (
-                "zone = bergamo",
-                "zone = a b",
-                "[daemon] zone = a b cannot be used",
-            ),
-            (
-                "zone = bergamo",
-                "zone = b\ncolour = red",
-                "[daemon] colour is not known",
-            ),
-            (
-                "127.0.0.1:1",
-                "localhost:1",
-                "write an IP number and a port",
-            ),
-            (
-                "[keys]",
-                "[tickets]\nvalid_ms = 10s\n[keys]",
-                "number of milliseconds",
-            ),
-            (
-                "[keys]",
-                "[tickets]\nhold_ms = 5\n[keys]",
-                "between 100 and 3600000",
-            ),
-            (
-                "[keys]",
-                "[policy]\nchoice = best\n[keys]",
-                "write shares, random",
-            ),
+            ("zone = bergamo", "zone = a b", "[daemon] zone = a b cannot be used"),
+            ("zone = bergamo", "zone = b\ncolour = red", "[daemon] colour is not known"),
+            ("127.0.0.1:1", "localhost:1", "write an IP number and a port"),
+            ("[keys]", "[tickets]\nvalid_ms = 10s\n[keys]", "number of milliseconds"),
+            ("[keys]", "[tickets]\nhold_ms = 5\n[keys]", "between 100 and 3600000"),
+            ("[keys]", "[policy]\nchoice = best\n[keys]", "write shares, random"),
             ("current = 1", "current = 2", "[keys] key.2 is missing"),
             ("key.1 = 00", "key.1 = zz", "64 hexadecimal digits"),
             ("[keys]", "[extra]\na = 1\n[keys]", "[extra] a is not known"),
-            (
-                "[keys]",
-                "[testing]\nallow_faults = yes\n[keys]",
-                "write true or false",
-            ),
+            ("[keys]", "[testing]\nallow_faults = yes\n[keys]", "write true or false"),
         ];
         for (from, to, expected) in cases {
             let text = GOOD.replacen(from, to, 1);
             let error = parse("x.ini", &text).map(|_| ()).unwrap_err().to_string();
-            assert!(
-                error.starts_with("x.ini: ") && error.contains(expected),
-                "{to}: {error}"
-            );
+            assert!(error.starts_with("x.ini: ") && error.contains(expected), "{to}: {error}");
         }
     }
 }
--- a/crates/clementined/src/daemon.rs
+++ b/crates/clementined/src/daemon.rs
@@ -121,6 +121,7 @@
         let engine = EngineBuilder::new(incarnation, &config.zone)
             .choice(config.choice)
             .hold(config.hold)
+            .spill_ms(config.spill_ms)
             .build();
         let membership = Membership::new(incarnation, config.peers, &config.zone, &config.seeds);
         let share = (Rc::clone(&keys), Rc::clone(&traffic), Rc::clone(&cuts));
@@ -182,13 +183,7 @@
         let expiry_ms = issued_ms.plus(self.config.ticket_valid_ms);
         let job = self.engine.borrow_mut().issue(expiry_ms);
         let zone = self.config.zone.clone();
-        let ticket = Ticket {
-            job,
-            home: self.config.peers,
-            zone,
-            issued_ms,
-            expiry_ms,
-        };
+        let ticket = Ticket { job, home: self.config.peers, zone, issued_ms, expiry_ms };
         let text = self.keys.issue(&ticket);
         (ticket, text)
     }
@@ -212,12 +207,7 @@
         self.next_request.set(request + 1);
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().insert(request, sender);
-        let mut guard = Abandon {
-            daemon: self,
-            request,
-            job,
-            armed: true,
-        };
+        let mut guard = Abandon { daemon: self, request, job, armed: true };
         self.drive(event(request));
         let answer = actix_rt::time::timeout(Duration::from_millis(wait_ms), receiver).await;
         if let Ok(Ok(answer)) = answer {
@@ -267,10 +257,7 @@
     fn drop(&mut self) {
         if self.armed {
             self.daemon.waiting.borrow_mut().remove(&self.request);
-            self.daemon.drive(Event::Forget {
-                request: self.request,
-                job: self.job,
-            });
+            self.daemon.drive(Event::Forget { request: self.request, job: self.job });
         }
     }
 }
--- a/crates/clementined/src/drain.rs
+++ b/crates/clementined/src/drain.rs
@@ -23,7 +23,7 @@
     pub async fn drain(self: &Rc<Self>) {
         log::info!("drain: Begins.");
         self.phase.set(Phase::Draining);
-        self.send_beat(FAREWELL_COUNT).await;
+        self.send_beat(FAREWELL_COUNT, true).await;
         let until = self.now().plus(self.config.drain_limit_ms);
         while self.engine.borrow().open_jobs() > 0 && self.now() < until {
             actix_rt::time::sleep(LOOK).await;
@@ -36,7 +36,7 @@
         let tables = self.engine.borrow_mut().hand_over(self.now());
         if self.find_heir(&tables).await {
             for beat in 0..FAREWELL_BEATS {
-                self.send_beat(FAREWELL_COUNT + beat).await;
+                self.send_beat(FAREWELL_COUNT + beat, true).await;
                 actix_rt::time::sleep(FAREWELL_PAUSE).await;
             }
         }
@@ -72,10 +72,7 @@
     /// Orders the heir to answer from now on; no other may be asked after this.
     async fn hand_to(&self, heir: &Peer, tables: &[HandedTable]) -> bool {
         for _ in 0..TAKE_OVER_TRIES {
-            let told = self
-                .links
-                .call(heir.last.addr, Ask::TakeOver, OFFER_WAIT_MS)
-                .await;
+            let told = self.links.call(heir.last.addr, Ask::TakeOver, OFFER_WAIT_MS).await;
             if matches!(told, Ok(Tell::Done)) {
                 let now = self.now();
                 for table in tables {
--- a/crates/clementined/src/journal.rs
+++ b/crates/clementined/src/journal.rs
@@ -27,25 +27,15 @@
 
 impl Journal {
     fn mark(&self, job: JobId) -> Option<JournalMark> {
-        self.folds
-            .borrow()
-            .get(&job.incarnation)
-            .and_then(|fold| fold.mark(job.seq))
+        self.folds.borrow().get(&job.incarnation).and_then(|fold| fold.mark(job.seq))
     }
 
     fn next_offset(&self, incarnation: Incarnation) -> u64 {
-        self.folds
-            .borrow()
-            .get(&incarnation)
-            .map_or(0, JournalFold::next_offset)
+        self.folds.borrow().get(&incarnation).map_or(0, JournalFold::next_offset)
     }
 
     fn apply(&self, incarnation: Incarnation, offset: u64, record: &JournalRecord) {
-        self.folds
-            .borrow_mut()
-            .entry(incarnation)
-            .or_default()
-            .apply(offset, record);
+        self.folds.borrow_mut().entry(incarnation).or_default().apply(offset, record);
     }
 }
 
@@ -107,11 +97,8 @@
         incarnations.sort_unstable();
         incarnations.dedup();
         for incarnation in incarnations {
-            let of_one: Vec<JobId> = jobs
-                .iter()
-                .filter(|job| job.incarnation == incarnation)
-                .copied()
-                .collect();
+            let of_one: Vec<JobId> =
+                jobs.iter().filter(|job| job.incarnation == incarnation).copied().collect();
             while self.append_once(incarnation, &of_one).await.is_err() && self.now() < until {
                 actix_rt::time::sleep(RETRY).await;
             }
@@ -128,10 +115,7 @@
 
     async fn append_once(&self, incarnation: Incarnation, jobs: &[JobId]) -> Result<(), CallError> {
         let seqs = jobs.iter().map(|job| job.seq).collect();
-        let record = JournalRecord::Start {
-            seqs,
-            home_ms: self.now(),
-        };
+        let record = JournalRecord::Start { seqs, home_ms: self.now() };
         let text = serde_json::to_string(&record).unwrap_or_default();
         let stream = journal_stream(incarnation);
         self.count_platform();
--- a/crates/clementined/src/logging.rs
+++ b/crates/clementined/src/logging.rs
@@ -7,9 +7,7 @@
 /// # Errors
 /// Fails where logging was set up before.
 pub fn set_up(level: log::LevelFilter, format: LogFormat) -> Result<(), log::SetLoggerError> {
-    let base = fern::Dispatch::new()
-        .level(level)
-        .level_for("actix_http", log::LevelFilter::Warn);
+    let base = fern::Dispatch::new().level(level).level_for("actix_http", log::LevelFilter::Warn);
     let formatted = match format {
         LogFormat::Text => base.format(|out, message, record| {
             out.finish(format_args!("{} {:5} {message}", unix_ms(), record.level()));
--- a/crates/clementined/src/operators.rs
+++ b/crates/clementined/src/operators.rs
@@ -62,9 +62,7 @@
         let call = match parse(&request) {
             Ok(call) => call,
             Err(problem) => {
-                let body = ErrorBody {
-                    error: problem.to_string(),
-                };
+                let body = ErrorBody { error: problem.to_string() };
                 return Response::json(problem.status(), &body);
             }
         };
@@ -73,19 +71,12 @@
             Call::Metrics => Response::text(200, self.render_metrics()),
             Call::Explain { ticket } => self.explain(&ticket),
             Call::Catalogue => self.with_fold(|fold| {
-                let body = CatalogueBody {
-                    next_offset: fold.next_offset(),
-                    items: fold.items().clone(),
-                };
+                let body =
+                    CatalogueBody { next_offset: fold.next_offset(), items: fold.items().clone() };
                 Response::json(200, &body)
             }),
             Call::History => self.with_fold(|fold| {
-                Response::json(
-                    200,
-                    &HistoryBody {
-                        lines: fold.history().cloned().collect(),
-                    },
-                )
+                Response::json(200, &HistoryBody { lines: fold.history().cloned().collect() })
             }),
             Call::Fleet => Response::json(200, &self.fleet()),
             Call::Edit(edit) => edit_response(&self.edit(edit).await),
@@ -97,12 +88,7 @@
     fn with_fold(&self, show: impl FnOnce(&Fold) -> Response) -> Response {
         match self.follower.borrow().fold() {
             Some(fold) => show(fold),
-            None => Response::json(
-                503,
-                &ErrorBody {
-                    error: Reason::NotReady.remedy().to_owned(),
-                },
-            ),
+            None => Response::json(503, &ErrorBody { error: Reason::NotReady.remedy().to_owned() }),
         }
     }
 
@@ -169,12 +155,7 @@
         let ticket = match self.keys.check(text) {
             Ok(ticket) => ticket,
             Err(error) => {
-                return Response::json(
-                    400,
-                    &ErrorBody {
-                        error: error.to_string(),
-                    },
-                );
+                return Response::json(400, &ErrorBody { error: error.to_string() });
             }
         };
         let incarnation = ticket.job.incarnation;
@@ -194,10 +175,7 @@
     fn render_metrics(&self) -> String {
         let engine = self.engine.borrow();
         let (free_slots, queued) = engine.load();
-        let age_ms = self
-            .log_reached_at
-            .get()
-            .map_or(u64::MAX, |at| self.now().since(at));
+        let age_ms = self.log_reached_at.get().map_or(u64::MAX, |at| self.now().since(at));
         let levels = Levels {
             queued,
             free_slots,
@@ -219,12 +197,7 @@
     fn set_faults(&self, faults: FaultCall) -> Response {
         if !self.config.allow_faults {
             let error = "faults are not allowed; set testing.allow_faults = true in a test";
-            return Response::json(
-                403,
-                &ErrorBody {
-                    error: error.to_owned(),
-                },
-            );
+            return Response::json(403, &ErrorBody { error: error.to_owned() });
         }
         self.links.close(&faults.cut);
         self.cuts.replace(faults.cut);
@@ -235,15 +208,9 @@
 fn edit_response(body: &EditBody) -> Response {
     use dispatch::catalogue::Outcome;
     let status = match body {
-        EditBody::Known {
-            outcome: Outcome::Applied { .. },
-        } => 200,
-        EditBody::Known {
-            outcome: Outcome::Conflict { .. },
-        } => 409,
-        EditBody::Known {
-            outcome: Outcome::Invalid { .. },
-        } => 422,
+        EditBody::Known { outcome: Outcome::Applied { .. } } => 200,
+        EditBody::Known { outcome: Outcome::Conflict { .. } } => 409,
+        EditBody::Known { outcome: Outcome::Invalid { .. } } => 422,
         EditBody::NotAccepted { .. } => 503,
         EditBody::Unknown { .. } => 504,
     };
--- a/crates/clementined/src/peers.rs
+++ b/crates/clementined/src/peers.rs
@@ -15,19 +15,12 @@
     /// Answers one question of the daemon `from`.
     pub async fn serve_peer(self: Rc<Self>, from: Incarnation, ask: Ask) -> Option<Tell> {
         match ask {
-            Ask::Submit {
-                ticket: Some(ticket),
-                request,
-                wait_ms,
-            } => Some(
-                self.answer_ticket(ticket, HomeCall::Submit { request, wait_ms })
-                    .await,
-            ),
-            Ask::Submit {
-                ticket: None,
-                request,
-                wait_ms,
-            } => Some(self.answer_new(HomeCall::Submit { request, wait_ms }).await),
+            Ask::Submit { ticket: Some(ticket), request, wait_ms } => {
+                Some(self.answer_ticket(ticket, HomeCall::Submit { request, wait_ms }).await)
+            }
+            Ask::Submit { ticket: None, request, wait_ms } => {
+                Some(self.answer_new(HomeCall::Submit { request, wait_ms }).await)
+            }
             Ask::Wait { ticket, wait_ms } => {
                 Some(self.answer_ticket(ticket, HomeCall::Wait { wait_ms }).await)
             }
@@ -54,17 +47,11 @@
 
     async fn answer_ticket(self: &Rc<Self>, text: String, call: HomeCall) -> Tell {
         let Ok(ticket) = self.keys.check(&text) else {
-            return Tell::Answer {
-                ticket: text,
-                answer: Answer::unknown(Reason::HomeGone),
-            };
+            return Tell::Answer { ticket: text, answer: Answer::unknown(Reason::HomeGone) };
         };
         let answer = self.call_home_or_heir(&ticket, &text, call).await;
         let answer = answer.unwrap_or_else(|| Answer::unknown(Reason::HomeGone));
-        Tell::Answer {
-            ticket: text,
-            answer,
-        }
+        Tell::Answer { ticket: text, answer }
     }
 
     /// Runs a job for a daemon that does not serve itself, and never hands it on.
@@ -72,16 +59,10 @@
         let ready = self.follower.borrow().fold().is_some();
         if self.phase.get() != Phase::Serving || !ready {
             let answer = Answer::not_run(Reason::Draining);
-            return Tell::Answer {
-                ticket: String::new(),
-                answer,
-            };
+            return Tell::Answer { ticket: String::new(), answer };
         }
         let ticketed = self.run_here_or_near(call).await;
-        Tell::Answer {
-            ticket: ticketed.ticket,
-            answer: ticketed.answer,
-        }
+        Tell::Answer { ticket: ticketed.ticket, answer: ticketed.answer }
     }
 
     /// Takes the offered tables into force; a repeated order changes nothing.
--- a/crates/clementined/src/run.rs
+++ b/crates/clementined/src/run.rs
@@ -15,7 +15,8 @@
 use crate::error::DaemonError;
 use crate::logging;
 
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
+const BUSY_TICK: Duration = Duration::from_millis(3);
 const OPERATORS_BODY_BYTES: usize = 16 << 20;
 /// How long the process stays after its drain, so that last answers reach their callers.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
@@ -64,19 +65,13 @@
     let callers = listen(config.callers, "callers").await?;
     let operators = listen(config.operators, "operators").await?;
     let peers = listen(config.peers, "peers").await?;
-    let beats = UdpSocket::bind(config.peers)
-        .await
-        .map_err(|why| DaemonError::Listen {
-            addr: config.peers,
-            part: "heartbeats",
-            why,
-        })?;
+    let beats = UdpSocket::bind(config.peers).await.map_err(|why| DaemonError::Listen {
+        addr: config.peers,
+        part: "heartbeats",
+        why,
+    })?;
     let daemon = Daemon::new(config, Sockets { beats })?;
-    log::info!(
-        "daemon: {} serves callers on {}.",
-        daemon.incarnation,
-        daemon.config.callers
-    );
+    log::info!("daemon: {} serves callers on {}.", daemon.incarnation, daemon.config.callers);
     serve_all(&daemon, callers, operators, peers);
     actix_rt::spawn(Rc::clone(&daemon).follow_vms());
     actix_rt::spawn(Rc::clone(&daemon).follow_catalogue());
@@ -110,7 +105,8 @@
 
 async fn tick(daemon: Rc<Daemon>) {
     loop {
-        actix_rt::time::sleep(TICK).await;
+        let waiting = daemon.engine.borrow().load().1 > 0;
+        actix_rt::time::sleep(if waiting { BUSY_TICK } else { TICK }).await;
         daemon.drive(Event::Tick);
     }
 }
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -13,6 +13,9 @@
 /// The shortest time after which a refused caller is told to come again.
 const LEAST_RETRY_MS: u64 = 200;
 
+/// The part of its longest wait that a request may be expected to wait when it is accepted.
+const ADMITTED_WAIT_PERCENT: u64 = 60;
+
 impl Engine {
     pub(crate) fn submit(&mut self, submission: Submission, now: Millis) {
         let request = submission.request;
@@ -25,10 +28,7 @@
             }
             return;
         }
-        match self
-            .home
-            .standing(submission.job, submission.expiry_ms, now)
-        {
+        match self.home.standing(submission.job, submission.expiry_ms, now) {
             Standing::Fresh => self.admit(submission, now),
             Standing::Held(answer, digest) => {
                 self.counters.duplicates_stopped += 1;
@@ -83,21 +83,36 @@
         }
     }
 
-    /// Ends jobs of which nothing has started within their limit.
+    /// Ends jobs that have waited past their limit without any progress.
     pub(crate) fn refuse_late(&mut self, now: Millis) {
-        let late: Vec<JobId> = self
-            .queue
-            .heads()
-            .filter(|(id, accepted_at)| {
-                let job = self.jobs.get(id);
-                job.is_some_and(|job| job.touched == 0 && now.since(*accepted_at) > job.max_wait_ms)
-            })
-            .map(|(id, _)| id)
-            .collect();
-        for id in late {
+        loop {
+            let late: Vec<JobId> =
+                self.queue.heads().map(|(id, _)| id).filter(|id| self.is_late(*id, now)).collect();
+            if late.is_empty() {
+                return;
+            }
+            for id in late {
+                self.end_late(id, now);
+            }
+        }
+    }
+
+    /// Tells whether a job has waited past its limit without any progress.
+    pub(crate) fn is_late(&self, id: JobId, now: Millis) -> bool {
+        self.jobs.get(&id).is_some_and(|job| {
+            let runs = job.tasks.contains(&TaskState::Sent);
+            !runs && now.since(job.progress_at) > job.max_wait_ms
+        })
+    }
+
+    /// Ends a late job: as not run where nothing of it can have started.
+    pub(crate) fn end_late(&mut self, id: JobId, now: Millis) {
+        if self.jobs.get(&id).is_some_and(|job| job.touched == 0) {
             let answer = Answer::not_run(Reason::WaitedTooLong).retry_after(LEAST_RETRY_MS);
             self.end_not_run(id, answer, now);
+            return;
         }
+        self.give_up_waiting(id, now);
     }
 
     fn admit(&mut self, submission: Submission, now: Millis) {
@@ -118,15 +133,12 @@
             request: submission.work,
             digest: submission.digest,
             accepted_at: now,
+            progress_at: now,
             max_wait_ms: kind.max_wait_ms,
             idempotent: kind.idempotent,
             flow,
             share,
-            phase: if journal {
-                JobPhase::Journalling
-            } else {
-                JobPhase::Active
-            },
+            phase: if journal { JobPhase::Journalling } else { JobPhase::Active },
             tasks: vec![TaskState::Waiting; count],
             open: count,
             touched: 0,
@@ -142,31 +154,18 @@
     }
 
     fn judge(&self, submission: &Submission) -> Result<(KindSpec, FlowKey, u64), Answer> {
-        let catalogue = self
-            .catalogue
-            .as_ref()
-            .ok_or(Answer::not_run(Reason::NotReady))?;
+        let catalogue = self.catalogue.as_ref().ok_or(Answer::not_run(Reason::NotReady))?;
         let work = &submission.work;
-        let kind = catalogue
-            .kind(&work.kind)
-            .ok_or(Answer::not_run(Reason::UnknownKind))?;
+        let kind = catalogue.kind(&work.kind).ok_or(Answer::not_run(Reason::UnknownKind))?;
         if work.tasks.len() > kind.max_tasks as usize {
             return Err(Answer::not_run(Reason::TooManyTasks));
         }
-        if work
-            .tasks
-            .iter()
-            .any(|task| !self.workers.fits_any(&task.needs))
-        {
+        if work.tasks.iter().any(|task| !self.workers.fits_any(&task.needs)) {
             return Err(Answer::not_run(Reason::Impossible));
         }
         let team = catalogue.team(&kind.owner);
         let special = work.tasks.iter().any(|task| task.needs != Needs::default());
-        let flow = FlowKey {
-            class: kind.class,
-            owner: kind.owner.clone(),
-            special,
-        };
+        let flow = FlowKey { class: kind.class, owner: kind.owner.clone(), special };
         let share = u64::from(team.share);
         let waiting = self.queue.flow_tasks(&flow);
         let slots = self.workers.share_slots();
@@ -175,7 +174,7 @@
         if waiting + work.tasks.len() > team.max_queued_tasks as usize && waiting > 0 {
             return Err(Answer::not_run(Reason::OwnerOverLimit).retry_after(retry_ms));
         }
-        if wait_ms > kind.max_wait_ms || slots == 0 {
+        if wait_ms > kind.max_wait_ms * ADMITTED_WAIT_PERCENT / 100 || slots == 0 {
             return Err(Answer::not_run(Reason::Overloaded).retry_after(retry_ms));
         }
         Ok((kind.clone(), flow, share))
@@ -188,23 +187,16 @@
         job.phase = JobPhase::Active;
         let kind = &job.request.kind;
         let tasks = job.request.tasks.iter().enumerate().map(|(index, task)| {
-            (
-                index as u32,
-                self.estimates.expected_ms(kind, task.declared_ms),
-            )
+            (index as u32, self.estimates.expected_ms(kind, task.declared_ms))
         });
-        self.queue
-            .push(&job.flow, job.share, job.accepted_at, id, tasks.collect());
+        self.queue.push(&job.flow, job.share, job.accepted_at, id, tasks.collect());
     }
 
     fn may_go_without_journal(&self, id: JobId) -> bool {
         use crate::catalogue::OnLogOut;
         let job = self.jobs.get(&id);
         let name = job.map(|job| job.request.kind.as_str()).unwrap_or_default();
-        let kind = self
-            .catalogue
-            .as_ref()
-            .and_then(|catalogue| catalogue.kind(name));
+        let kind = self.catalogue.as_ref().and_then(|catalogue| catalogue.kind(name));
         kind.is_some_and(|kind| kind.on_log_out == OnLogOut::GoOn)
     }
 }
--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -148,12 +148,7 @@
 impl Answer {
     /// Builds an answer that has no task ends.
     pub const fn plain(verdict: Verdict, reason: Reason) -> Self {
-        Self {
-            verdict,
-            reason,
-            retry_after_ms: None,
-            tasks: Vec::new(),
-        }
+        Self { verdict, reason, retry_after_ms: None, tasks: Vec::new() }
     }
 
     /// Builds a refusal after which nothing will start under the ticket.
--- a/crates/dispatch/src/catalogue.rs
+++ b/crates/dispatch/src/catalogue.rs
@@ -75,10 +75,7 @@
 
 impl Default for TeamSpec {
     fn default() -> Self {
-        Self {
-            share: default_share(),
-            max_queued_tasks: default_max_queued_tasks(),
-        }
+        Self { share: default_share(), max_queued_tasks: default_max_queued_tasks() }
     }
 }
 
@@ -278,9 +275,7 @@
     /// Tells what an edit would come to if it were applied now.
     pub fn judge(&self, edit: &Edit) -> Outcome {
         if let Err(invalid) = validate(edit) {
-            return Outcome::Invalid {
-                why: invalid.to_string(),
-            };
+            return Outcome::Invalid { why: invalid.to_string() };
         }
         for change in &edit.changes {
             let current = self.items.get(&change.name);
@@ -291,15 +286,9 @@
             let removed_by = self.removed.get(&change.name).map(|(_, by)| by.clone());
             let by = current.map(|versioned| versioned.by.clone()).or(removed_by);
             let name = change.name.clone();
-            return Outcome::Conflict {
-                name,
-                current: revision,
-                by: by.unwrap_or_default(),
-            };
-        }
-        Outcome::Applied {
-            revision: self.next_offset,
+            return Outcome::Conflict { name, current: revision, by: by.unwrap_or_default() };
         }
+        Outcome::Applied { revision: self.next_offset }
     }
 
     /// Applies the record at `offset`; earlier offsets change nothing.
@@ -321,19 +310,9 @@
         let outcome = self.judge(edit);
         if matches!(outcome, Outcome::Applied { .. }) {
             self.make_changes(offset, edit);
-            let names = edit
-                .changes
-                .iter()
-                .map(|change| change.name.clone())
-                .collect();
+            let names = edit.changes.iter().map(|change| change.name.clone()).collect();
             let (by, edit) = (edit.by.clone(), edit.id.clone());
-            self.history.push_back(HistoryLine {
-                revision: offset,
-                at_ms,
-                by,
-                edit,
-                names,
-            });
+            self.history.push_back(HistoryLine { revision: offset, at_ms, by, edit, names });
         }
         self.outcomes.insert(edit.id.clone(), outcome);
         self.outcome_order.push_back(edit.id.clone());
@@ -353,14 +332,7 @@
             let by = edit.by.clone();
             if let Some(item) = change.item.clone() {
                 self.removed.remove(&name);
-                self.items.insert(
-                    name,
-                    Versioned {
-                        revision: offset,
-                        by,
-                        item,
-                    },
-                );
+                self.items.insert(name, Versioned { revision: offset, by, item });
                 continue;
             }
             self.items.remove(&name);
@@ -401,24 +373,12 @@
         return Err(InvalidEdit::GoOnWithoutJournal(name.to_owned()));
     }
     in_range(name, "max_wait_ms", kind.max_wait_ms, 1, LONGEST_WAIT_MS)?;
-    in_range(
-        name,
-        "max_tasks",
-        kind.max_tasks.into(),
-        1,
-        MOST_TASKS.into(),
-    )
+    in_range(name, "max_tasks", kind.max_tasks.into(), 1, MOST_TASKS.into())
 }
 
 fn validate_team(name: &str, team: &TeamSpec) -> Result<(), InvalidEdit> {
     in_range(name, "share", team.share.into(), 1, LARGEST_SHARE.into())?;
-    in_range(
-        name,
-        "max_queued_tasks",
-        team.max_queued_tasks.into(),
-        1,
-        MOST_QUEUED.into(),
-    )
+    in_range(name, "max_queued_tasks", team.max_queued_tasks.into(), 1, MOST_QUEUED.into())
 }
 
 fn in_range(
@@ -431,13 +391,7 @@
     if (least..=most).contains(&value) {
         return Ok(());
     }
-    Err(InvalidEdit::Range {
-        name: name.to_owned(),
-        field,
-        value,
-        least,
-        most,
-    })
+    Err(InvalidEdit::Range { name: name.to_owned(), field, value, least, most })
 }
 
 fn is_name(name: &str) -> bool {
@@ -501,11 +455,7 @@
 
     /// Takes a peer's catalogue, where it is further than the own one.
     pub fn adopt(&mut self, fold: Fold) -> bool {
-        if self
-            .fold
-            .as_ref()
-            .is_some_and(|own| own.next_offset >= fold.next_offset)
-        {
+        if self.fold.as_ref().is_some_and(|own| own.next_offset >= fold.next_offset) {
             return false;
         }
         if fold.next_offset > self.read_to {
@@ -522,20 +472,11 @@
     /// Gives the records from `offset` on, where they are all still at hand.
     pub fn tail_from(&self, offset: u64) -> Option<Vec<LogRecord>> {
         let fold = self.fold.as_ref()?;
-        let at_hand = self
-            .tail
-            .front()
-            .is_some_and(|first| first.offset <= offset);
+        let at_hand = self.tail.front().is_some_and(|first| first.offset <= offset);
         if offset < fold.next_offset && !at_hand {
             return None;
         }
-        Some(
-            self.tail
-                .iter()
-                .filter(|record| record.offset >= offset)
-                .cloned()
-                .collect(),
-        )
+        Some(self.tail.iter().filter(|record| record.offset >= offset).cloned().collect())
     }
 
     /// Takes records from a peer that has read further.
@@ -567,10 +508,7 @@
             self.snapshot_offset = record.offset;
             self.snapshot_at_ms = record.at_ms;
             let whole = snapshot.next_offset >= self.early_start;
-            let behind = self
-                .fold
-                .as_ref()
-                .is_none_or(|own| own.next_offset < record.offset);
+            let behind = self.fold.as_ref().is_none_or(|own| own.next_offset < record.offset);
             if behind && whole && self.is_newer(snapshot) {
                 self.tail.clear();
                 self.fold = Some((**snapshot).clone());
@@ -586,9 +524,7 @@
     }
 
     fn is_newer(&self, snapshot: &Fold) -> bool {
-        self.fold
-            .as_ref()
-            .is_none_or(|own| own.next_offset < snapshot.next_offset)
+        self.fold.as_ref().is_none_or(|own| own.next_offset < snapshot.next_offset)
     }
 
     fn apply_early(&mut self) {
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -61,11 +61,15 @@
     Ended {
         /// The task.
         task: TaskId,
+        /// The attempt that the reply belongs to; replies to earlier ones change nothing.
+        attempt: u64,
         /// What the worker says.
         end: StartEnd,
         /// What the reply told besides.
         hint: Option<Hint>,
     },
+    /// A worker did not confirm that it still runs a task.
+    Unconfirmed(TaskId),
     /// The VM list has changed.
     Workers(Vec<WorkerInfo>),
     /// The place of this daemon among those of its zone has changed.
@@ -118,6 +122,8 @@
     Start {
         /// The task.
         task: TaskId,
+        /// The attempt, which the reply must name.
+        attempt: u64,
         /// The worker.
         worker: SocketAddr,
         /// The request that the task belongs to.
@@ -131,6 +137,8 @@
     AskWorker {
         /// The task.
         task: TaskId,
+        /// The attempt, which the reply must name.
+        attempt: u64,
         /// The worker.
         worker: SocketAddr,
     },
@@ -231,6 +239,7 @@
 /// One start that has not ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Running {
+    pub(crate) attempt: u64,
     pub(crate) worker: u32,
     pub(crate) queued: QueuedTask,
     pub(crate) sent_at: Millis,
@@ -248,6 +257,7 @@
     choice: Choice,
     limits: HoldLimits,
     seed: u64,
+    spill_ms: u64,
 }
 
 impl EngineBuilder {
@@ -257,11 +267,9 @@
             incarnation,
             zone: zone.to_owned(),
             choice: Choice::Shares,
-            limits: HoldLimits {
-                hold_ms: 120_000,
-                hold_bytes: 8 << 20,
-            },
+            limits: HoldLimits { hold_ms: 120_000, hold_bytes: 8 << 20 },
             seed: incarnation.0,
+            spill_ms: DEFAULT_SPILL_MS,
         }
     }
 
@@ -283,6 +291,12 @@
         self
     }
 
+    /// Sets after which wait daemons of other zones are asked for slots, in milliseconds.
+    pub const fn spill_ms(mut self, spill_ms: u64) -> Self {
+        self.spill_ms = spill_ms;
+        self
+    }
+
     /// Builds the engine.
     pub fn build(self) -> Engine {
         Engine {
@@ -290,13 +304,14 @@
             workers: Workers::new(&self.zone, self.choice, self.seed),
             choice: self.choice,
             queue: Queue::default(),
-            shares: Shares::default(),
+            shares: Shares::new(&self.zone, self.spill_ms),
             estimates: Estimates::default(),
             kinds: KindHealth::default(),
             jobs: HashMap::new(),
             running: HashMap::new(),
             doubts: BTreeSet::new(),
             catalogue: None,
+            attempts: 0,
             retry_tokens: FIRST_RETRY_TOKENS,
             delayed: Vec::new(),
             counters: Counters::default(),
@@ -309,6 +324,8 @@
     }
 }
 
+/// The wait from which daemons of other zones are asked for slots, where settings name none.
+pub const DEFAULT_SPILL_MS: u64 = 4;
 /// Retries that may be made before any start has succeeded.
 const FIRST_RETRY_TOKENS: f64 = 50.0;
 /// How often expired state is dropped and leases are looked at.
@@ -328,6 +345,7 @@
     pub(crate) running: HashMap<TaskId, Running>,
     pub(crate) doubts: BTreeSet<TaskId>,
     pub(crate) catalogue: Option<Rc<Fold>>,
+    pub(crate) attempts: u64,
     pub(crate) retry_tokens: f64,
     pub(crate) delayed: Vec<(Millis, QueuedTask)>,
     pub(crate) counters: Counters,
@@ -343,19 +361,17 @@
     pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Action> {
         match event {
             Event::Submit(submission) => self.submit(submission, now),
-            Event::Wait {
-                request,
-                job,
-                expiry_ms,
-            } => self.wait(request, job, expiry_ms, now),
+            Event::Wait { request, job, expiry_ms } => self.wait(request, job, expiry_ms, now),
             Event::Forget { request, job } => self.forget(request, job),
-            Event::Cancel {
-                request,
-                job,
-                expiry_ms,
-            } => self.cancel(request, job, expiry_ms, now),
+            Event::Cancel { request, job, expiry_ms } => self.cancel(request, job, expiry_ms, now),
             Event::Journalled { job, result } => self.journalled(job, result, now),
-            Event::Ended { task, end, hint } => self.ended(task, end, hint, now),
+            Event::Ended { task, attempt, end, hint } => {
+                if let Some(hint) = hint {
+                    self.hinted(task, attempt, hint, now);
+                }
+                self.ended(task, attempt, end, now);
+            }
+            Event::Unconfirmed(task) => self.doubt(task, now),
             Event::Workers(infos) => self.workers.update(&infos),
             Event::Rank { rank, count } => self.workers.set_shares(rank, count),
             Event::PeerLoad { peer, load } => self.shares.heard(peer, load),
@@ -441,6 +457,7 @@
         self.home.expire(now);
         self.refuse_late(now);
         self.renew_leases(now);
+        self.return_far_slots();
     }
 }
 
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -42,11 +42,7 @@
     pub fn learn(&mut self, kind: &str, declared_ms: Option<u64>, actual_ms: u64) {
         let actual = actual_ms.max(1) as f64;
         if !self.kinds.contains_key(kind) {
-            let first = Learnt {
-                mean_ms: actual,
-                log_ratio: 0.0,
-                log_error: 0.0,
-            };
+            let first = Learnt { mean_ms: actual, log_ratio: 0.0, log_error: 0.0 };
             self.kinds.insert(kind.to_owned(), first);
         }
         let Some(learnt) = self.kinds.get_mut(kind) else {
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -36,15 +36,14 @@
         job.tasks[queued.task.index as usize] = TaskState::Sent;
         job.touched += 1;
         let work = Rc::clone(&job.request);
-        *self
-            .owners_running
-            .entry(job.flow.owner.clone())
-            .or_insert(0) += 1;
+        *self.owners_running.entry(job.flow.owner.clone()).or_insert(0) += 1;
         let lease_ms = LEAST_LEASE_MS.max(queued.expected_ms * LEASE_FACTOR);
         self.workers.started(worker);
+        self.attempts += 1;
         self.running.insert(
             queued.task,
             Running {
+                attempt: self.attempts,
                 worker,
                 queued,
                 sent_at: now,
@@ -57,6 +56,7 @@
         self.counters.starts += 1;
         self.actions.push(Action::Start {
             task: queued.task,
+            attempt: self.attempts,
             worker: self.workers.get(worker).info.addr,
             work,
             lease_ms,
@@ -64,22 +64,26 @@
         });
     }
 
+    /// Takes what a worker's reply tells of the worker itself.
+    pub(crate) fn hinted(&mut self, task: TaskId, attempt: u64, hint: Hint, now: Millis) {
+        let running = self.running.get(&task);
+        if let Some(running) = running.filter(|running| running.attempt == attempt) {
+            self.workers.hinted(running.worker, hint.free, hint.leaving, now);
+        }
+    }
+
     /// Takes a worker's word on a start or on a task in doubt.
-    pub(crate) fn ended(&mut self, task: TaskId, end: StartEnd, hint: Option<Hint>, now: Millis) {
-        let Some(running) = self.running.get(&task).cloned() else {
+    ///
+    /// A reply to an earlier attempt must not be taken for one to the present attempt: a late
+    /// "never will" would otherwise free a task that runs elsewhere.
+    pub(crate) fn ended(&mut self, task: TaskId, attempt: u64, end: StartEnd, now: Millis) {
+        let running = self.running.get(&task).cloned();
+        let Some(running) = running.filter(|running| running.attempt == attempt) else {
             self.counters.late_replies += 1;
             return;
         };
-        if let Some(hint) = hint {
-            self.workers
-                .hinted(running.worker, hint.free, hint.leaving, now);
-        }
         match end {
-            StartEnd::Done {
-                output,
-                digest,
-                run_ms,
-            } => {
+            StartEnd::Done { output, digest, run_ms } => {
                 self.learn(&running, task, run_ms);
                 self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(MOST_RETRY_TOKENS);
                 self.finish_task(task, TaskEnd::Done { output, digest }, run_ms, now);
@@ -100,6 +104,7 @@
             }
             StartEnd::Refused | StartEnd::NoConnection => {
                 self.workers.unreachable(running.worker, now);
+                self.check_soon(running.worker, now);
                 self.counters.refused_starts += 1;
                 self.start_again(task, now);
             }
@@ -140,11 +145,16 @@
             entry.1 = entry.1.max(running.lease_ms);
         }
         for (worker, (tasks, lease_ms)) in due {
-            self.actions.push(Action::Renew {
-                worker,
-                tasks,
-                lease_ms,
-            });
+            self.actions.push(Action::Renew { worker, tasks, lease_ms });
+        }
+    }
+
+    /// Lets the next housekeeping renew every lease on a worker that may be gone.
+    ///
+    /// A renewal that fails puts its tasks in doubt, so a silent worker is noticed early.
+    fn check_soon(&mut self, worker: u32, now: Millis) {
+        for running in self.running.values_mut().filter(|running| running.worker == worker) {
+            running.lease_until = running.lease_until.min(now.plus(running.lease_ms / 2));
         }
     }
 
@@ -180,6 +190,15 @@
         }
     }
 
+    /// Ends a job of which the rest cannot be started; what has run is told.
+    pub(crate) fn give_up_waiting(&mut self, id: JobId, now: Millis) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.phase = JobPhase::Failing;
+        }
+        self.drop_waiting(id);
+        self.finish_job_if_ended(id, now);
+    }
+
     fn wait_or_burn(&mut self, request: RequestId, id: JobId, expiry: Millis, now: Millis) {
         use crate::home::Standing;
         if matches!(self.home.standing(id, expiry, now), Standing::Fresh) {
@@ -198,6 +217,7 @@
         };
         job.ideal_ms = job.ideal_ms.max(run_ms);
         job.open -= 1;
+        job.progress_at = now;
         let failed = !matches!(end, TaskEnd::Done { .. });
         job.tasks[task.index as usize] = TaskState::Ended(end);
         if failed && job.phase == JobPhase::Active {
@@ -223,22 +243,24 @@
             self.finish_job_if_ended(task.job, now);
             return;
         }
+        if self.is_late(task.job, now) {
+            self.end_late(task.job, now);
+            return;
+        }
         self.counters.retries += 1;
         if self.retry_tokens < 1.0 {
-            self.delayed
-                .push((now.plus(RETRY_PAUSE_MS), running.queued));
+            self.delayed.push((now.plus(RETRY_PAUSE_MS), running.queued));
             return;
         }
         self.retry_tokens -= 1.0;
-        let flow = job.flow.clone();
-        self.queue.push_front(&flow, running.queued);
+        if let Some(job) = self.jobs.get(&task.job) {
+            self.queue.push_front(&job.flow, running.queued);
+        }
     }
 
     /// Puts tasks back that waited because the retry budget was spent.
     pub(crate) fn release_delayed(&mut self, now: Millis) {
-        let (due, later) = std::mem::take(&mut self.delayed)
-            .into_iter()
-            .partition(|d| d.0 <= now);
+        let (due, later) = std::mem::take(&mut self.delayed).into_iter().partition(|d| d.0 <= now);
         self.delayed = later;
         let due: Vec<(Millis, QueuedTask)> = due;
         for (_, queued) in due {
@@ -249,15 +271,12 @@
     }
 
     /// Takes every task of a job that has not been sent out of the queue.
-    fn take_waiting(&mut self, id: JobId) -> Vec<u32> {
+    fn take_waiting(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
-            return Vec::new();
+            return;
         };
-        let mut taken = self.queue.remove_job(&job.flow, id);
-        let delayed = self.delayed.iter().map(|(_, queued)| queued.task);
-        taken.extend(delayed.filter(|task| task.job == id).map(|task| task.index));
+        self.queue.remove_job(&job.flow, id);
         self.delayed.retain(|(_, queued)| queued.task.job != id);
-        taken
     }
 
     fn release(&mut self, task: TaskId) -> Option<Running> {
@@ -272,12 +291,15 @@
         Some(running)
     }
 
-    fn doubt(&mut self, task: TaskId, now: Millis) {
-        if let Some(running) = self.running.get_mut(&task) {
-            running.doubt_since = Some(now);
-            running.next_ask_at = now;
-            self.doubts.insert(task);
+    /// Puts a task in doubt and asks its worker.
+    pub(crate) fn doubt(&mut self, task: TaskId, now: Millis) {
+        let Some(running) = self.running.get_mut(&task) else {
+            return;
+        };
+        if !self.doubts.insert(task) {
+            return;
         }
+        running.doubt_since = Some(now);
         self.ask_worker(task, now);
     }
 
@@ -303,18 +325,21 @@
         };
         // The question itself is bounded in time; no second one goes out meanwhile.
         running.next_ask_at = now.plus(DOUBT_LIMIT_MS);
+        let attempt = running.attempt;
         let worker = self.workers.get(running.worker).info.addr;
-        self.actions.push(Action::AskWorker { task, worker });
+        self.actions.push(Action::AskWorker { task, attempt, worker });
     }
 
     fn drop_waiting(&mut self, id: JobId) {
-        let taken = self.take_waiting(id);
+        self.take_waiting(id);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        for index in taken {
-            job.tasks[index as usize] = TaskState::Ended(TaskEnd::NotStarted);
-            job.open -= 1;
+        for state in &mut job.tasks {
+            if *state == TaskState::Waiting {
+                *state = TaskState::Ended(TaskEnd::NotStarted);
+                job.open -= 1;
+            }
         }
     }
 
@@ -324,10 +349,7 @@
             return;
         };
         for (index, state) in job.tasks.iter().enumerate() {
-            let task = TaskId {
-                job: id,
-                index: index as u32,
-            };
+            let task = TaskId { job: id, index: index as u32 };
             if let (TaskState::Sent, Some(running)) = (state, self.running.get(&task)) {
                 let addr = self.workers.get(running.worker).info.addr;
                 stops.entry(addr).or_default().push(task);
@@ -354,12 +376,7 @@
             }
             return;
         }
-        let answer = Rc::new(Answer {
-            verdict,
-            reason,
-            retry_after_ms: None,
-            tasks,
-        });
+        let answer = Rc::new(Answer { verdict, reason, retry_after_ms: None, tasks });
         self.home.hold(id, job.digest, Rc::clone(&answer), now);
         self.counters.finished(verdict);
         for waiter in job.waiters {
@@ -381,8 +398,7 @@
         let kind = &job.request.kind;
         let expected_ms = self.estimates.expected_ms(kind, declared_ms);
         let log_ratio = (run_ms.max(1) as f64 / expected_ms as f64).ln();
-        self.workers
-            .learn_speed(running.worker, log_ratio - self.global_log_ratio);
+        self.workers.learn_speed(running.worker, log_ratio - self.global_log_ratio);
         self.global_log_ratio += LEARN_SHARE * (log_ratio - self.global_log_ratio);
         self.estimates.learn(kind, declared_ms, run_ms);
         self.kinds.note(kind, running.worker, false);
@@ -416,20 +432,12 @@
         return (Verdict::Complete, Reason::Done);
     }
     if tasks.iter().all(|end| *end == TaskEnd::NotStarted) {
-        let reason = if cancelled {
-            Reason::Cancelled
-        } else {
-            Reason::Overloaded
-        };
+        let reason = if cancelled { Reason::Cancelled } else { Reason::Overloaded };
         return (Verdict::NotRun, reason);
     }
     if tasks.contains(&TaskEnd::InDoubt) {
         return (Verdict::Failed, Reason::WorkerLost);
     }
-    let reason = if cancelled {
-        Reason::Cancelled
-    } else {
-        Reason::TaskFailed
-    };
+    let reason = if cancelled { Reason::Cancelled } else { Reason::TaskFailed };
     (Verdict::Failed, reason)
 }
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -50,8 +50,7 @@
     /// Notes the end of one task of `kind`.
     pub fn note(&mut self, kind: &str, worker: u32, failed: bool) {
         if !self.recent.contains_key(kind) {
-            self.recent
-                .insert(kind.to_owned(), VecDeque::with_capacity(KIND_MEMORY));
+            self.recent.insert(kind.to_owned(), VecDeque::with_capacity(KIND_MEMORY));
         }
         let Some(recent) = self.recent.get_mut(kind) else {
             return;
--- a/crates/dispatch/src/home.rs
+++ b/crates/dispatch/src/home.rs
@@ -56,6 +56,15 @@
     held: Vec<(u64, HeldAnswer)>,
 }
 
+impl HandedTable {
+    /// Forgets what was used: the fault that the failure tests plant to see it found.
+    #[doc(hidden)]
+    pub fn plant_forgotten_use(&mut self) {
+        self.window.forget_used();
+        self.held.clear();
+    }
+}
+
 #[derive(Debug)]
 struct Table {
     window: Window,
@@ -77,10 +86,7 @@
 impl HomeTable {
     /// Builds the table of a daemon that has just drawn its incarnation.
     pub fn new(own: Incarnation, limits: HoldLimits) -> Self {
-        let table = Table {
-            window: Window::default(),
-            clock_offset_ms: 0,
-        };
+        let table = Table { window: Window::default(), clock_offset_ms: 0 };
         Self {
             own,
             tables: BTreeMap::from([(own, table)]),
@@ -94,14 +100,8 @@
     /// Issues the next own ticket's sequence number.
     pub fn issue(&mut self, expiry_ms: Millis) -> JobId {
         let own = self.own;
-        let seq = self
-            .tables
-            .get_mut(&own)
-            .map_or(u64::MAX, |t| t.window.issue(expiry_ms));
-        JobId {
-            incarnation: own,
-            seq,
-        }
+        let seq = self.tables.get_mut(&own).map_or(u64::MAX, |t| t.window.issue(expiry_ms));
+        JobId { incarnation: own, seq }
     }
 
     /// Tells how a ticket stands; `expiry_ms` is the ticket's, on its issuer's clock.
@@ -122,27 +122,14 @@
 
     /// Burns a ticket and tells whether it was fresh.
     pub fn burn(&mut self, job: JobId) -> bool {
-        self.tables
-            .get_mut(&job.incarnation)
-            .is_some_and(|t| t.window.burn(job.seq))
+        self.tables.get_mut(&job.incarnation).is_some_and(|t| t.window.burn(job.seq))
     }
 
     /// Holds an answer for resubmissions, dropping the oldest past the bounds.
     pub fn hold(&mut self, job: JobId, request_digest: u64, answer: Rc<Answer>, now: Millis) {
         let bytes = answer.held_bytes();
         let until_ms = now.plus(self.limits.hold_ms);
-        if self
-            .held
-            .insert(
-                job,
-                HeldAnswer {
-                    answer,
-                    request_digest,
-                    until_ms,
-                },
-            )
-            .is_some()
-        {
+        if self.held.insert(job, HeldAnswer { answer, request_digest, until_ms }).is_some() {
             return;
         }
         self.order.push_back((job, bytes));
@@ -182,9 +169,7 @@
             .collect();
         for (job, mut answer) in held {
             answer.until_ms = Millis(answer.until_ms.since(now));
-            let target = handed
-                .iter_mut()
-                .find(|table| table.incarnation == job.incarnation);
+            let target = handed.iter_mut().find(|table| table.incarnation == job.incarnation);
             if let Some(table) = target {
                 table.held.push((job.seq, answer));
             }
@@ -196,13 +181,7 @@
     pub fn inherit(&mut self, handed: HandedTable, now: Millis) {
         let incarnation = handed.incarnation;
         let clock_offset_ms = handed.given_at_ms.0.cast_signed() - now.0.cast_signed();
-        self.tables.insert(
-            incarnation,
-            Table {
-                window: handed.window,
-                clock_offset_ms,
-            },
-        );
+        self.tables.insert(incarnation, Table { window: handed.window, clock_offset_ms });
         for (seq, held) in handed.held {
             let job = JobId { incarnation, seq };
             let bytes = held.answer.held_bytes();
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -66,7 +66,9 @@
     pub digest: u64,
     /// When it was accepted.
     pub accepted_at: Millis,
-    /// The longest wait before its first start.
+    /// When one of its tasks last began or ended, or its acceptance.
+    pub progress_at: Millis,
+    /// The longest wait before its first start, and without any progress.
     pub max_wait_ms: u64,
     /// Whether its tasks may serve as probes.
     pub idempotent: bool,
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -72,9 +72,7 @@
     ///
     /// A record from before the ticket's issue that is kept shows that later ones are.
     pub fn is_whole_since(&self, issued_ms: Millis, first_kept: u64) -> bool {
-        let earlier = self
-            .earliest_home_ms
-            .is_some_and(|home_ms| home_ms <= issued_ms);
+        let earlier = self.earliest_home_ms.is_some_and(|home_ms| home_ms <= issued_ms);
         first_kept == 0 || earlier
     }
 
@@ -184,11 +182,7 @@
 
 impl<T> Default for Grouping<T> {
     fn default() -> Self {
-        Self {
-            waiting: Vec::new(),
-            in_flight: false,
-            not_before: Millis(0),
-        }
+        Self { waiting: Vec::new(), in_flight: false, not_before: Millis(0) }
     }
 }
 
@@ -237,10 +231,7 @@
     use crate::clock::Millis;
 
     fn start(seqs: Vec<u64>) -> JournalRecord {
-        JournalRecord::Start {
-            seqs,
-            home_ms: Millis(50),
-        }
+        JournalRecord::Start { seqs, home_ms: Millis(50) }
     }
 
     #[test]
@@ -269,20 +260,8 @@
     fn the_first_claim_wins() {
         let mut fold = ClaimFold::default();
         let key = [7; 16];
-        fold.apply(
-            0,
-            Millis(5),
-            ClaimRecord {
-                claims: vec![(key, "a".into())],
-            },
-        );
-        fold.apply(
-            1,
-            Millis(6),
-            ClaimRecord {
-                claims: vec![(key, "b".into())],
-            },
-        );
+        fold.apply(0, Millis(5), ClaimRecord { claims: vec![(key, "a".into())] });
+        fold.apply(1, Millis(6), ClaimRecord { claims: vec![(key, "b".into())] });
         assert_eq!(fold.winner(&key), Some("a"));
         fold.forget_before(Millis(6));
         assert_eq!(fold.winner(&key), None);
--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -11,7 +11,7 @@
 use crate::ticket::Incarnation;
 
 /// A daemon that is silent for this long is not counted on.
-pub const SILENT_MS: u64 = 3_000;
+pub const SILENT_MS: u64 = 3_500;
 /// A daemon that is silent for this long is forgotten, unless settings name it.
 const FORGOTTEN_MS: u64 = 600_000;
 /// How long it is told who inherited from a drained incarnation.
@@ -135,9 +135,7 @@
             self.inherits(*inheritance, now);
         }
         let known = self.known.entry(heartbeat.addr).or_insert(None);
-        let before = known
-            .as_ref()
-            .map(|peer| (peer.last.incarnation, peer.last.draining));
+        let before = known.as_ref().map(|peer| (peer.last.incarnation, peer.last.draining));
         if let Some(peer) = known.as_ref() {
             if peer.last.incarnation == heartbeat.incarnation {
                 if peer.last.count >= heartbeat.count {
@@ -147,14 +145,9 @@
                 self.buried.insert(peer.last.incarnation, now);
             }
         }
-        let was_silent = known
-            .as_ref()
-            .is_none_or(|peer| now.since(peer.heard_at) >= SILENT_MS);
+        let was_silent = known.as_ref().is_none_or(|peer| now.since(peer.heard_at) >= SILENT_MS);
         let changed = was_silent || before != Some((heartbeat.incarnation, heartbeat.draining));
-        *known = Some(Peer {
-            last: heartbeat,
-            heard_at: now,
-        });
+        *known = Some(Peer { last: heartbeat, heard_at: now });
         Heard::News(changed)
     }
 
@@ -179,31 +172,17 @@
     /// Gives some inheritances to tell, in turn.
     pub fn inheritances_to_tell(&mut self, most: usize) -> Vec<Inheritance> {
         let all: Vec<Inheritance> = self.inheritances.values().map(|(told, _)| *told).collect();
-        let start = if all.is_empty() {
-            0
-        } else {
-            self.told_next % all.len()
-        };
+        let start = if all.is_empty() { 0 } else { self.told_next % all.len() };
         self.told_next = start + most;
-        all.iter()
-            .cycle()
-            .skip(start)
-            .take(most.min(all.len()))
-            .copied()
-            .collect()
+        all.iter().cycle().skip(start).take(most.min(all.len())).copied().collect()
     }
 
     /// Drops what is too old to matter.
     pub fn expire(&mut self, now: Millis) {
-        self.inheritances
-            .retain(|_, (_, since)| now.since(*since) < INHERITANCE_MS);
-        self.buried
-            .retain(|_, since| now.since(*since) < FORGOTTEN_MS);
+        self.inheritances.retain(|_, (_, since)| now.since(*since) < INHERITANCE_MS);
+        self.buried.retain(|_, since| now.since(*since) < FORGOTTEN_MS);
         for peer in self.known.values_mut() {
-            if peer
-                .as_ref()
-                .is_some_and(|peer| now.since(peer.heard_at) > FORGOTTEN_MS)
-            {
+            if peer.as_ref().is_some_and(|peer| now.since(peer.heard_at) > FORGOTTEN_MS) {
                 *peer = None;
             }
         }
@@ -218,31 +197,22 @@
     /// Gives the place of this daemon among the live ones of its zone that do not drain.
     pub fn rank(&self, now: Millis) -> (usize, usize) {
         let in_zone = self.live(now).filter(|peer| peer.last.zone == self.zone);
-        let addrs: Vec<SocketAddr> = in_zone
-            .filter(|peer| !peer.last.draining)
-            .map(|peer| peer.last.addr)
-            .collect();
+        let addrs: Vec<SocketAddr> =
+            in_zone.filter(|peer| !peer.last.draining).map(|peer| peer.last.addr).collect();
         let before = addrs.iter().filter(|addr| **addr < self.own_addr).count();
         (before, addrs.len() + 1)
     }
 
     /// Orders the peers that may inherit: the own zone first, then by address.
     pub fn heirs(&self, now: Millis) -> Vec<Peer> {
-        let mut open: Vec<Peer> = self
-            .live(now)
-            .filter(|p| !p.last.draining)
-            .cloned()
-            .collect();
+        let mut open: Vec<Peer> = self.live(now).filter(|p| !p.last.draining).cloned().collect();
         open.sort_by_key(|peer| (peer.last.zone != self.zone, peer.last.addr));
         open
     }
 
     /// Finds a live peer by its incarnation.
     pub fn find(&self, incarnation: Incarnation) -> Option<&Peer> {
-        self.known
-            .values()
-            .flatten()
-            .find(|peer| peer.last.incarnation == incarnation)
+        self.known.values().flatten().find(|peer| peer.last.incarnation == incarnation)
     }
 
     /// Tells whether an incarnation's address has since been taken by another process.
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -113,11 +113,7 @@
         let total_ms: u64 = tasks.iter().map(|(_, expected_ms)| expected_ms).sum();
         let count = tasks.len();
         self.activate(flow);
-        self.flows[flow].jobs.push_back(QueuedJob {
-            job,
-            queued_at,
-            tasks: tasks.into(),
-        });
+        self.flows[flow].jobs.push_back(QueuedJob { job, queued_at, tasks: tasks.into() });
         self.count(flow, count, total_ms);
     }
 
@@ -127,10 +123,7 @@
         self.activate(flow);
         let entry = (queued.task.index, queued.expected_ms);
         let jobs = &mut self.flows[flow].jobs;
-        match jobs
-            .front_mut()
-            .filter(|front| front.job == queued.task.job)
-        {
+        match jobs.front_mut().filter(|front| front.job == queued.task.job) {
             Some(front) => front.tasks.push_front(entry),
             None => jobs.push_front(QueuedJob {
                 job: queued.task.job,
@@ -146,15 +139,8 @@
         let (_, flow) = self.active.iter().nth(place)?;
         let front = self.flows[*flow].jobs.front()?;
         let (index, expected_ms) = *front.tasks.front()?;
-        let task = TaskId {
-            job: front.job,
-            index,
-        };
-        Some(QueuedTask {
-            task,
-            expected_ms,
-            queued_at: front.queued_at,
-        })
+        let task = TaskId { job: front.job, index };
+        Some(QueuedTask { task, expected_ms, queued_at: front.queued_at })
     }
 
     /// Takes the next task of the flow at `place` in the order of service.
@@ -177,28 +163,23 @@
         Some(queued)
     }
 
-    /// Takes every waiting task of a job out and gives their places.
-    pub fn remove_job(&mut self, key: &FlowKey, job: JobId) -> Vec<u32> {
+    /// Takes every waiting task of a job out.
+    pub fn remove_job(&mut self, key: &FlowKey, job: JobId) {
         let flow = self.flow_of(key);
-        let mut removed = Vec::new();
+        let mut removed = 0;
         let mut removed_ms = 0;
         self.flows[flow].jobs.retain(|queued| {
             if queued.job != job {
                 return true;
             }
-            removed.extend(queued.tasks.iter().map(|(index, _)| *index));
-            removed_ms += queued
-                .tasks
-                .iter()
-                .map(|(_, expected_ms)| expected_ms)
-                .sum::<u64>();
+            removed += queued.tasks.len();
+            removed_ms += queued.tasks.iter().map(|(_, expected_ms)| expected_ms).sum::<u64>();
             false
         });
-        self.uncount(flow, removed.len(), removed_ms);
+        self.uncount(flow, removed, removed_ms);
         if self.flows[flow].jobs.is_empty() {
             self.active.remove(&(self.flows[flow].virtual_time, flow));
         }
-        removed
     }
 
     /// Gives the wait that a new job of this flow can expect on `slots` slots.
@@ -229,10 +210,7 @@
 
     /// Lists the first job of each flow with the time it was accepted.
     pub fn heads(&self) -> impl Iterator<Item = (JobId, Millis)> + '_ {
-        let heads = self
-            .active
-            .iter()
-            .filter_map(|(_, flow)| self.flows[*flow].jobs.front());
+        let heads = self.active.iter().filter_map(|(_, flow)| self.flows[*flow].jobs.front());
         heads.map(|head| (head.job, head.queued_at))
     }
 
@@ -266,11 +244,7 @@
         if let Some(flow) = self.index.get(key) {
             return *flow;
         }
-        self.flows.push(Flow {
-            owner: key.owner.clone(),
-            weight: 1,
-            ..Flow::default()
-        });
+        self.flows.push(Flow { owner: key.owner.clone(), weight: 1, ..Flow::default() });
         self.index.insert(key.clone(), self.flows.len() - 1);
         self.flows.len() - 1
     }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -168,10 +168,7 @@
 
     /// Lists up to `most` workers that are set aside.
     pub fn aside(&self, most: usize) -> Vec<std::net::SocketAddr> {
-        let aside = self
-            .workers
-            .iter()
-            .filter(|w| matches!(w.health.trust, Trust::Aside(_)));
+        let aside = self.workers.iter().filter(|w| matches!(w.health.trust, Trust::Aside(_)));
         aside.map(|worker| worker.info.addr).take(most).collect()
     }
 
@@ -182,24 +179,12 @@
             queued_tasks: self.queue.len(),
             running_tasks: self.running.len(),
             in_doubt: self.doubt_list(),
-            owners_waiting: self
-                .queue
-                .owners()
-                .map(|(o, n)| (o.to_owned(), n))
-                .collect(),
-            owners_running: self
-                .owners_running
-                .iter()
-                .map(|(o, n)| (o.clone(), *n))
-                .collect(),
+            owners_waiting: self.queue.owners().map(|(o, n)| (o.to_owned(), n)).collect(),
+            owners_running: self.owners_running.iter().map(|(o, n)| (o.clone(), *n)).collect(),
             home: self.home.sizes(),
             answers_for: self.home.incarnations().map(|i| i.to_string()).collect(),
             free_slots: self.workers.free_slots(),
-            workers: self
-                .workers
-                .iter()
-                .map(|worker| worker_report(worker, now))
-                .collect(),
+            workers: self.workers.iter().map(|worker| worker_report(worker, now)).collect(),
             refusals: self.refusals.iter().cloned().collect(),
             counters: self.counters.clone(),
         }
@@ -222,12 +207,7 @@
             sent: sent.collect(),
             waiting: count(|state| *state == TaskState::Waiting),
             ended: count(|state| matches!(state, TaskState::Ended(_))),
-            refusal: self
-                .refusals
-                .iter()
-                .rev()
-                .find(|refusal| refusal.job == name)
-                .cloned(),
+            refusal: self.refusals.iter().rev().find(|refusal| refusal.job == name).cloned(),
         }
     }
 
--- a/crates/dispatch/src/shares.rs
+++ b/crates/dispatch/src/shares.rs
@@ -31,16 +31,17 @@
 }
 
 /// What is known of a peer's load, from heartbeats and grants.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct PeerLoad {
-    /// Whether the peer is in the own zone.
-    pub own_zone: bool,
+    /// The peer's zone.
+    pub zone: String,
     /// Its free slots when last heard.
     pub idle: u32,
     /// Its waiting tasks when last heard.
     pub queued: u32,
 }
 
+/// An ask that a peer made here.
 #[derive(Clone, Copy, Debug)]
 struct OpenAsk {
     want: u32,
@@ -48,29 +49,55 @@
     until: Millis,
 }
 
+/// An ask that was made of a peer; it is not asked again before `until`.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    until: Millis,
+    pause_ms: u64,
+}
+
 /// When to ask whom, and whom to give.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Shares {
+    zone: String,
+    spill_ms: u64,
     loads: BTreeMap<Incarnation, PeerLoad>,
     asks: BTreeMap<Incarnation, OpenAsk>,
-    asked: BTreeMap<Incarnation, Millis>,
+    asked: BTreeMap<Incarnation, Asked>,
     last_ask_at: Millis,
 }
 
-/// How long an ask stands at the peer that got it.
-const ASK_STANDS_MS: u64 = 150;
+/// How long an ask stands at the peer that got it, at the least.
+const ASK_STANDS_MS: u64 = 100;
+/// The longest pause between two asks of one peer that gave nothing.
+const LONGEST_PAUSE_MS: u64 = 1_600;
 /// The shortest time between two asks of one daemon.
-const ASK_EVERY_MS: u64 = 8;
-/// The wait from which peers of other zones are asked.
-const SPILL_MS: u64 = 20;
+const ASK_EVERY_MS: u64 = 3;
 /// How much longer the asker must have waited than the giver's own first task.
 const FAIR_MARGIN_MS: u64 = 25;
+/// The same as a part of the asker's wait.
+const FAIR_MARGIN_PARTS: u64 = 4;
 /// The most slots that one ask names.
 const MOST_WANTED: u32 = 64;
 
 impl Shares {
+    /// Builds the state of a daemon in `zone` that asks other zones after `spill_ms` of waiting.
+    pub fn new(zone: &str, spill_ms: u64) -> Self {
+        Self {
+            zone: zone.to_owned(),
+            spill_ms,
+            loads: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            last_ask_at: Millis(0),
+        }
+    }
+
     /// Notes a peer's load.
     pub fn heard(&mut self, peer: Incarnation, load: PeerLoad) {
+        if load.idle > 0 {
+            self.asked.remove(&peer);
+        }
         self.loads.insert(peer, load);
     }
 
@@ -88,26 +115,22 @@
         waited_ms: u64,
         now: Millis,
     ) -> Option<(Incarnation, SlotAsk)> {
-        if now.since(self.last_ask_at) < ASK_EVERY_MS && self.last_ask_at.0 > 0 {
+        if now.since(self.last_ask_at) < ASK_EVERY_MS {
             return None;
         }
-        let asked = &self.asked;
-        let open = |peer: &Incarnation| asked.get(peer).is_some_and(|until| *until > now);
-        let candidates = self
-            .loads
-            .iter()
-            .filter(|(peer, load)| !open(peer) && (load.own_zone || waited_ms >= SPILL_MS));
-        let (peer, _) = candidates.max_by_key(|(peer, load)| {
-            (
-                load.idle > 0,
-                load.own_zone,
-                load.idle,
-                std::cmp::Reverse(load.queued),
-                **peer,
-            )
+        let spills = waited_ms >= self.spill_ms;
+        let open = self.loads.iter().filter(|(peer, load)| {
+            let pausing = self.asked.get(peer).is_some_and(|asked| asked.until > now);
+            !pausing && (spills || load.zone == self.zone)
+        });
+        let (peer, _) = open.max_by_key(|(peer, load)| {
+            let near = load.zone == self.zone;
+            (load.idle > 0, near, load.idle, std::cmp::Reverse(load.queued), **peer)
         })?;
         let peer = *peer;
-        self.asked.insert(peer, now.plus(ASK_STANDS_MS));
+        let paused_ms = self.asked.get(&peer).map_or(ASK_STANDS_MS / 2, |asked| asked.pause_ms);
+        let pause_ms = (paused_ms * 2).min(LONGEST_PAUSE_MS);
+        self.asked.insert(peer, Asked { until: now.plus(pause_ms), pause_ms });
         self.last_ask_at = now;
         if let Some(load) = self.loads.get_mut(&peer) {
             load.idle = 0;
@@ -124,18 +147,14 @@
         }
     }
 
-    /// Takes a peer's ask, which stands for a while.
+    /// Takes a peer's ask, which stands for a while; an asker has no free slot itself.
     pub fn asked_by(&mut self, peer: Incarnation, ask: &SlotAsk, now: Millis) {
         let since = Millis(now.0.saturating_sub(ask.waited_ms));
         let until = now.plus(ASK_STANDS_MS);
-        self.asks.insert(
-            peer,
-            OpenAsk {
-                want: ask.want,
-                since,
-                until,
-            },
-        );
+        self.asks.insert(peer, OpenAsk { want: ask.want, since, until });
+        if let Some(load) = self.loads.get_mut(&peer) {
+            load.idle = 0;
+        }
     }
 
     /// Decides how many of `free` slots go to which peer, the longest wait first.
@@ -149,21 +168,29 @@
     ) -> Option<(Incarnation, u32)> {
         self.asks.retain(|_, ask| ask.until >= now);
         let (peer, ask) = self.asks.iter().min_by_key(|(_, ask)| ask.since)?;
-        let yields = own_oldest.is_none_or(|own| own.since(ask.since) > FAIR_MARGIN_MS);
+        let margin_ms = FAIR_MARGIN_MS.max(now.since(ask.since) / FAIR_MARGIN_PARTS);
+        let yields = own_oldest.is_none_or(|own| own.since(ask.since) > margin_ms);
         if free == 0 || !yields {
             return None;
         }
         let spare = (free as u32).saturating_sub(ask.want) / 2;
-        let given = if own_oldest.is_none() {
-            ask.want + spare
-        } else {
-            1
-        };
+        let given = if own_oldest.is_none() { ask.want + spare } else { 1 };
         let (peer, given) = (*peer, given.min(free as u32));
         self.asks.remove(&peer);
         Some((peer, given))
     }
 
+    /// Finds the peer of a zone to which its slots go back: the one with the fewest free.
+    pub fn peer_in(&self, zone: &str) -> Option<Incarnation> {
+        let in_zone = self.loads.iter().filter(|(_, load)| load.zone == zone);
+        in_zone.min_by_key(|(_, load)| load.idle).map(|(peer, _)| *peer)
+    }
+
+    /// Gives the zone of a peer.
+    pub fn zone_of(&self, peer: Incarnation) -> Option<&str> {
+        self.loads.get(&peer).map(|load| load.zone.as_str())
+    }
+
     /// Tells whether a peer waits for slots.
     pub fn has_asks(&self) -> bool {
         !self.asks.is_empty()
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -36,6 +36,24 @@
         }
     }
 
+    /// Gives free slots of other zones back to those zones, where nothing waits here.
+    pub(crate) fn return_far_slots(&mut self) {
+        if self.choice != Choice::Shares || !self.queue.is_empty() {
+            return;
+        }
+        for (zone, slots) in self.workers.release_far() {
+            let Some(peer) = self.shares.peer_in(&zone) else {
+                for (addr, count) in slots {
+                    self.workers.grant(addr, count);
+                }
+                continue;
+            };
+            let idle_left = self.workers.free_slots() as u32;
+            self.counters.slots_given += slots.iter().map(|(_, n)| u64::from(*n)).sum::<u64>();
+            self.actions.push(Action::GiveSlots(peer, SlotGrant { slots, idle_left }));
+        }
+    }
+
     fn serve_queue(&mut self, now: Millis) {
         let mut place = 0;
         while let Some(head) = self.queue.peek(place) {
@@ -45,8 +63,7 @@
             let needs = job.request.tasks[head.task.index as usize].needs;
             let waited_ms = now.since(head.queued_at);
             let worker =
-                self.workers
-                    .choose(&needs, job.idempotent, head.expected_ms, waited_ms, now);
+                self.workers.choose(&needs, job.idempotent, head.expected_ms, waited_ms, now);
             match worker {
                 Some(worker) => {
                     self.queue.pop(place);
@@ -64,12 +81,9 @@
             self.counters.slot_asks += 1;
             self.actions.push(Action::AskSlots(peer, ask));
         }
-        if waited_ms > CLAIM_AFTER_MS {
-            let since = Millis(now.0.saturating_sub(CLAIM_AFTER_MS));
-            if self.workers.claim_unused(since).is_some() {
-                self.counters.slots_claimed += 1;
-                self.serve_queue(now);
-            }
+        if waited_ms > CLAIM_AFTER_MS && self.workers.claim_unused(now).is_some() {
+            self.counters.slots_claimed += 1;
+            self.serve_queue(now);
         }
     }
 
@@ -79,14 +93,14 @@
             let Some((peer, count)) = self.shares.give(free, self.queue.oldest(), now) else {
                 return;
             };
-            let slots = self.workers.release(count);
+            let zone = self.shares.zone_of(peer).map(str::to_owned);
+            let slots = self.workers.release(count, zone.as_deref());
             if slots.is_empty() {
                 return;
             }
             self.counters.slots_given += u64::from(count);
             let idle_left = self.workers.free_slots() as u32;
-            self.actions
-                .push(Action::GiveSlots(peer, SlotGrant { slots, idle_left }));
+            self.actions.push(Action::GiveSlots(peer, SlotGrant { slots, idle_left }));
         }
     }
 }
--- a/crates/dispatch/src/ticket.rs
+++ b/crates/dispatch/src/ticket.rs
@@ -63,13 +63,9 @@
         let seq = parts.next().and_then(|p| p.parse().ok());
         let index = parts.next().and_then(|p| p.parse().ok());
         match (incarnation, seq, index, parts.next()) {
-            (Some(incarnation), Some(seq), Some(index), None) => Ok(Self {
-                job: JobId {
-                    incarnation: Incarnation(incarnation),
-                    seq,
-                },
-                index,
-            }),
+            (Some(incarnation), Some(seq), Some(index), None) => {
+                Ok(Self { job: JobId { incarnation: Incarnation(incarnation), seq }, index })
+            }
             _ => Err(TicketError::Malformed),
         }
     }
@@ -152,11 +148,7 @@
         let (key_id, content) = covered.split_last().ok_or(TicketError::Malformed)?;
         let key = self.keys.iter().find(|key| key.id == *key_id);
         let expected = tag_of(key.ok_or(TicketError::UnknownKey)?, covered);
-        if same_bytes(&expected, tag) {
-            Ok(content)
-        } else {
-            Err(TicketError::Forged)
-        }
+        if same_bytes(&expected, tag) { Ok(content) } else { Err(TicketError::Forged) }
     }
 
     /// Renders a ticket as the text that callers carry.
@@ -170,9 +162,7 @@
     /// # Errors
     /// Fails where the text is no ticket or was not issued under a known key.
     pub fn check(&self, text: &str) -> Result<Ticket, TicketError> {
-        let sealed = URL_SAFE_NO_PAD
-            .decode(text)
-            .map_err(|_| TicketError::Malformed)?;
+        let sealed = URL_SAFE_NO_PAD.decode(text).map_err(|_| TicketError::Malformed)?;
         let content = self.open(&sealed)?;
         postcard::from_bytes(content).map_err(|_| TicketError::Malformed)
     }
@@ -186,9 +176,6 @@
 }
 
 fn same_bytes(left: &[u8], right: &[u8]) -> bool {
-    let differing = left
-        .iter()
-        .zip(right)
-        .fold(0, |seen, (a, b)| seen | (a ^ b));
+    let differing = left.iter().zip(right).fold(0, |seen, (a, b)| seen | (a ^ b));
     left.len() == right.len() && differing == 0
 }
--- a/crates/dispatch/src/window.rs
+++ b/crates/dispatch/src/window.rs
@@ -50,10 +50,7 @@
             self.first_block = seq / BLOCK_TICKETS;
         }
         if seq / BLOCK_TICKETS >= self.first_block + self.blocks.len() as u64 {
-            self.blocks.push_back(Block {
-                words: used_before(seq),
-                expiry_ms,
-            });
+            self.blocks.push_back(Block { words: used_before(seq), expiry_ms });
         }
         if let Some(block) = self.blocks.back_mut() {
             block.expiry_ms = block.expiry_ms.latest(expiry_ms);
@@ -70,11 +67,7 @@
             return Mark::Expired;
         };
         let (word, bit) = place(seq);
-        if block.words[word] & bit == 0 {
-            Mark::Unused
-        } else {
-            Mark::Used
-        }
+        if block.words[word] & bit == 0 { Mark::Unused } else { Mark::Used }
     }
 
     /// Burns `seq` and tells whether it was unused before.
@@ -90,11 +83,7 @@
 
     /// Drops the blocks whose every ticket has expired.
     pub fn expire(&mut self, now: Millis) {
-        while self
-            .blocks
-            .front()
-            .is_some_and(|block| block.expiry_ms < now)
-        {
+        while self.blocks.front().is_some_and(|block| block.expiry_ms < now) {
             self.blocks.pop_front();
             self.first_block += 1;
         }
--- a/crates/dispatch/src/workers.rs
+++ b/crates/dispatch/src/workers.rs
@@ -96,6 +96,10 @@
 
 const LEARN_SHARE: f64 = 0.12;
 const UNREACHABLE_MS: u64 = 500;
+/// A hint on free slots counts for this long.
+const FRESH_HINT_MS: u64 = 300;
+/// A worker of which no share is held is tried after this long without a word.
+const UNHEARD_MS: u64 = 2_000;
 /// Ready workers looked at for one that fits a task's needs.
 const FIT_SCAN: usize = 64;
 const SLOW_TIERS: [f64; 3] = [1.8, 2.8, 4.0];
@@ -153,11 +157,7 @@
         self.rank = (rank, count);
         for index in 0..self.list.len() as u32 {
             let worker = &self.list[index as usize];
-            let credits = if worker.own_zone {
-                base_share(&worker.info, rank, count)
-            } else {
-                0
-            };
+            let credits = if worker.own_zone { base_share(&worker.info, rank, count) } else { 0 };
             self.change(index, |worker| worker.credits = credits);
         }
     }
@@ -169,29 +169,43 @@
         }
     }
 
-    /// Takes up to `most` free slots out, to give them to a peer.
-    pub fn release(&mut self, most: u32) -> Vec<(SocketAddr, u32)> {
-        let mut given: Vec<(SocketAddr, u32)> = Vec::new();
-        for _ in 0..most {
-            let Some(key) = self
-                .ready
-                .iter()
-                .rev()
-                .find(|key| key.1 < SLOW_TIERS.len() as u8)
-            else {
-                break;
-            };
-            let index = key.3;
-            self.change(index, |worker| worker.credits -= 1);
-            let addr = self.list[index as usize].info.addr;
-            match given.last_mut().filter(|last| last.0 == addr) {
-                Some(last) => last.1 += 1,
-                None => given.push((addr, 1)),
+    /// Takes up to `most` free slots out, to give them to a peer; those of its zone first.
+    pub fn release(&mut self, most: u32, zone: Option<&str>) -> Vec<(SocketAddr, u32)> {
+        let usable = self.ready.iter().rev().filter(|key| usize::from(key.1) < SLOW_TIERS.len());
+        let mut order: Vec<u32> = usable.map(|key| key.3).collect();
+        order.sort_by_key(|index| Some(self.list[*index as usize].info.zone.as_str()) != zone);
+        let mut given = Vec::new();
+        let mut left = most;
+        for index in order {
+            let worker = &self.list[index as usize];
+            let slots = left.min(free_of(worker) as u32);
+            if slots > 0 {
+                given.push((worker.info.addr, slots));
+                self.change(index, |worker| worker.credits -= slots);
             }
+            left -= slots;
         }
         given
     }
 
+    /// Takes every free slot of other zones out, by zone, to give them back.
+    pub fn release_far(&mut self) -> Vec<(String, Vec<(SocketAddr, u32)>)> {
+        let far = self.ready.iter().filter(|key| key.0).map(|key| key.3);
+        let far: Vec<u32> = far.collect();
+        let mut by_zone: Vec<(String, Vec<(SocketAddr, u32)>)> = Vec::new();
+        for index in far {
+            let worker = &self.list[index as usize];
+            let slots = free_of(worker) as u32;
+            let (zone, addr) = (worker.info.zone.clone(), worker.info.addr);
+            self.change(index, |worker| worker.credits -= slots);
+            match by_zone.iter_mut().find(|(other, _)| *other == zone) {
+                Some((_, given)) => given.push((addr, slots)),
+                None => by_zone.push((zone, vec![(addr, slots)])),
+            }
+        }
+        by_zone
+    }
+
     /// Chooses a worker for a task, or none where the task should wait.
     ///
     /// `idempotent` work alone is used for probes; `waited_ms` lets slow workers in when the
@@ -241,16 +255,21 @@
         });
     }
 
-    /// Claims one more share of a worker whose replies show unused slots.
-    pub fn claim_unused(&mut self, since: Millis) -> Option<u32> {
+    /// Claims one more share of a worker of the own zone: of one whose replies show unused slots,
+    /// or of one that was long not heard because no share of it is held.
+    pub fn claim_unused(&mut self, now: Millis) -> Option<u32> {
         let index = self.list.iter().position(|worker| {
+            let age_ms = now.since(worker.hint_at);
             let unclaimed = worker.hint_free > worker.credits.saturating_sub(worker.outstanding);
             let early = worker.credits + worker.hint_free <= worker.info.slots;
-            worker.own_zone && worker.hint_at >= since && unclaimed && early && available(worker)
+            let shown = age_ms < FRESH_HINT_MS && unclaimed && early;
+            let unheard = worker.credits == 0 && age_ms > UNHEARD_MS;
+            worker.own_zone && (shown || unheard) && available(worker)
         })? as u32;
         self.change(index, |worker| {
             worker.credits += 1;
-            worker.hint_free -= 1;
+            worker.hint_free = worker.hint_free.saturating_sub(1);
+            worker.hint_at = now;
         });
         Some(index)
     }
@@ -283,10 +302,7 @@
     pub fn failed(&mut self, index: u32, blame: f64, now: Millis) -> bool {
         let zone = self.list[index as usize].info.zone.clone();
         let in_zone = self.list.iter().filter(|worker| worker.info.zone == zone);
-        let aside = in_zone
-            .clone()
-            .filter(|w| matches!(w.health.trust, Trust::Aside(_)))
-            .count();
+        let aside = in_zone.clone().filter(|w| matches!(w.health.trust, Trust::Aside(_))).count();
         let room = (aside + 1) * MOST_ASIDE_SHARE <= in_zone.count().max(MOST_ASIDE_SHARE);
         let mut now_aside = false;
         self.change(index, |worker| {
@@ -308,16 +324,18 @@
     /// Lets time pass: probes begin and unreachable workers are tried again.
     pub fn tick(&mut self, now: Millis) {
         for index in 0..self.list.len() as u32 {
-            let worker = &mut self.list[index as usize];
+            let worker = &self.list[index as usize];
             let retry = worker.unreachable_until.0 > 0 && worker.unreachable_until <= now;
-            let woke = worker.health.wake(now);
-            if retry || woke {
-                self.change(index, |worker| {
-                    if retry {
-                        worker.unreachable_until = Millis(0);
-                    }
-                });
+            let wakes = matches!(worker.health.trust, Trust::Aside(until) if until <= now);
+            if !retry && !wakes {
+                continue;
             }
+            self.change(index, |worker| {
+                worker.health.wake(now);
+                if retry {
+                    worker.unreachable_until = Millis(0);
+                }
+            });
         }
     }
 
@@ -351,13 +369,13 @@
         match self.choice {
             Choice::Shares => {
                 let usable = self.list.iter().filter(|worker| available(worker));
-                usable.map(|worker| u64::from(worker.credits)).sum()
+                let held: u64 = usable.clone().map(|worker| u64::from(worker.credits)).sum();
+                let (rank, count) = self.rank;
+                let own = usable.filter(|worker| worker.own_zone);
+                held.max(own.map(|w| u64::from(base_share(&w.info, rank, count))).sum())
             }
             Choice::Random | Choice::RoundRobin | Choice::LeastOutstanding | Choice::TwoChoices => {
-                self.list
-                    .iter()
-                    .map(|worker| u64::from(worker.info.slots))
-                    .sum()
+                self.list.iter().map(|worker| u64::from(worker.info.slots)).sum()
             }
         }
     }
@@ -450,11 +468,7 @@
             }
             Choice::TwoChoices => {
                 let other = open[self.rng.random_range(0..open.len())];
-                Some(if outstanding(&other) < outstanding(&any) {
-                    other
-                } else {
-                    any
-                })
+                Some(if outstanding(&other) < outstanding(&any) { other } else { any })
             }
             Choice::Random | Choice::Shares => Some(any),
         }
@@ -465,9 +479,7 @@
 fn base_share(info: &WorkerInfo, rank: usize, count: usize) -> u32 {
     let turn = usize::from(info.addr.port());
     let slots = 0..info.slots as usize;
-    slots
-        .filter(|slot| (slot + turn) % count.max(1) == rank)
-        .count() as u32
+    slots.filter(|slot| (slot + turn) % count.max(1) == rank).count() as u32
 }
 
 fn available(worker: &Worker) -> bool {
@@ -492,10 +504,7 @@
     if free_of(worker) == 0 {
         return None;
     }
-    let tier = SLOW_TIERS
-        .iter()
-        .filter(|limit| worker.slowness > **limit)
-        .count();
+    let tier = SLOW_TIERS.iter().filter(|limit| worker.slowness > **limit).count();
     let load = worker.outstanding * 1_000 / worker.info.slots.max(1);
     Some((!worker.own_zone, tier as u8, load, index))
 }
--- a/crates/httpedge/src/client.rs
+++ b/crates/httpedge/src/client.rs
@@ -74,10 +74,7 @@
             .timeout(CONNECT_TIMEOUT)
             .conn_keep_alive(IDLE_CONNECTION)
             .conn_lifetime(Duration::from_hours(1));
-        let client = Client::builder()
-            .connector(connector)
-            .disable_redirects()
-            .finish();
+        let client = Client::builder().connector(connector).disable_redirects().finish();
         Self { client, cuts }
     }
 
@@ -94,9 +91,7 @@
     ) -> Result<T, CallError> {
         self.check(addr)?;
         let request = self.client.post(format!("http://{addr}{path}"));
-        let sent = request
-            .timeout(Duration::from_millis(timeout_ms))
-            .send_json(body);
+        let sent = request.timeout(Duration::from_millis(timeout_ms)).send_json(body);
         read_reply(addr, sent.await).await
     }
 
@@ -136,10 +131,7 @@
             request = request.insert_header((*name, value.as_str()));
         }
         let request = request.timeout(Duration::from_millis(call.timeout_ms));
-        let mut reply = request
-            .send_body(call.body)
-            .await
-            .map_err(|e| lost(addr, &e))?;
+        let mut reply = request.send_body(call.body).await.map_err(|e| lost(addr, &e))?;
         let body = reply.body().limit(LARGEST_REPLY_BYTES).await;
         let body = body.map_err(|_| CallError::ReplyLost(addr))?;
         Ok((reply.status().as_u16(), body.to_vec()))
@@ -177,11 +169,7 @@
     let status = reply.status();
     if !status.is_success() {
         let body = String::from_utf8_lossy(&body).into_owned();
-        return Err(CallError::Status {
-            addr,
-            status: status.as_u16(),
-            body,
-        });
+        return Err(CallError::Status { addr, status: status.as_u16(), body });
     }
     serde_json::from_slice(&body).map_err(|_| CallError::Unreadable(addr))
 }
--- a/crates/httpedge/src/server.rs
+++ b/crates/httpedge/src/server.rs
@@ -44,22 +44,13 @@
 
     /// Gives a query parameter, taken as it stands.
     pub fn param(&self, name: &str) -> Option<&str> {
-        let pairs = self
-            .query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='));
-        pairs
-            .into_iter()
-            .find(|(key, _)| *key == name)
-            .map(|(_, value)| value)
+        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
     }
 
     /// Gives the path's segments.
     pub fn segments(&self) -> Vec<&str> {
-        self.path
-            .split('/')
-            .filter(|segment| !segment.is_empty())
-            .collect()
+        self.path.split('/').filter(|segment| !segment.is_empty()).collect()
     }
 }
 
@@ -80,31 +71,18 @@
     /// Builds a JSON response.
     pub fn json(status: u16, value: &impl Serialize) -> Self {
         let body = serde_json::to_vec(value).unwrap_or_default();
-        Self {
-            status,
-            content_type: "application/json",
-            headers: Vec::new(),
-            body,
-        }
+        Self { status, content_type: "application/json", headers: Vec::new(), body }
     }
 
     /// Builds a plain text response.
     pub fn text(status: u16, body: impl Into<String>) -> Self {
         let body = body.into().into_bytes();
-        Self {
-            status,
-            content_type: "text/plain; charset=utf-8",
-            headers: Vec::new(),
-            body,
-        }
+        Self { status, content_type: "text/plain; charset=utf-8", headers: Vec::new(), body }
     }
 
     /// Builds a response whose body breaks off, as when a process dies while it answers.
     pub fn broken() -> Self {
-        Self {
-            status: BROKEN_STATUS,
-            ..Self::text(200, "")
-        }
+        Self { status: BROKEN_STATUS, ..Self::text(200, "") }
     }
 
     /// Adds a header.
@@ -123,9 +101,7 @@
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
         .client_request_timeout(HEAD_TIMEOUT)
-        .h1(fn_service(move |request| {
-            answer(request, max_body_bytes, handler.clone())
-        }));
+        .h1(fn_service(move |request| answer(request, max_body_bytes, handler.clone())));
     let Ok(service) = ServiceFactory::<(TcpStream, _)>::new_service(&factory, ()).await else {
         return;
     };
--- a/crates/measure/examples/tour.rs
+++ b/crates/measure/examples/tour.rs
@@ -47,11 +47,7 @@
     let fleet = Fleet::lay_out(&["bergamo", "sondrio"], 4, WORKERS, SLOTS);
     let daemons = start(&fleet).await?;
     let caller = Caller::new();
-    let operators: Vec<_> = fleet
-        .daemons
-        .iter()
-        .map(|daemon| daemon.operators)
-        .collect();
+    let operators: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.operators).collect();
     await_ready(&caller, &operators, 0).await?;
     edit(&caller, operators[0], "tour", sample_catalogue()).await?;
     await_ready(&caller, &operators, 1).await?;
@@ -70,10 +66,8 @@
     let response_ms = began.elapsed().as_secs_f64() * 1_000.0;
     let answer = answer.ok_or("the answer cannot be read")?;
     let whole = answer.verdict == Verdict::Complete && is_whole(&job, &answer);
-    let messages: u64 = daemons
-        .iter()
-        .map(|daemon| daemon.worker_messages.get() + daemon.traffic.sent.get())
-        .sum();
+    let messages: u64 =
+        daemons.iter().map(|daemon| daemon.worker_messages.get() + daemon.traffic.sent.get()).sum();
     let trace = TraceJob {
         at_ms: 0.0,
         kind: "coverage-check",
@@ -82,54 +76,29 @@
         entry: 0.0,
     };
     let ideal_ms = central_queue(&[trace], WORKERS as u32 * SLOTS)[0];
-    println!(
-        "answer: {:?}, status {status}, ticket {:.24}...",
-        answer.verdict, answer.ticket
-    );
-    println!(
-        "digests: {} of {TASKS} tasks, {}",
-        answer.tasks.len(),
-        verdict_of(whole)
-    );
+    println!("answer: {:?}, status {status}, ticket {:.24}...", answer.verdict, answer.ticket);
+    println!("digests: {} of {TASKS} tasks, {}", answer.tasks.len(), verdict_of(whole));
     println!(
         "response: {response_ms:.0} ms; ideal on {} slots: {ideal_ms:.0} ms; ratio {:.2}",
         WORKERS as u32 * SLOTS,
         response_ms / ideal_ms
     );
-    println!(
-        "messages per task, control included: {:.2}",
-        messages as f64 / TASKS as f64
-    );
+    println!("messages per task, control included: {:.2}", messages as f64 / TASKS as f64);
     if serve {
         print_commands(&fleet, &answer.ticket);
         std::future::pending::<()>().await;
     }
-    if whole {
-        Ok(())
-    } else {
-        Err("the answer is not whole".to_owned())
-    }
+    if whole { Ok(()) } else { Err("the answer is not whole".to_owned()) }
 }
 
 const fn verdict_of(whole: bool) -> &'static str {
-    if whole {
-        "all match their input"
-    } else {
-        "NOT all match"
-    }
+    if whole { "all match their input" } else { "NOT all match" }
 }
 
 async fn start(fleet: &Fleet) -> Result<Vec<Rc<Daemon>>, String> {
-    let listen = async |addr| {
-        TcpListener::bind(addr)
-            .await
-            .map_err(|error| error.to_string())
-    };
+    let listen = async |addr| TcpListener::bind(addr).await.map_err(|error| error.to_string());
     actix_rt::spawn(standins::log::serve_log(listen(fleet.log).await?));
-    actix_rt::spawn(standins::vms::serve_vms(
-        listen(fleet.vms).await?,
-        fleet.vm_list(),
-    ));
+    actix_rt::spawn(standins::vms::serve_vms(listen(fleet.vms).await?, fleet.vm_list()));
     for (addr, _) in &fleet.workers {
         let slots = fleet.slots as usize;
         actix_rt::spawn(standins::worker::serve_worker(listen(*addr).await?, slots));
@@ -138,9 +107,7 @@
     for place in 0..fleet.daemons.len() {
         let config = clementined::config::parse("tour", &fleet.settings(place));
         let config = config.map_err(|error| error.to_string())?;
-        let daemon = clementined::run::begin(config)
-            .await
-            .map_err(|error| error.to_string())?;
+        let daemon = clementined::run::begin(config).await.map_err(|error| error.to_string())?;
         daemons.push(daemon);
     }
     actix_rt::time::sleep(Duration::from_millis(100)).await;
--- a/crates/measure/src/calls.rs
+++ b/crates/measure/src/calls.rs
@@ -17,38 +17,21 @@
 
 /// Builds a job of coverage checks that need the given times.
 pub fn coverage_job(kind: &str, work_ms: &[u64], declared_ms: &[u64], salt: u64) -> JobRequest {
-    let repairs = [
-        "feed-horn",
-        "azimuth-motor",
-        "lnb",
-        "radome",
-        "tracking-unit",
-    ];
-    let tasks = work_ms
-        .iter()
-        .zip(declared_ms)
-        .enumerate()
-        .map(|(place, (work, declared))| {
-            let number = (salt as usize + place) % 40;
-            let repair = repairs[place % repairs.len()];
-            let input = json!({
-                "work_ms": work,
-                "contract": format!("C{number:03}"),
-                "repair": repair,
-                "salt": salt,
-                "place": place,
-            });
-            let input = input.to_string();
-            TaskSpec {
-                input,
-                declared_ms: Some(*declared),
-                needs: Needs::default(),
-            }
+    let repairs = ["feed-horn", "azimuth-motor", "lnb", "radome", "tracking-unit"];
+    let tasks = work_ms.iter().zip(declared_ms).enumerate().map(|(place, (work, declared))| {
+        let number = (salt as usize + place) % 40;
+        let repair = repairs[place % repairs.len()];
+        let input = json!({
+            "work_ms": work,
+            "contract": format!("C{number:03}"),
+            "repair": repair,
+            "salt": salt,
+            "place": place,
         });
-    JobRequest {
-        kind: kind.to_owned(),
-        tasks: tasks.collect(),
-    }
+        let input = input.to_string();
+        TaskSpec { input, declared_ms: Some(*declared), needs: Needs::default() }
+    });
+    JobRequest { kind: kind.to_owned(), tasks: tasks.collect() }
 }
 
 /// Submits a job and gives the answer.
@@ -119,19 +102,12 @@
     id: &str,
     changes: Vec<Change>,
 ) -> Result<u64, String> {
-    let edit = Edit {
-        id: id.to_owned(),
-        by: "measure".to_owned(),
-        changes,
-    };
+    let edit = Edit { id: id.to_owned(), by: "measure".to_owned(), changes };
     let path = "/v1/catalogue/edits";
-    let body: Result<EditBody, CallError> = caller
-        .post(operators, path, &edit, OPERATOR_TIMEOUT_MS)
-        .await;
+    let body: Result<EditBody, CallError> =
+        caller.post(operators, path, &edit, OPERATOR_TIMEOUT_MS).await;
     match body {
-        Ok(EditBody::Known {
-            outcome: Outcome::Applied { revision },
-        }) => Ok(revision),
+        Ok(EditBody::Known { outcome: Outcome::Applied { revision } }) => Ok(revision),
         other => Err(format!("{other:?}")),
     }
 }
@@ -141,9 +117,7 @@
 /// # Errors
 /// Fails where the daemon gives no answer.
 pub async fn state(caller: &Caller, operators: SocketAddr) -> Result<Value, CallError> {
-    caller
-        .get(operators, "/v1/state", OPERATOR_TIMEOUT_MS)
-        .await
+    caller.get(operators, "/v1/state", OPERATOR_TIMEOUT_MS).await
 }
 
 /// Waits until every daemon has the catalogue and hears every other.
@@ -161,17 +135,10 @@
             let Ok(state) = state(caller, *addr).await else {
                 continue;
             };
-            let lines = state["fleet"]["daemons"]
-                .as_array()
-                .cloned()
-                .unwrap_or_default();
-            let live = lines
-                .iter()
-                .filter(|l| l["state"] == "live" || l["state"] == "self");
+            let lines = state["fleet"]["daemons"].as_array().cloned().unwrap_or_default();
+            let live = lines.iter().filter(|l| l["state"] == "live" || l["state"] == "self");
             let has_catalogue = state["catalogue_offset"].as_u64() >= Some(offset);
-            let has_workers = state["engine"]["workers"]
-                .as_array()
-                .is_some_and(|w| !w.is_empty());
+            let has_workers = state["engine"]["workers"].as_array().is_some_and(|w| !w.is_empty());
             if has_catalogue && has_workers && live.count() == operators.len() {
                 ready += 1;
             }
--- a/crates/measure/src/children.rs
+++ b/crates/measure/src/children.rs
@@ -46,12 +46,7 @@
         let folder = std::env::temp_dir().join(format!("clementine-measure-{number:08x}"));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let daemons = fleet.daemons.iter().map(|_| None).collect();
-        let mut children = Self {
-            fleet,
-            daemons,
-            standins: Vec::new(),
-            folder,
-        };
+        let mut children = Self { fleet, daemons, standins: Vec::new(), folder };
         children.start_standins()?;
         actix_rt::time::sleep(Duration::from_millis(300)).await;
         for place in 0..children.daemons.len() {
@@ -109,20 +104,12 @@
 
     /// Gives the addresses where callers are served.
     pub fn callers(&self) -> Vec<SocketAddr> {
-        self.fleet
-            .daemons
-            .iter()
-            .map(|daemon| daemon.callers)
-            .collect()
+        self.fleet.daemons.iter().map(|daemon| daemon.callers).collect()
     }
 
     /// Gives the addresses where operators are served.
     pub fn operators(&self) -> Vec<SocketAddr> {
-        self.fleet
-            .daemons
-            .iter()
-            .map(|daemon| daemon.operators)
-            .collect()
+        self.fleet.daemons.iter().map(|daemon| daemon.operators).collect()
     }
 
     /// Gives the workers' addresses.
@@ -170,14 +157,8 @@
             .open(self.folder.join("stderr.log"))
             .map_err(|error| error.to_string())?;
         let mut command = Command::new(program);
-        command
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log);
-        command
-            .spawn()
-            .map_err(|error| format!("cannot start {}: {error}", args[0]))
+        command.args(args).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        command.spawn().map_err(|error| format!("cannot start {}: {error}", args[0]))
     }
 }
 
@@ -195,8 +176,5 @@
 }
 
 fn send_signal(pid: u32, name: &str) {
-    let _ = Command::new("kill")
-        .arg(format!("-{name}"))
-        .arg(pid.to_string())
-        .status();
+    let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
 }
--- a/crates/measure/src/cli.rs
+++ b/crates/measure/src/cli.rs
@@ -17,6 +17,8 @@
 /// What to do.
 #[derive(Debug, Options)]
 pub enum Command {
+    /// Compares policies of choosing a worker.
+    Policy(PolicyArgs),
     /// Runs a daemon; measurements start it themselves.
     Daemon(DaemonArgs),
     /// Runs stand-in workers; measurements start them themselves.
@@ -25,6 +27,21 @@
     Platform(PlatformArgs),
 }
 
+/// Options of the comparison of policies.
+#[derive(Debug, Options)]
+pub struct PolicyArgs {
+    /// Prints this help.
+    pub help: bool,
+    /// Runs fewer and shorter scenarios, without the baselines.
+    pub quick: bool,
+    /// Runs only the scenarios whose names contain this.
+    #[options(default = "")]
+    pub only: String,
+    /// Runs only these baselines, such as "least_outstanding,two_choices".
+    #[options(default = "")]
+    pub baselines: String,
+}
+
 /// Options of a daemon.
 #[derive(Debug, Options)]
 pub struct DaemonArgs {
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -61,15 +61,7 @@
         let workers = (0..workers).map(|place| (free(), zone_of(place))).collect();
         let (log, vms) = (free(), free());
         let extra = String::new();
-        Self {
-            daemons,
-            workers,
-            slots,
-            log,
-            vms,
-            choice: Choice::Shares,
-            extra,
-        }
+        Self { daemons, workers, slots, log, vms, choice: Choice::Shares, extra }
     }
 
     /// Gives the settings of one daemon.
@@ -137,29 +129,16 @@
         })
     };
     let entries = [
-        (
-            "coverage-check",
-            kind("contracts", Class::Normal, true, false, 5_000),
-        ),
-        (
-            "other-check",
-            kind("field-crews", Class::Normal, true, false, 5_000),
-        ),
-        (
-            "invoice",
-            kind("billing", Class::Urgent, false, true, 5_000),
-        ),
+        ("coverage-check", kind("contracts", Class::Normal, true, false, 5_000)),
+        ("other-check", kind("field-crews", Class::Normal, true, false, 5_000)),
+        ("invoice", kind("billing", Class::Urgent, false, true, 5_000)),
         ("contracts", Item::Team(TeamSpec::default())),
         ("field-crews", Item::Team(TeamSpec::default())),
         ("billing", Item::Team(TeamSpec::default())),
     ];
     let change = |(name, item): (&str, Item)| {
         let name = name.to_owned();
-        Change {
-            name,
-            base: None,
-            item: Some(item),
-        }
+        Change { name, base: None, item: Some(item) }
     };
     entries.into_iter().map(change).collect()
 }
--- a/crates/measure/src/ledgers.rs
+++ b/crates/measure/src/ledgers.rs
@@ -34,9 +34,7 @@
     /// Tells whether any task of a job, by its identity, ever started.
     pub fn job_started(&self, job: &str, tasks: usize) -> bool {
         (0..tasks).any(|index| {
-            self.starts
-                .get(&format!("{job}.{index}"))
-                .is_some_and(|starts| *starts > 0)
+            self.starts.get(&format!("{job}.{index}")).is_some_and(|starts| *starts > 0)
         })
     }
 }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod ideal;
 pub mod ledgers;
 pub mod play;
+pub mod policy;
 pub mod roles;
 pub mod trace;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -9,6 +9,9 @@
 fn main() -> ExitCode {
     let args = Args::parse_args_default_or_exit();
     let result = match args.command {
+        Some(Command::Policy(args)) => {
+            verdict("policy", measure::policy::run(&args.only, args.quick, &args.baselines))
+        }
         Some(Command::Daemon(args)) => roles::daemon(args),
         Some(Command::Workers(args)) => roles::workers(&args),
         Some(Command::Platform(args)) => roles::platform(&args),
@@ -22,3 +25,21 @@
         }
     }
 }
+
+/// Runs a measurement and ends it with one verdict line.
+fn verdict(name: &str, measured: impl Future<Output = Result<bool, String>>) -> Result<(), String> {
+    match actix_rt::System::new().block_on(measured) {
+        Ok(true) => {
+            println!("verdict: {name}: every target met");
+            Ok(())
+        }
+        Ok(false) => {
+            println!("verdict: {name}: targets missed");
+            Err(format!("{name} missed targets"))
+        }
+        Err(why) => {
+            println!("verdict: {name}: not measured: {why}");
+            Err(why)
+        }
+    }
+}
--- a/crates/measure/src/play.rs
+++ b/crates/measure/src/play.rs
@@ -72,13 +72,9 @@
             response_ms,
             ticket: answer.ticket,
         },
-        Ok((_, None)) | Err(_) => Played {
-            place,
-            verdict: None,
-            whole: false,
-            response_ms,
-            ticket: String::new(),
-        },
+        Ok((_, None)) | Err(_) => {
+            Played { place, verdict: None, whole: false, response_ms, ticket: String::new() }
+        }
     }
 }
 
--- a/crates/measure/src/roles.rs
+++ b/crates/measure/src/roles.rs
@@ -14,11 +14,7 @@
 /// # Errors
 /// Fails with the daemon's own words.
 pub fn daemon(args: DaemonArgs) -> Result<(), String> {
-    let args = clementined::cli::Args {
-        help: false,
-        settings: args.settings,
-        check: false,
-    };
+    let args = clementined::cli::Args { help: false, settings: args.settings, check: false };
     clementined::run::run(&args).map_err(|error| error.to_string())
 }
 
@@ -31,9 +27,7 @@
     let addrs = addrs.map_err(|error| format!("--listen: {error}"))?;
     actix_rt::System::new().block_on(async {
         for addr in addrs {
-            let listener = TcpListener::bind(addr)
-                .await
-                .map_err(|error| error.to_string())?;
+            let listener = TcpListener::bind(addr).await.map_err(|error| error.to_string())?;
             actix_rt::spawn(serve_worker(listener, args.slots));
         }
         std::future::pending().await
@@ -51,12 +45,8 @@
         return Err("give --log and --vms".to_owned());
     };
     actix_rt::System::new().block_on(async {
-        let log = TcpListener::bind(log)
-            .await
-            .map_err(|error| error.to_string())?;
-        let vms = TcpListener::bind(vms)
-            .await
-            .map_err(|error| error.to_string())?;
+        let log = TcpListener::bind(log).await.map_err(|error| error.to_string())?;
+        let vms = TcpListener::bind(vms).await.map_err(|error| error.to_string())?;
         actix_rt::spawn(serve_log(log));
         serve_vms(vms, list.vms).await;
         Ok(())
--- a/crates/measure/src/trace.rs
+++ b/crates/measure/src/trace.rs
@@ -100,11 +100,5 @@
         ((*work as f64 * factor) as u64).max(1)
     };
     let declared_ms = work_ms.iter().map(declared).collect();
-    TraceJob {
-        at_ms,
-        kind: "coverage-check",
-        work_ms,
-        declared_ms,
-        entry: rng.random(),
-    }
+    TraceJob { at_ms, kind: "coverage-check", work_ms, declared_ms, entry: rng.random() }
 }
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -50,21 +50,11 @@
             "clementine_response_over_ideal",
             "Time from acceptance to answer over the time of the job's longest task.",
         )
-        .buckets(vec![
-            1.02, 1.05, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 100.0,
-        ]);
+        .buckets(vec![1.02, 1.05, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 100.0]);
         let response_over_ideal = HistogramVec::new(ratio, &["kind", "verdict"])?;
         let totals = labelled("clementine_total", "Counts since the start.", "what")?;
-        let refusals = labelled(
-            "clementine_refusals",
-            "Requests refused, by reason.",
-            "reason",
-        )?;
-        let answers = labelled(
-            "clementine_answers",
-            "Answers given, by verdict.",
-            "verdict",
-        )?;
+        let refusals = labelled("clementine_refusals", "Requests refused, by reason.", "reason")?;
+        let answers = labelled("clementine_answers", "Answers given, by verdict.", "verdict")?;
         let queued = Gauge::new("clementine_queued_tasks", "Tasks that wait.")?;
         let free_slots = Gauge::new("clementine_free_slots", "Slots held and free.")?;
         let catalogue_offset = Gauge::new("clementine_catalogue_offset", "Next offset.")?;
@@ -74,13 +64,7 @@
         for vector in [&totals, &refusals, &answers] {
             registry.register(Box::new(vector.clone()))?;
         }
-        for gauge in [
-            &queued,
-            &free_slots,
-            &catalogue_offset,
-            &catalogue_age_ms,
-            &in_doubt,
-        ] {
+        for gauge in [&queued, &free_slots, &catalogue_offset, &catalogue_age_ms, &in_doubt] {
             registry.register(Box::new(gauge.clone()))?;
         }
         Ok(Self {
@@ -101,9 +85,7 @@
     pub fn job_ended(&self, kind: &str, verdict: Verdict, response_ms: u64, ideal_ms: u64) {
         let ratio = response_ms as f64 / ideal_ms.max(1) as f64;
         let name = name_of(&verdict);
-        self.response_over_ideal
-            .with_label_values(&[kind, name.as_str()])
-            .observe(ratio);
+        self.response_over_ideal.with_label_values(&[kind, name.as_str()]).observe(ratio);
     }
 
     /// Renders everything as text.
@@ -127,14 +109,10 @@
             self.totals.with_label_values(&[*name]).set(*value as f64);
         }
         for (reason, count) in &counters.refusals {
-            self.refusals
-                .with_label_values(&[reason.as_str()])
-                .set(*count as f64);
+            self.refusals.with_label_values(&[reason.as_str()]).set(*count as f64);
         }
         for (verdict, count) in &counters.answers {
-            self.answers
-                .with_label_values(&[verdict.as_str()])
-                .set(*count as f64);
+            self.answers.with_label_values(&[verdict.as_str()]).set(*count as f64);
         }
         self.queued.set(f64::from(levels.queued));
         self.free_slots.set(f64::from(levels.free_slots));
--- a/crates/operators/src/parse.rs
+++ b/crates/operators/src/parse.rs
@@ -65,15 +65,15 @@
     match (&request.method, segments.as_slice()) {
         (&Method::GET, ["v1", "state"]) => Ok(Call::State),
         (&Method::GET, ["metrics"]) => Ok(Call::Metrics),
-        (&Method::GET, ["v1", "explain", ticket]) => Ok(Call::Explain {
-            ticket: (*ticket).to_owned(),
-        }),
+        (&Method::GET, ["v1", "explain", ticket]) => {
+            Ok(Call::Explain { ticket: (*ticket).to_owned() })
+        }
         (&Method::GET, ["v1", "catalogue"]) => Ok(Call::Catalogue),
         (&Method::GET, ["v1", "catalogue", "history"]) => Ok(Call::History),
         (&Method::GET, ["v1", "fleet"]) => Ok(Call::Fleet),
-        (&Method::GET, ["v1", "catalogue", "edits", id]) => Ok(Call::Outcome {
-            id: (*id).to_owned(),
-        }),
+        (&Method::GET, ["v1", "catalogue", "edits", id]) => {
+            Ok(Call::Outcome { id: (*id).to_owned() })
+        }
         (&Method::POST, ["v1", "catalogue", "edits"]) => body_of(request).map(Call::Edit),
         (&Method::POST, ["v1", "faults"]) => body_of(request).map(Call::Faults),
         _ => Err(CallProblem::NoSuchCall),
@@ -81,9 +81,6 @@
 }
 
 fn body_of<T: serde::de::DeserializeOwned>(request: &Request) -> Result<T, CallProblem> {
-    let body = request
-        .body
-        .as_ref()
-        .ok_or_else(|| CallProblem::Body("too large".into()))?;
+    let body = request.body.as_ref().ok_or_else(|| CallProblem::Body("too large".into()))?;
     serde_json::from_slice(body).map_err(|error| CallProblem::Body(error.to_string()))
 }
--- a/crates/peers/src/beats.rs
+++ b/crates/peers/src/beats.rs
@@ -30,19 +30,12 @@
 impl Beats {
     /// Builds the exchange on a bound socket.
     pub fn new(socket: UdpSocket, keys: Rc<Keyring>, traffic: Rc<Traffic>, cuts: Cuts) -> Self {
-        Self {
-            socket: Rc::new(socket),
-            keys,
-            traffic,
-            cuts,
-        }
+        Self { socket: Rc::new(socket), keys, traffic, cuts }
     }
 
     /// Sends a heartbeat to the given daemons.
     pub async fn send(&self, heartbeat: &Heartbeat, to: &[SocketAddr]) {
-        let sealed = self
-            .keys
-            .seal(postcard::to_allocvec(heartbeat).unwrap_or_default());
+        let sealed = self.keys.seal(postcard::to_allocvec(heartbeat).unwrap_or_default());
         for addr in to {
             if self.cuts.borrow().contains(addr) {
                 continue;
--- a/crates/peers/src/links.rs
+++ b/crates/peers/src/links.rs
@@ -65,8 +65,7 @@
     /// Counts a message received.
     pub fn count_received(&self, bytes: usize) {
         self.received.set(self.received.get() + 1);
-        self.received_bytes
-            .set(self.received_bytes.get() + bytes as u64);
+        self.received_bytes.set(self.received_bytes.get() + bytes as u64);
     }
 
     /// Counts a message dropped.
@@ -99,14 +98,7 @@
     /// Builds the links of a daemon, none of which is open.
     pub fn new(own: Incarnation, keys: Rc<Keyring>, traffic: Rc<Traffic>, cuts: Cuts) -> Self {
         let open = Rc::default();
-        Self {
-            own,
-            keys,
-            open,
-            next_id: Rc::new(Cell::new(1)),
-            traffic,
-            cuts,
-        }
+        Self { own, keys, open, next_id: Rc::new(Cell::new(1)), traffic, cuts }
     }
 
     /// Asks the daemon at `addr` and waits for its reply.
@@ -122,14 +114,8 @@
             let open = self.open.borrow();
             let link = open.get(&addr).ok_or(LinkError::NoConnection(addr))?;
             link.waiting.borrow_mut().insert(id, sender);
-            let frame = Frame {
-                from: self.own,
-                id,
-                body: Body::Ask(ask),
-            };
-            link.frames
-                .send(frame)
-                .map_err(|_| LinkError::ReplyLost(addr))?;
+            let frame = Frame { from: self.own, id, body: Body::Ask(ask) };
+            link.frames.send(frame).map_err(|_| LinkError::ReplyLost(addr))?;
         }
         let reply = actix_rt::time::timeout(Duration::from_millis(wait_ms), receiver).await;
         match reply {
@@ -152,21 +138,13 @@
         self.connect(addr).await?;
         let open = self.open.borrow();
         let link = open.get(&addr).ok_or(LinkError::NoConnection(addr))?;
-        let frame = Frame {
-            from: self.own,
-            id: 0,
-            body: Body::Ask(ask),
-        };
-        link.frames
-            .send(frame)
-            .map_err(|_| LinkError::ReplyLost(addr))
+        let frame = Frame { from: self.own, id: 0, body: Body::Ask(ask) };
+        link.frames.send(frame).map_err(|_| LinkError::ReplyLost(addr))
     }
 
     /// Closes every link to the given addresses.
     pub fn close(&self, addrs: &[SocketAddr]) {
-        self.open
-            .borrow_mut()
-            .retain(|addr, _| !addrs.contains(addr));
+        self.open.borrow_mut().retain(|addr, _| !addrs.contains(addr));
     }
 
     /// Serves other daemons on a listener until the returned future is dropped.
@@ -186,11 +164,7 @@
         if self.cuts.borrow().contains(&addr) {
             return Err(LinkError::NoConnection(addr));
         }
-        let usable = self
-            .open
-            .borrow()
-            .get(&addr)
-            .is_some_and(|link| !link.frames.is_closed());
+        let usable = self.open.borrow().get(&addr).is_some_and(|link| !link.frames.is_closed());
         if usable {
             return Ok(());
         }
@@ -201,10 +175,7 @@
         let _ = stream.set_nodelay(true);
         let (frames, outgoing) = mpsc::unbounded_channel();
         let waiting = Waiting::default();
-        let link = Link {
-            frames,
-            waiting: Rc::clone(&waiting),
-        };
+        let link = Link { frames, waiting: Rc::clone(&waiting) };
         let mut open = self.open.borrow_mut();
         if open.get(&addr).is_some_and(|link| !link.frames.is_closed()) {
             return Ok(());
@@ -265,11 +236,7 @@
                 let (from, id) = (self.own, frame.id);
                 actix_rt::spawn(async move {
                     let Some(tell) = answered.await else { return };
-                    let _ = replies.send(Frame {
-                        from,
-                        id,
-                        body: Body::Tell(tell),
-                    });
+                    let _ = replies.send(Frame { from, id, body: Body::Tell(tell) });
                 });
             }
         };
@@ -284,9 +251,7 @@
     }
 
     fn seal_frame(&self, frame: &Frame) -> Bytes {
-        let sealed = self
-            .keys
-            .seal(postcard::to_allocvec(frame).unwrap_or_default());
+        let sealed = self.keys.seal(postcard::to_allocvec(frame).unwrap_or_default());
         self.traffic.count_sent(sealed.len());
         sealed.into()
     }
@@ -303,8 +268,6 @@
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(LARGEST_FRAME_BYTES)
-        .new_codec();
+    let codec = LengthDelimitedCodec::builder().max_frame_length(LARGEST_FRAME_BYTES).new_codec();
     Framed::new(stream, codec)
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -30,9 +30,7 @@
     /// Where the reply is lost the records may stand in the log all the same.
     pub async fn append(&self, stream: &str, records: Vec<String>) -> Result<Appended, CallError> {
         let path = format!("/streams/{stream}");
-        self.caller
-            .post(self.addr, &path, &AppendCall { records }, LOG_TIMEOUT_MS)
-            .await
+        self.caller.post(self.addr, &path, &AppendCall { records }, LOG_TIMEOUT_MS).await
     }
 
     /// Reads a page from `from` on, waiting up to `wait_ms` for a first record.
@@ -41,9 +39,7 @@
     /// Fails where the service gives no whole reply in time.
     pub async fn read(&self, stream: &str, from: u64, wait_ms: u64) -> Result<Page, CallError> {
         let path = format!("/streams/{stream}?from={from}&most={PAGE_RECORDS}&wait_ms={wait_ms}");
-        self.caller
-            .get(self.addr, &path, LOG_TIMEOUT_MS + wait_ms)
-            .await
+        self.caller.get(self.addr, &path, LOG_TIMEOUT_MS + wait_ms).await
     }
 }
 
@@ -78,11 +74,7 @@
             addr: vm.addr,
             zone: vm.zone.clone(),
             slots: vm.slots,
-            size: Needs {
-                cores: vm.cores,
-                memory_mb: vm.memory_mb,
-                accelerators: vm.accelerators,
-            },
+            size: Needs { cores: vm.cores, memory_mb: vm.memory_mb, accelerators: vm.accelerators },
             leaving: vm.leaving,
         })
         .collect()
@@ -90,8 +82,6 @@
 
 /// Picks the addresses of entry VMs that are not leaving out of a VM list.
 pub fn entries_of(vms: &[Vm]) -> Vec<SocketAddr> {
-    let entries = vms
-        .iter()
-        .filter(|vm| vm.role == VmRole::Entry && !vm.leaving);
+    let entries = vms.iter().filter(|vm| vm.role == VmRole::Entry && !vm.leaving);
     entries.map(|vm| vm.addr).collect()
 }
--- a/crates/standins/src/bin/standin-platform.rs
+++ b/crates/standins/src/bin/standin-platform.rs
@@ -43,12 +43,10 @@
         return Err("give --log and --vms".to_owned());
     };
     actix_rt::System::new().block_on(async move {
-        let log = TcpListener::bind(log)
-            .await
-            .map_err(|e| format!("cannot listen on {log}: {e}"))?;
-        let vms = TcpListener::bind(vms)
-            .await
-            .map_err(|e| format!("cannot listen on {vms}: {e}"))?;
+        let log =
+            TcpListener::bind(log).await.map_err(|e| format!("cannot listen on {log}: {e}"))?;
+        let vms =
+            TcpListener::bind(vms).await.map_err(|e| format!("cannot listen on {vms}: {e}"))?;
         actix_rt::spawn(serve_log(log));
         serve_vms(vms, list.vms).await;
         Ok(())
--- a/crates/standins/src/coverage.rs
+++ b/crates/standins/src/coverage.rs
@@ -71,10 +71,7 @@
 
 /// Reads the committed sample.
 pub fn sample() -> Sample {
-    serde_json::from_str(SAMPLE).unwrap_or(Sample {
-        dishes: Vec::new(),
-        contracts: Vec::new(),
-    })
+    serde_json::from_str(SAMPLE).unwrap_or(Sample { dishes: Vec::new(), contracts: Vec::new() })
 }
 
 /// Reads a task's input; unreadable input asks nothing.
@@ -89,11 +86,7 @@
 
 /// Answers a question.
 pub fn answer(sample: &Sample, question: &Question) -> String {
-    let Some(contract) = sample
-        .contracts
-        .iter()
-        .find(|c| c.contract == question.contract)
-    else {
+    let Some(contract) = sample.contracts.iter().find(|c| c.contract == question.contract) else {
         return "no such contract".to_owned();
     };
     let covered = contract.covers.contains(&question.repair);
@@ -102,8 +95,5 @@
     let worst_deg = worst.map(|month| month.error_deg).fold(0.0, f64::max);
     let realign = worst_deg > contract.max_error_deg;
     let billable = !covered || contract.callouts_left == 0;
-    format!(
-        "{} covered={covered} realign={realign} billable={billable}",
-        contract.contract
-    )
+    format!("{} covered={covered} realign={realign} billable={billable}", contract.contract)
 }
--- a/crates/standins/src/log.rs
+++ b/crates/standins/src/log.rs
@@ -57,11 +57,7 @@
     }
 
     fn expire(&mut self, oldest_ms: u64) {
-        while self
-            .records
-            .front()
-            .is_some_and(|record| record.at_ms < oldest_ms)
-        {
+        while self.records.front().is_some_and(|record| record.at_ms < oldest_ms) {
             self.records.pop_front();
             self.first_kept += 1;
         }
@@ -118,18 +114,10 @@
         for (place, data) in records.into_iter().enumerate() {
             self.stats.bytes += data.len() as u64;
             let offset = first + place as u64;
-            stream.records.push_back(KeptRecord {
-                offset,
-                at_ms: now_ms,
-                data,
-            });
+            stream.records.push_back(KeptRecord { offset, at_ms: now_ms, data });
         }
         self.changed.notify_waiters();
-        Appended {
-            first,
-            now_ms,
-            retention_ms,
-        }
+        Appended { first, now_ms, retention_ms }
     }
 
     fn page(&mut self, name: &str, from: u64, most: usize) -> Page {
@@ -139,21 +127,9 @@
         let stream = self.streams.entry(name.to_owned()).or_default();
         stream.expire(now_ms.saturating_sub(retention_ms));
         let skip = from.saturating_sub(stream.first_kept) as usize;
-        let records = stream
-            .records
-            .iter()
-            .skip(skip)
-            .take(most)
-            .cloned()
-            .collect();
+        let records = stream.records.iter().skip(skip).take(most).cloned().collect();
         let (first_kept, next) = (stream.first_kept, stream.next());
-        Page {
-            first_kept,
-            next,
-            records,
-            now_ms,
-            retention_ms,
-        }
+        Page { first_kept, next, records, now_ms, retention_ms }
     }
 }
 
@@ -170,10 +146,7 @@
         began_unix_ms: since_epoch.map_or(0, |since| since.as_millis() as u64),
     };
     let log = Rc::new(RefCell::new(state));
-    serve(listener, LARGEST_BODY_BYTES, move |request| {
-        route(Rc::clone(&log), request)
-    })
-    .await;
+    serve(listener, LARGEST_BODY_BYTES, move |request| route(Rc::clone(&log), request)).await;
 }
 
 async fn route(log: Shared, request: Request) -> Response {
@@ -194,10 +167,7 @@
         }
         (&Method::GET, ["faults"]) => Response::json(200, &log.borrow().faults),
         (&Method::GET, ["stats"]) => Response::json(200, &log.borrow().stats),
-        _ => Response::text(
-            404,
-            "no such call; POST and GET /streams/NAME, POST /faults",
-        ),
+        _ => Response::text(404, "no such call; POST and GET /streams/NAME, POST /faults"),
     }
 }
 
--- a/crates/standins/src/vms.rs
+++ b/crates/standins/src/vms.rs
@@ -29,10 +29,7 @@
 /// Serves a VM list until the returned future is dropped.
 pub async fn serve_vms(listener: TcpListener, vms: Vec<Vm>) {
     let list: Shared = Rc::new(RefCell::new((1, vms)));
-    serve(listener, LARGEST_BODY_BYTES, move |request| {
-        route(Rc::clone(&list), request)
-    })
-    .await;
+    serve(listener, LARGEST_BODY_BYTES, move |request| route(Rc::clone(&list), request)).await;
 }
 
 async fn route(list: Shared, request: Request) -> Response {
@@ -40,10 +37,7 @@
     let body = request.body.clone().unwrap_or_default();
     match (&request.method, segments.as_slice()) {
         (&Method::GET, ["vms"]) => {
-            let known = request
-                .param("version")
-                .and_then(|text| text.parse().ok())
-                .unwrap_or(0);
+            let known = request.param("version").and_then(|text| text.parse().ok()).unwrap_or(0);
             let (version, vms) = list.borrow().clone();
             let vms = (version != known).then_some(vms);
             Response::json(200, &VmList { version, vms })
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -108,10 +108,7 @@
 /// Serves a worker until the returned future is dropped.
 pub async fn serve_worker(listener: TcpListener, slots: usize) {
     let worker = Rc::new(RefCell::new(Worker::new(slots)));
-    serve(listener, LARGEST_BODY_BYTES, move |request| {
-        route(Rc::clone(&worker), request)
-    })
-    .await;
+    serve(listener, LARGEST_BODY_BYTES, move |request| route(Rc::clone(&worker), request)).await;
 }
 
 async fn route(worker: Shared, request: Request) -> Response {
@@ -136,10 +133,7 @@
         }
         (&Method::GET, ["faults"]) => Response::json(200, &worker.borrow().faults),
         (&Method::GET, ["ledger"]) => Response::json(200, &worker.borrow().ledger),
-        _ => Response::text(
-            404,
-            "no such call; POST /start, /settle, /stop, /renew, /faults",
-        ),
+        _ => Response::text(404, "no such call; POST /start, /settle, /stop, /renew, /faults"),
     }
 }
 
@@ -170,11 +164,7 @@
     if worker.borrow().faults.dead {
         std::future::pending::<()>().await;
     }
-    if lost {
-        Response::broken()
-    } else {
-        worker.borrow().reply(&task, end)
-    }
+    if lost { Response::broken() } else { worker.borrow().reply(&task, end) }
 }
 
 async fn hold_and_run(worker: Shared, call: StartCall) -> WorkerEnd {
@@ -222,19 +212,12 @@
         let mut state = worker.borrow_mut();
         state.ledger.note(&call.task, Deed::Started);
         let lease_until = began + Duration::from_millis(call.lease_ms);
-        let task = RunningTask {
-            stop: Rc::clone(&stop),
-            lease_until,
-        };
+        let task = RunningTask { stop: Rc::clone(&stop), lease_until };
         state.running.insert(call.task.clone(), task);
         state.ledger.most_running = state.ledger.most_running.max(state.running.len());
         (state.faults, Rc::clone(&state.sample))
     };
-    let work_ms = if faults.fail_fast {
-        1.0
-    } else {
-        question.work_ms as f64 * faults.slow_factor
-    };
+    let work_ms = if faults.fail_fast { 1.0 } else { question.work_ms as f64 * faults.slow_factor };
     let work = actix_rt::time::sleep(Duration::from_micros((work_ms * 1_000.0) as u64));
     let stopped = lapse_or_stop(worker, &call.task, &stop);
     let (work, stopped) = (std::pin::pin!(work), std::pin::pin!(stopped));
@@ -249,14 +232,7 @@
         Either::Left(_) => {
             let output = answer(&sample, &question);
             let digest = digest_of(&call.input);
-            (
-                Deed::Finished,
-                WorkerEnd::Done {
-                    output,
-                    digest,
-                    run_ms,
-                },
-            )
+            (Deed::Finished, WorkerEnd::Done { output, digest, run_ms })
         }
     };
     let mut state = worker.borrow_mut();
@@ -268,11 +244,7 @@
 
 async fn lapse_or_stop(worker: &Shared, task: &str, stop: &Notify) {
     loop {
-        let lease_until = worker
-            .borrow()
-            .running
-            .get(task)
-            .map(|running| running.lease_until);
+        let lease_until = worker.borrow().running.get(task).map(|running| running.lease_until);
         let Some(lease_until) = lease_until else {
             return;
         };
@@ -281,11 +253,8 @@
             return;
         }
         if actix_rt::time::timeout(left, stop.notified()).await.is_ok() {
-            let lapsed = worker
-                .borrow()
-                .running
-                .get(task)
-                .is_none_or(|r| r.lease_until == lease_until);
+            let lapsed =
+                worker.borrow().running.get(task).is_none_or(|r| r.lease_until == lease_until);
             if lapsed {
                 return;
             }
--- a/crates/upstreams/src/client.rs
+++ b/crates/upstreams/src/client.rs
@@ -32,22 +32,14 @@
         task: TaskId,
         call: &StartCall,
     ) -> (StartEnd, Option<Hint>) {
-        let reply = self
-            .caller
-            .post(worker, "/start", call, LONGEST_RUN_MS)
-            .await;
+        let reply = self.caller.post(worker, "/start", call, LONGEST_RUN_MS).await;
         ended(task, reply, StartEnd::ReplyLost)
     }
 
     /// Asks about a task in doubt; one that never began is barred from beginning.
     pub async fn settle(&self, worker: SocketAddr, task: TaskId) -> (StartEnd, Option<Hint>) {
-        let call = SettleCall {
-            task: task.to_string(),
-        };
-        let reply = self
-            .caller
-            .post(worker, "/settle", &call, ORDER_TIMEOUT_MS)
-            .await;
+        let call = SettleCall { task: task.to_string() };
+        let reply = self.caller.post(worker, "/settle", &call, ORDER_TIMEOUT_MS).await;
         match ended(task, reply, StartEnd::NoAnswer) {
             (StartEnd::NoConnection, hint) => (StartEnd::NoAnswer, hint),
             other => other,
@@ -59,18 +51,13 @@
     /// # Errors
     /// Fails where the worker gave no reply.
     pub async fn stop(&self, worker: SocketAddr, tasks: &[TaskId]) -> Result<(), CallError> {
-        let call = StopCall {
-            tasks: names(tasks),
-        };
-        let done: Done = self
-            .caller
-            .post(worker, "/stop", &call, ORDER_TIMEOUT_MS)
-            .await?;
+        let call = StopCall { tasks: names(tasks) };
+        let done: Done = self.caller.post(worker, "/stop", &call, ORDER_TIMEOUT_MS).await?;
         log::debug!("upstreams: Stopped {} tasks on {worker}.", done.count);
         Ok(())
     }
 
-    /// Renews leases.
+    /// Renews leases and gives the number of tasks that the worker still runs.
     ///
     /// # Errors
     /// Fails where the worker gave no reply.
@@ -79,17 +66,11 @@
         worker: SocketAddr,
         tasks: &[TaskId],
         lease_ms: u64,
-    ) -> Result<(), CallError> {
-        let call = RenewCall {
-            tasks: names(tasks),
-            lease_ms,
-        };
-        let done: Done = self
-            .caller
-            .post(worker, "/renew", &call, ORDER_TIMEOUT_MS)
-            .await?;
+    ) -> Result<usize, CallError> {
+        let call = RenewCall { tasks: names(tasks), lease_ms };
+        let done: Done = self.caller.post(worker, "/renew", &call, ORDER_TIMEOUT_MS).await?;
         log::debug!("upstreams: Renewed {} leases on {worker}.", done.count);
-        Ok(())
+        Ok(done.count)
     }
 }
 
@@ -104,10 +85,7 @@
 ) -> (StartEnd, Option<Hint>) {
     match reply {
         Ok(reply) if reply.task == task.to_string() => {
-            let hint = Hint {
-                free: reply.free,
-                leaving: reply.leaving,
-            };
+            let hint = Hint { free: reply.free, leaving: reply.leaving };
             (end_of(reply.end), Some(hint))
         }
         Err(CallError::NoConnection(_)) => (StartEnd::NoConnection, None),
@@ -120,15 +98,7 @@
 
 fn end_of(end: WorkerEnd) -> StartEnd {
     match end {
-        WorkerEnd::Done {
-            output,
-            digest,
-            run_ms,
-        } => StartEnd::Done {
-            output,
-            digest,
-            run_ms,
-        },
+        WorkerEnd::Done { output, digest, run_ms } => StartEnd::Done { output, digest, run_ms },
         WorkerEnd::Failed { detail, run_ms } => StartEnd::Failed { detail, run_ms },
         WorkerEnd::Stopped => StartEnd::Stopped,
         WorkerEnd::Full => StartEnd::Full,
