Order tasks by their latest start; ask for slots only for tasks that are due

Change: within a flow the task with the earliest latest start goes first (acceptance + the job's longest expected time - its own); only tasks past their latest start count as a need; slots of other zones go back in batches.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -5,7 +5,7 @@
 use crate::clock::Millis;
 use crate::engine::{Action, Engine, JournalResult};
 use crate::home::Standing;
-use crate::jobs::{Job, JobPhase, RequestId, Submission, TaskState};
+use crate::jobs::{Job, JobPhase, RequestId, Submission, TaskSpec, TaskState};
 use crate::queue::FlowKey;
 use crate::ticket::JobId;
 use crate::workers::Needs;
@@ -85,15 +85,10 @@
 
     /// Ends jobs that have waited past their limit without any progress.
     pub(crate) fn refuse_late(&mut self, now: Millis) {
-        loop {
-            let late: Vec<JobId> =
-                self.queue.heads().map(|(id, _)| id).filter(|id| self.is_late(*id, now)).collect();
-            if late.is_empty() {
-                return;
-            }
-            for id in late {
-                self.end_late(id, now);
-            }
+        let late: Vec<JobId> =
+            self.jobs.keys().copied().filter(|id| self.is_late(*id, now)).collect();
+        for id in late {
+            self.end_late(id, now);
         }
     }
 
@@ -101,7 +96,7 @@
     pub(crate) fn is_late(&self, id: JobId, now: Millis) -> bool {
         self.jobs.get(&id).is_some_and(|job| {
             let runs = job.tasks.contains(&TaskState::Sent);
-            !runs && now.since(job.progress_at) > job.max_wait_ms
+            !runs && job.phase == JobPhase::Active && now.since(job.progress_at) > job.max_wait_ms
         })
     }
 
@@ -186,10 +181,11 @@
         };
         job.phase = JobPhase::Active;
         let kind = &job.request.kind;
-        let tasks = job.request.tasks.iter().enumerate().map(|(index, task)| {
+        let expected = |(index, task): (usize, &TaskSpec)| {
             (index as u32, self.estimates.expected_ms(kind, task.declared_ms))
-        });
-        self.queue.push(&job.flow, job.share, job.accepted_at, id, tasks.collect());
+        };
+        let tasks: Vec<(u32, u64)> = job.request.tasks.iter().enumerate().map(expected).collect();
+        self.queue.push(&job.flow, job.share, job.accepted_at, id, &tasks);
     }
 
     fn may_go_without_journal(&self, id: JobId) -> bool {
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -318,6 +318,7 @@
             refusals: VecDeque::new(),
             owners_running: HashMap::new(),
             expired_at: Millis(0),
+            returned_at: Millis(0),
             global_log_ratio: 0.0,
             actions: Vec::new(),
         }
@@ -325,7 +326,7 @@
 }
 
 /// The wait from which daemons of other zones are asked for slots, where settings name none.
-pub const DEFAULT_SPILL_MS: u64 = 4;
+pub const DEFAULT_SPILL_MS: u64 = 15;
 /// Retries that may be made before any start has succeeded.
 const FIRST_RETRY_TOKENS: f64 = 50.0;
 /// How often expired state is dropped and leases are looked at.
@@ -352,6 +353,7 @@
     pub(crate) refusals: VecDeque<Refusal>,
     pub(crate) owners_running: HashMap<String, usize>,
     pub(crate) expired_at: Millis,
+    pub(crate) returned_at: Millis,
     pub(crate) global_log_ratio: f64,
     pub(crate) actions: Vec<Action>,
 }
@@ -457,7 +459,7 @@
         self.home.expire(now);
         self.refuse_late(now);
         self.renew_leases(now);
-        self.return_far_slots();
+        self.return_far_slots(now);
     }
 }
 
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -254,7 +254,7 @@
         }
         self.retry_tokens -= 1.0;
         if let Some(job) = self.jobs.get(&task.job) {
-            self.queue.push_front(&job.flow, running.queued);
+            self.queue.put_back(&job.flow, running.queued);
         }
     }
 
@@ -265,7 +265,7 @@
         let due: Vec<(Millis, QueuedTask)> = due;
         for (_, queued) in due {
             if let Some(job) = self.jobs.get(&queued.task.job) {
-                self.queue.push_front(&job.flow, queued);
+                self.queue.put_back(&job.flow, queued);
             }
         }
     }
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -1,9 +1,11 @@
 //! Queued tasks, shared fairly between owners and classes.
 //!
-//! Each owner within a class is a flow with a virtual time (start-time fair queueing);
-//! jobs of a flow go first come first served, the long tasks of a job first.
+//! Each owner within a class is a flow with a virtual time (start-time fair queueing).
+//! Within a flow the task comes first whose latest start is earliest: a job's longest task
+//! should start at once, while its short ones may wait without delaying the answer. See
+//! `docs/design/upstreams.md`.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::clock::Millis;
 use crate::ticket::{JobId, TaskId};
@@ -62,15 +64,8 @@
     pub task: TaskId,
     /// Its expected run time.
     pub expected_ms: u64,
-    /// When its job was accepted.
-    pub queued_at: Millis,
-}
-
-#[derive(Debug)]
-struct QueuedJob {
-    job: JobId,
-    queued_at: Millis,
-    tasks: VecDeque<(u32, u64)>,
+    /// The latest start by which it does not delay its job's answer.
+    pub due_at: Millis,
 }
 
 #[derive(Debug, Default)]
@@ -78,9 +73,8 @@
     owner: String,
     weight: u64,
     virtual_time: u64,
-    jobs: VecDeque<QueuedJob>,
+    tasks: BTreeMap<(Millis, TaskId), u64>,
     queued_ms: u64,
-    queued_tasks: usize,
 }
 
 /// Scale of virtual time, so that weights divide without loss.
@@ -98,90 +92,79 @@
 }
 
 impl Queue {
-    /// Queues the tasks of a job; `share` weighs its owner against others.
+    /// Queues the tasks of a job, each with its expected run time; `share` weighs its owner
+    /// against others.
     pub fn push(
         &mut self,
         key: &FlowKey,
         share: u64,
-        queued_at: Millis,
+        accepted_at: Millis,
         job: JobId,
-        mut tasks: Vec<(u32, u64)>,
+        tasks: &[(u32, u64)],
     ) {
-        tasks.sort_by_key(|(index, expected_ms)| (std::cmp::Reverse(*expected_ms), *index));
         let flow = self.flow_of(key);
         self.flows[flow].weight = (key.class.weight() * share).max(1);
-        let total_ms: u64 = tasks.iter().map(|(_, expected_ms)| expected_ms).sum();
-        let count = tasks.len();
-        self.activate(flow);
-        self.flows[flow].jobs.push_back(QueuedJob { job, queued_at, tasks: tasks.into() });
-        self.count(flow, count, total_ms);
+        let longest_ms = tasks.iter().map(|(_, expected_ms)| *expected_ms).max().unwrap_or(0);
+        for (index, expected_ms) in tasks {
+            let due_at = accepted_at.plus(longest_ms - expected_ms);
+            let task = TaskId { job, index: *index };
+            self.insert(flow, QueuedTask { task, expected_ms: *expected_ms, due_at });
+        }
     }
 
-    /// Puts a task back before all others of its flow.
-    pub fn push_front(&mut self, key: &FlowKey, queued: QueuedTask) {
+    /// Puts a task back to its place.
+    pub fn put_back(&mut self, key: &FlowKey, queued: QueuedTask) {
         let flow = self.flow_of(key);
-        self.activate(flow);
-        let entry = (queued.task.index, queued.expected_ms);
-        let jobs = &mut self.flows[flow].jobs;
-        match jobs.front_mut().filter(|front| front.job == queued.task.job) {
-            Some(front) => front.tasks.push_front(entry),
-            None => jobs.push_front(QueuedJob {
-                job: queued.task.job,
-                queued_at: queued.queued_at,
-                tasks: VecDeque::from([entry]),
-            }),
-        }
-        self.count(flow, 1, queued.expected_ms);
+        self.insert(flow, queued);
     }
 
     /// Gives the next task of the flow at `place` in the order of service, without taking it.
     pub fn peek(&self, place: usize) -> Option<QueuedTask> {
         let (_, flow) = self.active.iter().nth(place)?;
-        let front = self.flows[*flow].jobs.front()?;
-        let (index, expected_ms) = *front.tasks.front()?;
-        let task = TaskId { job: front.job, index };
-        Some(QueuedTask { task, expected_ms, queued_at: front.queued_at })
+        self.first_of(*flow)
     }
 
     /// Takes the next task of the flow at `place` in the order of service.
     pub fn pop(&mut self, place: usize) -> Option<QueuedTask> {
-        let queued = self.peek(place)?;
         let (virtual_time, index) = *self.active.iter().nth(place)?;
-        self.active.remove(&(virtual_time, index));
+        let queued = self.first_of(index)?;
         self.virtual_now = self.virtual_now.max(virtual_time);
+        self.take(index, &queued);
         let flow = &mut self.flows[index];
-        let front = flow.jobs.front_mut()?;
-        front.tasks.pop_front();
-        if front.tasks.is_empty() {
-            flow.jobs.pop_front();
-        }
+        self.active.remove(&(virtual_time, index));
         flow.virtual_time += queued.expected_ms * VIRTUAL_SCALE / flow.weight.max(1);
-        if !flow.jobs.is_empty() {
+        if !flow.tasks.is_empty() {
             self.active.insert((flow.virtual_time, index));
         }
-        self.uncount(index, 1, queued.expected_ms);
         Some(queued)
     }
 
     /// Takes every waiting task of a job out.
     pub fn remove_job(&mut self, key: &FlowKey, job: JobId) {
         let flow = self.flow_of(key);
-        let mut removed = 0;
-        let mut removed_ms = 0;
-        self.flows[flow].jobs.retain(|queued| {
-            if queued.job != job {
-                return true;
-            }
-            removed += queued.tasks.len();
-            removed_ms += queued.tasks.iter().map(|(_, expected_ms)| expected_ms).sum::<u64>();
-            false
-        });
-        self.uncount(flow, removed, removed_ms);
-        if self.flows[flow].jobs.is_empty() {
+        let of_job = self.flows[flow].tasks.iter().filter(|((_, task), _)| task.job == job);
+        let of_job: Vec<QueuedTask> = of_job
+            .map(|((due_at, task), expected_ms)| QueuedTask {
+                task: *task,
+                expected_ms: *expected_ms,
+                due_at: *due_at,
+            })
+            .collect();
+        for queued in &of_job {
+            self.take(flow, queued);
+        }
+        if self.flows[flow].tasks.is_empty() {
             self.active.remove(&(self.flows[flow].virtual_time, flow));
         }
     }
 
+    /// Counts the tasks that should have started by `now`, up to `most`.
+    pub fn due_tasks(&self, now: Millis, most: usize) -> usize {
+        let flows = self.active.iter().map(|(_, flow)| &self.flows[*flow]);
+        let due = flows.flat_map(|flow| flow.tasks.keys().take_while(|(due_at, _)| *due_at <= now));
+        due.take(most).count()
+    }
+
     /// Gives the wait that a new job of this flow can expect on `slots` slots.
     ///
     /// A flow with little queued is not delayed by others past its fair share.
@@ -205,18 +188,13 @@
     /// Gives the tasks that a flow has waiting.
     pub fn flow_tasks(&self, key: &FlowKey) -> usize {
         let flow = self.index.get(key);
-        flow.map_or(0, |flow| self.flows[*flow].queued_tasks)
+        flow.map_or(0, |flow| self.flows[*flow].tasks.len())
     }
 
-    /// Lists the first job of each flow with the time it was accepted.
-    pub fn heads(&self) -> impl Iterator<Item = (JobId, Millis)> + '_ {
-        let heads = self.active.iter().filter_map(|(_, flow)| self.flows[*flow].jobs.front());
-        heads.map(|head| (head.job, head.queued_at))
-    }
-
-    /// Gives the acceptance time of the longest wait among the flows' first jobs.
-    pub fn oldest(&self) -> Option<Millis> {
-        self.heads().map(|(_, queued_at)| queued_at).min()
+    /// Gives the earliest latest start among all that waits.
+    pub fn first_due(&self) -> Option<Millis> {
+        let firsts = self.active.iter().filter_map(|(_, flow)| self.first_of(*flow));
+        firsts.map(|queued| queued.due_at).min()
     }
 
     /// Gives the number of waiting tasks.
@@ -236,8 +214,8 @@
 
     /// Lists owners with what they have waiting, for the state dump.
     pub fn owners(&self) -> impl Iterator<Item = (&str, usize)> {
-        let waiting = self.flows.iter().filter(|flow| flow.queued_tasks > 0);
-        waiting.map(|flow| (flow.owner.as_str(), flow.queued_tasks))
+        let waiting = self.flows.iter().filter(|flow| !flow.tasks.is_empty());
+        waiting.map(|flow| (flow.owner.as_str(), flow.tasks.len()))
     }
 
     fn flow_of(&mut self, key: &FlowKey) -> usize {
@@ -249,25 +227,79 @@
         self.flows.len() - 1
     }
 
-    fn activate(&mut self, index: usize) {
+    fn first_of(&self, flow: usize) -> Option<QueuedTask> {
+        let ((due_at, task), expected_ms) = self.flows[flow].tasks.first_key_value()?;
+        Some(QueuedTask { task: *task, expected_ms: *expected_ms, due_at: *due_at })
+    }
+
+    fn insert(&mut self, index: usize, queued: QueuedTask) {
         let flow = &mut self.flows[index];
-        if flow.jobs.is_empty() {
+        if flow.tasks.is_empty() {
             flow.virtual_time = flow.virtual_time.max(self.virtual_now);
             self.active.insert((flow.virtual_time, index));
         }
+        flow.tasks.insert((queued.due_at, queued.task), queued.expected_ms);
+        flow.queued_ms += queued.expected_ms;
+        self.queued_ms += queued.expected_ms;
+        self.queued_tasks += 1;
+    }
+
+    fn take(&mut self, index: usize, queued: &QueuedTask) {
+        let flow = &mut self.flows[index];
+        if flow.tasks.remove(&(queued.due_at, queued.task)).is_some() {
+            flow.queued_ms -= queued.expected_ms;
+            self.queued_ms -= queued.expected_ms;
+            self.queued_tasks -= 1;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::{Class, FlowKey, Queue};
+    use crate::clock::Millis;
+    use crate::ticket::{Incarnation, JobId};
+
+    fn key(owner: &str) -> FlowKey {
+        FlowKey { class: Class::Normal, owner: owner.into(), special: false }
+    }
+
+    fn job(seq: u64) -> JobId {
+        JobId { incarnation: Incarnation(1), seq }
+    }
+
+    #[test]
+    fn short_tasks_yield_to_the_long_task_of_a_later_job() {
+        let mut queue = Queue::default();
+        queue.push(&key("a"), 1, Millis(0), job(1), &[(0, 50), (1, 500)]);
+        queue.push(&key("a"), 1, Millis(10), job(2), &[(0, 400)]);
+        let order: Vec<(u64, u32)> = std::iter::from_fn(|| queue.pop(0))
+            .map(|queued| (queued.task.job.seq, queued.task.index))
+            .collect();
+        assert_eq!(order, [(1, 1), (2, 0), (1, 0)]);
+        assert_eq!(queue.queued_ms(), 0);
     }
 
-    fn count(&mut self, flow: usize, tasks: usize, total_ms: u64) {
-        self.flows[flow].queued_ms += total_ms;
-        self.flows[flow].queued_tasks += tasks;
-        self.queued_ms += total_ms;
-        self.queued_tasks += tasks;
+    #[test]
+    fn owners_share_by_weight_whatever_they_queue() {
+        let mut queue = Queue::default();
+        let tasks: Vec<(u32, u64)> = (0..90).map(|index| (index, 100)).collect();
+        queue.push(&key("flood"), 1, Millis(0), job(1), &tasks);
+        queue.push(&key("other"), 2, Millis(0), job(2), &tasks);
+        let first: Vec<u64> =
+            (0..30).filter_map(|_| queue.pop(0)).map(|queued| queued.task.job.seq).collect();
+        let other = first.iter().filter(|seq| **seq == 2).count();
+        assert!((19..=21).contains(&other), "{other}");
     }
 
-    fn uncount(&mut self, flow: usize, tasks: usize, total_ms: u64) {
-        self.flows[flow].queued_ms -= total_ms;
-        self.flows[flow].queued_tasks -= tasks;
-        self.queued_ms -= total_ms;
-        self.queued_tasks -= tasks;
+    #[test]
+    fn a_removed_job_leaves_nothing_behind() {
+        let mut queue = Queue::default();
+        queue.push(&key("a"), 1, Millis(0), job(1), &[(0, 50), (1, 500)]);
+        queue.push(&key("a"), 1, Millis(0), job(2), &[(0, 70)]);
+        queue.remove_job(&key("a"), job(1));
+        assert_eq!((queue.len(), queue.queued_ms()), (1, 70));
+        queue.remove_job(&key("a"), job(2));
+        assert!(queue.is_empty() && queue.peek(0).is_none());
     }
 }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -35,6 +35,12 @@
     pub set_aside: u64,
     /// Asks for slots sent to peers.
     pub slot_asks: u64,
+    /// Messages that gave idle slots to a peer that asked.
+    pub idle_grants: u64,
+    /// Messages that gave a slot to a peer whose tasks had waited longer.
+    pub fair_grants: u64,
+    /// Messages that gave slots back to their zone.
+    pub returns: u64,
     /// Slots given to peers.
     pub slots_given: u64,
     /// Slots received from peers.
--- a/crates/dispatch/src/shares.rs
+++ b/crates/dispatch/src/shares.rs
@@ -41,6 +41,17 @@
     pub queued: u32,
 }
 
+/// What a daemon without a free slot would need.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// Tasks that wait.
+    pub queued: u32,
+    /// How long the first of them has waited.
+    pub waited_ms: u64,
+    /// How long the own slots would take to start all of them.
+    pub drain_ms: u64,
+}
+
 /// An ask that a peer made here.
 #[derive(Clone, Copy, Debug)]
 struct OpenAsk {
@@ -72,9 +83,11 @@
 /// The longest pause between two asks of one peer that gave nothing.
 const LONGEST_PAUSE_MS: u64 = 1_600;
 /// The shortest time between two asks of one daemon.
-const ASK_EVERY_MS: u64 = 3;
+const ASK_EVERY_MS: u64 = 5;
+/// The wait from which daemons of the own zone are asked.
+const PATIENCE_MS: u64 = 8;
 /// How much longer the asker must have waited than the giver's own first task.
-const FAIR_MARGIN_MS: u64 = 25;
+const FAIR_MARGIN_MS: u64 = 40;
 /// The same as a part of the asker's wait.
 const FAIR_MARGIN_PARTS: u64 = 4;
 /// The most slots that one ask names.
@@ -108,17 +121,13 @@
         self.asked.remove(&peer);
     }
 
-    /// Decides whom to ask, where the first task has waited `waited_ms` without a free slot.
-    pub fn ask(
-        &mut self,
-        queued: usize,
-        waited_ms: u64,
-        now: Millis,
-    ) -> Option<(Incarnation, SlotAsk)> {
-        if now.since(self.last_ask_at) < ASK_EVERY_MS {
+    /// Decides whom to ask for slots.
+    pub fn ask(&mut self, need: &Need, now: Millis) -> Option<(Incarnation, SlotAsk)> {
+        let wait_ms = need.waited_ms + need.drain_ms;
+        if now.since(self.last_ask_at) < ASK_EVERY_MS || wait_ms < PATIENCE_MS.min(self.spill_ms) {
             return None;
         }
-        let spills = waited_ms >= self.spill_ms;
+        let spills = wait_ms >= self.spill_ms;
         let open = self.loads.iter().filter(|(peer, load)| {
             let pausing = self.asked.get(peer).is_some_and(|asked| asked.until > now);
             !pausing && (spills || load.zone == self.zone)
@@ -135,13 +144,15 @@
         if let Some(load) = self.loads.get_mut(&peer) {
             load.idle = 0;
         }
-        let want = (queued as u32).min(MOST_WANTED);
-        Some((peer, SlotAsk { want, waited_ms }))
+        let want = need.queued.clamp(1, MOST_WANTED);
+        Some((peer, SlotAsk { want, waited_ms: need.waited_ms }))
     }
 
     /// Takes a grant's word on its giver, which may be asked again.
     pub fn granted(&mut self, from: Incarnation, idle_left: u32) {
-        self.asked.remove(&from);
+        if idle_left > 0 {
+            self.asked.remove(&from);
+        }
         if let Some(load) = self.loads.get_mut(&from) {
             load.idle = idle_left;
         }
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -2,12 +2,16 @@
 
 use crate::clock::Millis;
 use crate::engine::{Action, Engine};
-use crate::shares::SlotGrant;
+use crate::shares::{Need, SlotGrant};
 use crate::ticket::Incarnation;
 use crate::workers::Choice;
 
 /// Flows looked at when the first ones cannot be served.
 const FLOWS_TRIED: usize = 16;
+/// The most due tasks that are counted for an ask.
+const MOST_DUE: usize = 64;
+/// How often free slots of other zones are given back.
+const RETURN_EVERY_MS: u64 = 400;
 /// How long a task waits without a slot before unclaimed free slots are taken.
 const CLAIM_AFTER_MS: u64 = 300;
 
@@ -37,10 +41,12 @@
     }
 
     /// Gives free slots of other zones back to those zones, where nothing waits here.
-    pub(crate) fn return_far_slots(&mut self) {
-        if self.choice != Choice::Shares || !self.queue.is_empty() {
+    pub(crate) fn return_far_slots(&mut self, now: Millis) {
+        let early = now.since(self.returned_at) < RETURN_EVERY_MS;
+        if early || self.choice != Choice::Shares || !self.queue.is_empty() {
             return;
         }
+        self.returned_at = now;
         for (zone, slots) in self.workers.release_far() {
             let Some(peer) = self.shares.peer_in(&zone) else {
                 for (addr, count) in slots {
@@ -49,6 +55,7 @@
                 continue;
             };
             let idle_left = self.workers.free_slots() as u32;
+            self.counters.returns += 1;
             self.counters.slots_given += slots.iter().map(|(_, n)| u64::from(*n)).sum::<u64>();
             self.actions.push(Action::GiveSlots(peer, SlotGrant { slots, idle_left }));
         }
@@ -61,7 +68,7 @@
                 break;
             };
             let needs = job.request.tasks[head.task.index as usize].needs;
-            let waited_ms = now.since(head.queued_at);
+            let waited_ms = now.since(head.due_at);
             let worker =
                 self.workers.choose(&needs, job.idempotent, head.expected_ms, waited_ms, now);
             match worker {
@@ -76,8 +83,15 @@
     }
 
     fn ask_for_slots(&mut self, now: Millis) {
-        let waited_ms = self.queue.oldest().map_or(0, |oldest| now.since(oldest));
-        if let Some((peer, ask)) = self.shares.ask(self.queue.len(), waited_ms, now) {
+        let due = self.queue.due_tasks(now, MOST_DUE) as u64;
+        if due == 0 {
+            return;
+        }
+        let waited_ms = self.queue.first_due().map_or(0, |due_at| now.since(due_at));
+        let mean_ms = self.queue.queued_ms() / self.queue.len().max(1) as u64;
+        let drain_ms = due * mean_ms / self.workers.share_slots().max(1);
+        let need = Need { queued: due as u32, waited_ms, drain_ms };
+        if let Some((peer, ask)) = self.shares.ask(&need, now) {
             self.counters.slot_asks += 1;
             self.actions.push(Action::AskSlots(peer, ask));
         }
@@ -90,7 +104,7 @@
     fn give_slots(&mut self, now: Millis) {
         loop {
             let free = self.workers.free_slots();
-            let Some((peer, count)) = self.shares.give(free, self.queue.oldest(), now) else {
+            let Some((peer, count)) = self.shares.give(free, self.queue.first_due(), now) else {
                 return;
             };
             let zone = self.shares.zone_of(peer).map(str::to_owned);
@@ -99,6 +113,11 @@
                 return;
             }
             self.counters.slots_given += u64::from(count);
+            if self.queue.is_empty() {
+                self.counters.idle_grants += 1;
+            } else {
+                self.counters.fair_grants += 1;
+            }
             let idle_left = self.workers.free_slots() as u32;
             self.actions.push(Action::GiveSlots(peer, SlotGrant { slots, idle_left }));
         }
--- a/crates/measure/src/cli.rs
+++ b/crates/measure/src/cli.rs
@@ -37,7 +37,7 @@
     /// Runs only the scenarios whose names contain this.
     #[options(default = "")]
     pub only: String,
-    /// Runs only these baselines, such as "least_outstanding,two_choices".
+    /// Runs only these baselines, separated by commas.
     #[options(default = "")]
     pub baselines: String,
 }
--- a/crates/measure/src/policy.rs
+++ b/crates/measure/src/policy.rs
@@ -131,8 +131,8 @@
     pub far_messages: f64,
     /// Messages per task between daemons.
     pub peer_messages: f64,
-    /// Asks for slots per task.
-    pub asks: f64,
+    /// Per task: asks for slots, grants of idle slots, grants for fairness, and returns.
+    pub slot_messages: [f64; 4],
     /// Refused starts per task.
     pub refused_starts: f64,
     /// The share of jobs refused.
@@ -247,7 +247,9 @@
     row.messages = (after.messages - before.messages) / tasks;
     row.far_messages = (after.far - before.far) / tasks;
     row.peer_messages = (after.peers - before.peers) / tasks;
-    row.asks = (after.asks - before.asks) / tasks;
+    for (place, count) in row.slot_messages.iter_mut().enumerate() {
+        *count = (after.slots[place] - before.slots[place]) / tasks;
+    }
     row.refused_starts = (after.refused - before.refused) / tasks;
     row.most_open = ledgers.most_open;
     if scenario.trouble == Trouble::Failing {
@@ -367,7 +369,7 @@
     messages: f64,
     far: f64,
     peers: f64,
-    asks: f64,
+    slots: [f64; 4],
     refused: f64,
     tasks: f64,
 }
@@ -387,7 +389,10 @@
         let counters = &state["engine"]["counters"];
         let count = |key: &str| counters[key].as_f64().unwrap_or(0.0);
         totals.tasks += count("ended");
-        totals.asks += count("slot_asks");
+        let kinds = ["slot_asks", "idle_grants", "fair_grants", "returns"];
+        for (total, key) in totals.slots.iter_mut().zip(kinds) {
+            *total += count(key);
+        }
         totals.refused += count("refused_starts");
     }
     totals
@@ -475,8 +480,13 @@
     if row.messages > 0.0 {
         let _ = write!(
             line,
-            "  (peers {:.3}, asks {:.3}, refused starts {:.3})",
-            row.peer_messages, row.asks, row.refused_starts
+            "  (peers {:.3}: asks {:.3}, idle {:.3}, fair {:.3}, back {:.3}; refused starts {:.3})",
+            row.peer_messages,
+            row.slot_messages[0],
+            row.slot_messages[1],
+            row.slot_messages[2],
+            row.slot_messages[3],
+            row.refused_starts
         );
     }
     if row.refusal_ms > 0.0 {
