Take a broken connection for a lost reply, not for an unsent request

Cause: 'measure once' found 49 tasks started twice, all on the worker that lost its answers. awc reports a connection that breaks before the reply's head as a connect error (Disconnected), and the edge took every connect error for 'nothing was sent', so the task was started elsewhere. Ruled out: the drain (no doubled task on an heir), the keys, and the worker's settle race, which was mended too (slot, ledger line and bar are now one step). Change: only refused, unreachable, unresolved and timed-out connects count as not sent; a body shorter than announced is a lost reply. Conclusion: the doubt must be decided at the edge by what is certain only.

--- a/crates/clementined/src/daemon.rs
+++ b/crates/clementined/src/daemon.rs
@@ -79,6 +79,8 @@
     pub far_peer_messages: Cell<u64>,
     /// Messages to and from the platform.
     pub platform_messages: Cell<u64>,
+    /// Messages to and from the log service for journalled starts and claims.
+    pub submission_log_messages: Cell<u64>,
     /// Messages that forwarding cost.
     pub forward_messages: Cell<u64>,
     /// Addresses that are cut off for a failure test.
@@ -151,6 +153,7 @@
             far_messages: Cell::new(0),
             far_peer_messages: Cell::new(0),
             platform_messages: Cell::new(0),
+            submission_log_messages: Cell::new(0),
             forward_messages: Cell::new(0),
             cuts,
             phase: Cell::new(Phase::Serving),
--- a/crates/clementined/src/journal.rs
+++ b/crates/clementined/src/journal.rs
@@ -147,8 +147,9 @@
         }
     }
 
-    /// Counts a call to the platform and its reply.
+    /// Counts a call to the log service for a submission, and its reply.
     pub fn count_platform(&self) {
+        self.submission_log_messages.set(self.submission_log_messages.get() + 2);
         self.platform_messages.set(self.platform_messages.get() + 2);
     }
 }
--- a/crates/clementined/src/operators.rs
+++ b/crates/clementined/src/operators.rs
@@ -43,6 +43,7 @@
     far_messages: u64,
     far_peer_messages: u64,
     platform_messages: u64,
+    submission_log_messages: u64,
     forward_messages: u64,
 }
 
@@ -115,6 +116,7 @@
                 far_messages: self.far_messages.get(),
                 far_peer_messages: self.far_peer_messages.get(),
                 platform_messages: self.platform_messages.get(),
+                submission_log_messages: self.submission_log_messages.get(),
                 forward_messages: self.forward_messages.get(),
             },
             engine: self.engine.borrow().report(now),
--- a/crates/httpedge/src/client.rs
+++ b/crates/httpedge/src/client.rs
@@ -1,11 +1,12 @@
 //! The calling side, with errors that tell whether the request can have arrived.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, Connector};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -132,8 +133,7 @@
         }
         let request = request.timeout(Duration::from_millis(call.timeout_ms));
         let mut reply = request.send_body(call.body).await.map_err(|e| lost(addr, &e))?;
-        let body = reply.body().limit(LARGEST_REPLY_BYTES).await;
-        let body = body.map_err(|_| CallError::ReplyLost(addr))?;
+        let body = whole_body(addr, &mut reply).await?;
         Ok((reply.status().as_u16(), body.to_vec()))
     }
 }
@@ -155,6 +155,24 @@
     pub timeout_ms: u64,
 }
 
+/// Reads a body and checks it against the announced length: `awc` takes a cut-off body for whole.
+async fn whole_body<S>(
+    addr: SocketAddr,
+    reply: &mut awc::ClientResponse<S>,
+) -> Result<bytes::Bytes, CallError>
+where
+    S: futures_util::Stream<Item = Result<bytes::Bytes, actix_http::error::PayloadError>> + Unpin,
+{
+    let announced = reply.headers().get("content-length");
+    let announced = announced.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    let body = reply.body().limit(LARGEST_REPLY_BYTES).await;
+    let body = body.map_err(|_| CallError::ReplyLost(addr))?;
+    if announced.is_some_and(|length| body.len() < length) {
+        return Err(CallError::ReplyLost(addr));
+    }
+    Ok(body)
+}
+
 async fn read_reply<T, S>(
     addr: SocketAddr,
     sent: Result<awc::ClientResponse<S>, SendRequestError>,
@@ -164,8 +182,7 @@
     S: futures_util::Stream<Item = Result<bytes::Bytes, actix_http::error::PayloadError>> + Unpin,
 {
     let mut reply = sent.map_err(|error| lost(addr, &error))?;
-    let body = reply.body().limit(LARGEST_REPLY_BYTES).await;
-    let body = body.map_err(|_| CallError::ReplyLost(addr))?;
+    let body = whole_body(addr, &mut reply).await?;
     let status = reply.status();
     if !status.is_success() {
         let body = String::from_utf8_lossy(&body).into_owned();
@@ -174,9 +191,27 @@
     serde_json::from_slice(&body).map_err(|_| CallError::Unreadable(addr))
 }
 
+/// Tells whether the request can have arrived. Only what is known to have failed before a
+/// connection stood counts as not sent: a connection that breaks later looks alike to `awc`.
 fn lost(addr: SocketAddr, error: &SendRequestError) -> CallError {
+    let not_sent = match error {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(error) => never_connected(error),
+        _ => false,
+    };
+    if not_sent { CallError::NoConnection(addr) } else { CallError::ReplyLost(addr) }
+}
+
+fn never_connected(error: &ConnectError) -> bool {
     match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::NoConnection(addr),
-        _ => CallError::ReplyLost(addr),
+        ConnectError::Timeout | ConnectError::Unresolved | ConnectError::NoRecords => true,
+        ConnectError::Io(error) => matches!(
+            error.kind(),
+            ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::AddrNotAvailable
+        ),
+        _ => false,
     }
 }
--- a/crates/measure/src/cli.rs
+++ b/crates/measure/src/cli.rs
@@ -17,6 +17,8 @@
 /// What to do.
 #[derive(Debug, Options)]
 pub enum Command {
+    /// Proves at most once and true answers under kills, pauses, drains, cuts and outages.
+    Once(OnceArgs),
     /// Compares policies of choosing a worker.
     Policy(PolicyArgs),
     /// Runs a daemon; measurements start it themselves.
@@ -27,6 +29,16 @@
     Platform(PlatformArgs),
 }
 
+/// Options of the proof of at most once.
+#[derive(Debug, Options)]
+pub struct OnceArgs {
+    /// Prints this help.
+    pub help: bool,
+    /// The least number of tasks to ask for.
+    #[options(default = "100000")]
+    pub tasks: usize,
+}
+
 /// Options of the comparison of policies.
 #[derive(Debug, Options)]
 pub struct PolicyArgs {
--- a/crates/measure/src/ledgers.rs
+++ b/crates/measure/src/ledgers.rs
@@ -1,6 +1,7 @@
 //! Reads the workers' own ledgers, against which invariants are checked.
 
 use std::collections::HashMap;
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 
 use httpedge::client::Caller;
@@ -23,6 +24,8 @@
     pub most_running: usize,
     /// Refused starts.
     pub refused: usize,
+    /// Each task that started more than once, with its deeds on each worker.
+    pub doubled: Vec<String>,
 }
 
 impl Ledgers {
@@ -45,6 +48,7 @@
 /// Fails where a worker cannot be read.
 pub async fn read(caller: &Caller, workers: &[SocketAddr]) -> Result<Ledgers, String> {
     let mut all = Ledgers::default();
+    let mut deeds_of: HashMap<String, String> = HashMap::new();
     for addr in workers {
         let ledger: Result<Ledger, _> = caller.get(*addr, "/ledger", LEDGER_TIMEOUT_MS).await;
         let ledger = ledger.map_err(|error| error.to_string())?;
@@ -52,11 +56,17 @@
             *all.starts.entry(task.to_owned()).or_insert(0) += starts;
             *all.by_worker.entry(*addr).or_insert(0) += starts;
         }
+        for (task, deeds) in &ledger.tasks {
+            let line = deeds_of.entry(task.clone()).or_default();
+            let _ = write!(line, " {addr} {deeds:?}");
+        }
         let deeds = ledger.tasks.values().flatten();
         all.refused += deeds.filter(|deed| **deed == Deed::Refused).count();
         all.messages += ledger.messages;
         all.most_open = all.most_open.max(ledger.most_open);
         all.most_running = all.most_running.max(ledger.most_running);
     }
+    let doubled = all.starts.iter().filter(|(_, starts)| **starts > 1);
+    all.doubled = doubled.map(|(task, _)| format!("{task}{}", deeds_of[task])).collect();
     Ok(all)
 }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod ideal;
 pub mod ledgers;
+pub mod once;
 pub mod play;
 pub mod policy;
 pub mod roles;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -9,6 +9,7 @@
 fn main() -> ExitCode {
     let args = Args::parse_args_default_or_exit();
     let result = match args.command {
+        Some(Command::Once(args)) => verdict("once", measure::once::run(args.tasks)),
         Some(Command::Policy(args)) => {
             verdict("policy", measure::policy::run(&args.only, args.quick, &args.baselines))
         }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_http::Method;
@@ -10,7 +11,7 @@
 use futures_util::future::{Either, select};
 use httpedge::server::{Request, Response, serve};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use upstreams::wire::{Done, RenewCall, SettleCall, StartCall, StopCall, WorkerEnd, WorkerReply};
 
 use crate::coverage::{Sample, answer, digest_of, question_of, sample};
@@ -60,13 +61,15 @@
 struct RunningTask {
     stop: Rc<Notify>,
     lease_until: Instant,
+    /// Taken on, and its work not begun yet.
+    fresh: bool,
 }
 
 /// One worker's state.
 #[derive(Debug)]
 pub struct Worker {
     slots: usize,
-    free: Rc<Semaphore>,
+    free: Arc<Semaphore>,
     open: usize,
     running: HashMap<String, RunningTask>,
     barred: HashSet<String>,
@@ -83,7 +86,7 @@
     pub fn new(slots: usize) -> Self {
         Self {
             slots,
-            free: Rc::new(Semaphore::new(slots)),
+            free: Arc::new(Semaphore::new(slots)),
             open: 0,
             running: HashMap::new(),
             barred: HashSet::new(),
@@ -94,6 +97,24 @@
         }
     }
 
+    /// Records that a task begins, where that was not done when it was taken on.
+    fn begin(&mut self, call: &StartCall) -> Rc<Notify> {
+        if let Some(running) = self.running.get(&call.task).filter(|running| running.fresh) {
+            let stop = Rc::clone(&running.stop);
+            if let Some(running) = self.running.get_mut(&call.task) {
+                running.fresh = false;
+            }
+            return stop;
+        }
+        self.ledger.note(&call.task, Deed::Started);
+        let stop = Rc::new(Notify::new());
+        let lease_until = Instant::now() + Duration::from_millis(call.lease_ms);
+        let running = RunningTask { stop: Rc::clone(&stop), lease_until, fresh: true };
+        self.running.insert(call.task.clone(), running);
+        self.ledger.most_running = self.ledger.most_running.max(self.running.len());
+        stop
+    }
+
     fn reply(&self, task: &str, end: WorkerEnd) -> Response {
         let reply = WorkerReply {
             end,
@@ -151,12 +172,13 @@
 }
 
 async fn start(worker: Shared, call: StartCall) -> Response {
-    if let Some(refusal) = refusal_of(&worker, &call) {
-        return refusal;
-    }
+    let permit = match take_on(&worker, &call) {
+        Ok(permit) => permit,
+        Err(refusal) => return refusal,
+    };
     let task = call.task.clone();
     // The work goes on when the daemon's connection breaks, as on a real worker.
-    let running = actix_rt::spawn(hold_and_run(Rc::clone(&worker), call));
+    let running = actix_rt::spawn(hold_and_run(Rc::clone(&worker), call, permit));
     let Ok(end) = running.await else {
         return Response::broken();
     };
@@ -167,55 +189,66 @@
     if lost { Response::broken() } else { worker.borrow().reply(&task, end) }
 }
 
-async fn hold_and_run(worker: Shared, call: StartCall) -> WorkerEnd {
-    let free = {
-        let mut state = worker.borrow_mut();
-        state.open += 1;
-        state.ledger.most_open = state.ledger.most_open.max(state.open);
-        Rc::clone(&state.free)
+/// Runs a start that was taken on; a held one may be barred while it waits.
+async fn hold_and_run(
+    worker: Shared,
+    call: StartCall,
+    permit: Option<OwnedSemaphorePermit>,
+) -> WorkerEnd {
+    let permit = if permit.is_none() {
+        let free = Arc::clone(&worker.borrow().free);
+        free.acquire_owned().await.ok()
+    } else {
+        permit
     };
-    let permit = free.acquire().await;
-    let end = run(&worker, &call).await;
+    let barred = worker.borrow().barred.contains(&call.task);
+    let end = if barred { WorkerEnd::NeverWill } else { run(&worker, &call).await };
     drop(permit);
     worker.borrow_mut().open -= 1;
     end
 }
 
-fn refusal_of(worker: &Shared, call: &StartCall) -> Option<Response> {
+/// Refuses a start, or takes it on with a slot, in one step.
+fn take_on(worker: &Shared, call: &StartCall) -> Result<Option<OwnedSemaphorePermit>, Response> {
     let mut state = worker.borrow_mut();
     state.ledger.messages += 1;
     if state.faults.lose_request {
-        return Some(Response::broken());
+        return Err(Response::broken());
     }
-    let full = !call.hold && state.free.available_permits() == 0;
+    let permit = Arc::clone(&state.free).try_acquire_owned().ok();
+    let full = !call.hold && permit.is_none();
     let crowded = state.open >= MOST_OPEN_STARTS;
-    let end = if state.barred.contains(&call.task) {
-        WorkerEnd::NeverWill
+    let refusal = if state.barred.contains(&call.task) {
+        Some(WorkerEnd::NeverWill)
     } else if state.faults.leaving {
-        WorkerEnd::Leaving
+        Some(WorkerEnd::Leaving)
     } else if state.faults.refuse {
-        WorkerEnd::Refused
+        Some(WorkerEnd::Refused)
     } else if full || crowded {
-        WorkerEnd::Full
+        Some(WorkerEnd::Full)
     } else {
-        return None;
+        None
     };
-    state.ledger.note(&call.task, Deed::Refused);
-    Some(state.reply(&call.task, end))
+    if let Some(end) = refusal {
+        drop(permit);
+        state.ledger.note(&call.task, Deed::Refused);
+        return Err(state.reply(&call.task, end));
+    }
+    state.open += 1;
+    state.ledger.most_open = state.ledger.most_open.max(state.open);
+    if permit.is_some() {
+        state.begin(call);
+    }
+    Ok(permit)
 }
 
 async fn run(worker: &Shared, call: &StartCall) -> WorkerEnd {
     let question = question_of(&call.input);
     let began = Instant::now();
-    let stop = Rc::new(Notify::new());
-    let (faults, sample) = {
+    let (stop, faults, sample) = {
         let mut state = worker.borrow_mut();
-        state.ledger.note(&call.task, Deed::Started);
-        let lease_until = began + Duration::from_millis(call.lease_ms);
-        let task = RunningTask { stop: Rc::clone(&stop), lease_until };
-        state.running.insert(call.task.clone(), task);
-        state.ledger.most_running = state.ledger.most_running.max(state.running.len());
-        (state.faults, Rc::clone(&state.sample))
+        let stop = state.begin(call);
+        (stop, state.faults, Rc::clone(&state.sample))
     };
     let work_ms = if faults.fail_fast { 1.0 } else { question.work_ms as f64 * faults.slow_factor };
     let work = actix_rt::time::sleep(Duration::from_micros((work_ms * 1_000.0) as u64));
