--- /dev/null
+++ b/crates/clementined/tests/path.rs
@@ -0,0 +1,264 @@
+//! The whole path through real daemons: resubmissions, drains, deaths and cuts.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use dispatch::answer::{Reason, TaskEnd, Verdict};
+use measure::calls::{by_ticket, coverage_job, is_whole, submit};
+use serde_json::{Value, json};
+use standins::log::LogFaults;
+use standins::worker::Faults;
+use support::TestEnv;
+
+fn run(test: impl Future<Output = ()>) {
+    actix_rt::System::new().block_on(test);
+}
+
+fn now_key(name: &str) -> (&'static str, String) {
+    ("idempotency-key", format!("{}-{name}", clementined::logging::unix_ms() / 1_000))
+}
+
+#[test]
+fn a_job_is_answered_whole_and_a_resubmission_anywhere_gets_the_same_answer() {
+    run(async {
+        let env = TestEnv::start(&["bergamo", "sondrio"], 3, 4).await;
+        let ticket = env.ticket(0).await;
+        let job = coverage_job("coverage-check", &[40; 12], &[40; 12], 1);
+        let (first, second) =
+            futures_util::future::join(env.submit(0, &ticket, &job), env.submit(1, &ticket, &job))
+                .await;
+        let third = env.submit(2, &ticket, &job).await;
+        for answer in [&first, &second, &third] {
+            assert_eq!(answer.verdict, Verdict::Complete);
+            assert!(is_whole(&job, answer));
+        }
+        let other = coverage_job("coverage-check", &[41], &[41], 2);
+        let answer = env.submit(1, &ticket, &other).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::Unknown, Reason::OtherRequest));
+        assert_eq!(env.starts().await, (1, 12));
+    });
+}
+
+#[test]
+fn bad_requests_and_refusals_start_nothing() {
+    run(async {
+        let env = TestEnv::start(&["bergamo"], 1, 1).await;
+        let mut job = coverage_job("nothing-like-it", &[10], &[10], 1);
+        let ticket = env.ticket(0).await;
+        let answer = env.submit(0, &ticket, &job).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::NotRun, Reason::UnknownKind));
+        job.kind = "coverage-check".into();
+        job.tasks[0].needs.accelerators = 4;
+        let answer = env.submit(0, &env.ticket(0).await, &job).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::NotRun, Reason::Impossible));
+        let first = if ticket.starts_with('A') { "B" } else { "A" };
+        let forged = ("ticket", format!("{first}{}", &ticket[1..]));
+        let addr = env.callers(0);
+        let (status, _) = submit(&env.caller, addr, Some(forged), &job, 1_000).await.unwrap();
+        assert_eq!(status, 400);
+        assert_eq!(env.starts().await, (0, 0));
+    });
+}
+
+#[test]
+fn a_drain_cuts_off_nothing_and_the_heir_answers_for_its_tickets() {
+    run(async {
+        let mut env = TestEnv::start(&["bergamo"], 3, 3).await;
+        let done = env.ticket(0).await;
+        let unused = env.ticket(0).await;
+        let running = env.ticket(0).await;
+        let short = coverage_job("coverage-check", &[30; 4], &[30; 4], 1);
+        let long = coverage_job("coverage-check", &[1_200; 4], &[1_200; 4], 2);
+        assert_eq!(env.submit(0, &done, &short).await.verdict, Verdict::Complete);
+        let addr = env.callers(0);
+        let (caller, header) = (env.caller.clone(), ("ticket", running.clone()));
+        let job = long.clone();
+        let in_flight =
+            actix_rt::spawn(async move { submit(&caller, addr, Some(header), &job, 20_000).await });
+        actix_rt::time::sleep(std::time::Duration::from_millis(300)).await;
+        env.terminate(0);
+        let answer = in_flight.await.unwrap().unwrap().1.unwrap();
+        assert_eq!(answer.verdict, Verdict::Complete);
+        assert!(is_whole(&long, &answer));
+        assert_eq!(env.await_end(0).await, Some(0));
+        for (ticket, job) in [(&done, &short), (&running, &long)] {
+            let answer = env.submit(1, ticket, job).await;
+            assert_eq!(answer.verdict, Verdict::Complete, "{:?}", answer.reason);
+        }
+        let answer = env.submit(2, &unused, &coverage_job("coverage-check", &[20], &[20], 3)).await;
+        assert_eq!(answer.verdict, Verdict::Complete, "an unused ticket runs at the heir");
+        assert_eq!(env.starts().await, (1, 9));
+    });
+}
+
+#[test]
+fn two_daemons_that_drain_at_once_lose_no_ticket() {
+    run(async {
+        let mut env = TestEnv::start(&["bergamo"], 3, 2).await;
+        let job = coverage_job("coverage-check", &[20; 2], &[20; 2], 1);
+        let tickets = [env.ticket(0).await, env.ticket(1).await];
+        for (place, ticket) in tickets.iter().enumerate() {
+            assert_eq!(env.submit(place, ticket, &job).await.verdict, Verdict::Complete);
+        }
+        env.terminate(0);
+        env.terminate(1);
+        assert_eq!(env.await_end(0).await, Some(0));
+        assert_eq!(env.await_end(1).await, Some(0));
+        for ticket in &tickets {
+            assert_eq!(env.submit(2, ticket, &job).await.verdict, Verdict::Complete);
+        }
+        assert_eq!(env.starts().await, (1, 4));
+    });
+}
+
+#[test]
+fn a_dead_home_is_unknown_and_its_journalled_tickets_are_proved() {
+    run(async {
+        let mut env = TestEnv::start(&["bergamo"], 2, 2).await;
+        let plain = env.ticket(0).await;
+        let unused_invoice = env.ticket(0).await;
+        let used_invoice = env.ticket(0).await;
+        let check = coverage_job("coverage-check", &[20], &[20], 1);
+        let invoice = coverage_job("invoice", &[20], &[20], 2);
+        assert_eq!(env.submit(0, &used_invoice, &invoice).await.verdict, Verdict::Complete);
+        env.kill(0);
+        let answer = env.submit(1, &plain, &check).await;
+        assert_eq!(answer.verdict, Verdict::Unknown, "a dead home proves nothing");
+        let answer = env.submit(1, &unused_invoice, &invoice).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::NotRun, Reason::Voided));
+        let answer = env.submit(1, &used_invoice, &invoice).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::Unknown, Reason::MayHaveStarted));
+        env.start_daemon(0);
+        measure::calls::await_ready(&env.caller, &env.operators(), 1).await.unwrap();
+        let answer = env.submit(0, &plain, &check).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::Unknown, Reason::HomeGone));
+        assert_eq!(env.starts().await, (1, 1));
+    });
+}
+
+#[test]
+fn a_bare_key_runs_once_through_two_daemons_and_a_lost_reply() {
+    run(async {
+        let env = TestEnv::start(&["bergamo", "sondrio"], 2, 2).await;
+        let job = coverage_job("coverage-check", &[30; 3], &[30; 3], 1);
+        let lossy = LogFaults { lose_reply_every: 1, ..LogFaults::default() };
+        let _: Value = env.caller.post(env.fleet.log, "/faults", &lossy, 2_000).await.unwrap();
+        let key = now_key("stamp");
+        let (first, second) = futures_util::future::join(
+            env.submit_with(0, key.clone(), &job),
+            env.submit_with(1, key.clone(), &job),
+        )
+        .await;
+        assert_eq!(first.verdict, Verdict::Complete, "{:?}", first.reason);
+        assert_eq!(second.verdict, Verdict::Complete, "{:?}", second.reason);
+        assert_eq!(first.ticket, second.ticket);
+        let old = ("idempotency-key", "1000000000-old".to_owned());
+        let answer = env.submit_with(0, old, &job).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::Unknown, Reason::KeyTooOld));
+        assert_eq!(env.starts().await, (1, 3));
+    });
+}
+
+#[test]
+fn while_the_log_is_out_tickets_run_and_keys_and_invoices_are_answered_truthfully() {
+    run(async {
+        let env = TestEnv::start(&["bergamo"], 2, 2).await;
+        let down = LogFaults { down: true, ..LogFaults::default() };
+        let _: Value = env.caller.post(env.fleet.log, "/faults", &down, 2_000).await.unwrap();
+        let check = coverage_job("coverage-check", &[20; 2], &[20; 2], 1);
+        let invoice = coverage_job("invoice", &[20; 2], &[20; 2], 2);
+        assert_eq!(env.submit(1, &env.ticket(0).await, &check).await.verdict, Verdict::Complete);
+        let ticket = env.ticket(0).await;
+        let answer = env.submit(0, &ticket, &invoice).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::NotRun, Reason::LogOut));
+        let answer = env.submit_with(0, now_key("x"), &check).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::Unknown, Reason::LogOut));
+        let up = LogFaults::default();
+        let _: Value = env.caller.post(env.fleet.log, "/faults", &up, 2_000).await.unwrap();
+        let answer = env.submit(1, &ticket, &invoice).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::NotRun, Reason::LogOut));
+        assert_eq!(env.starts().await, (1, 2));
+    });
+}
+
+#[test]
+fn a_cut_off_zone_serves_its_own_and_forwards_nothing() {
+    run(async {
+        let env = TestEnv::start(&["bergamo", "sondrio"], 2, 4).await;
+        let far = env.ticket(1).await;
+        let mut cut: Vec<SocketAddr> = vec![env.fleet.daemons[1].peers, env.fleet.log];
+        let far_workers = env.fleet.workers.iter().filter(|(_, zone)| zone == "sondrio");
+        cut.extend(far_workers.map(|(addr, _)| *addr));
+        set_cut(&env, 0, &cut).await;
+        let job = coverage_job("coverage-check", &[20; 4], &[20; 4], 1);
+        let own = env.ticket(0).await;
+        assert_eq!(env.submit(0, &own, &job).await.verdict, Verdict::Complete);
+        let answer = env.submit(0, &far, &job).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::Unknown, Reason::HomeUnreachable));
+        set_cut(&env, 0, &[]).await;
+        assert_eq!(env.submit(0, &far, &job).await.verdict, Verdict::Complete);
+        assert_eq!(env.starts().await, (1, 8));
+    });
+}
+
+async fn set_cut(env: &TestEnv, place: usize, cut: &[SocketAddr]) {
+    let call = httpedge::client::RawCall {
+        addr: env.fleet.daemons[place].operators,
+        method: "POST",
+        path: "/v1/faults",
+        headers: &[],
+        body: json!({ "cut": cut }).to_string().into_bytes(),
+        timeout_ms: 2_000,
+    };
+    assert_eq!(env.caller.raw(call).await.unwrap().0, 200);
+}
+
+#[test]
+fn a_cancel_through_another_daemon_stops_what_runs() {
+    run(async {
+        let env = TestEnv::start(&["bergamo", "sondrio"], 2, 1).await;
+        let ticket = env.ticket(0).await;
+        let job = coverage_job("coverage-check", &[5_000; 12], &[5_000; 12], 1);
+        let addr = env.callers(0);
+        let header = ("ticket", ticket.clone());
+        let interim = submit(&env.caller, addr, Some(header), &job, 200).await.unwrap();
+        assert_eq!((interim.0, interim.1.unwrap().verdict), (202, Verdict::Running));
+        let cancelled = by_ticket(&env.caller, env.callers(1), "DELETE", &ticket, 0).await.unwrap();
+        let answer = cancelled.1.unwrap();
+        assert_eq!((answer.verdict, answer.reason), (Verdict::Failed, Reason::Cancelled));
+        let stopped = answer.tasks.iter().filter(|end| **end == TaskEnd::Stopped).count();
+        let never = answer.tasks.iter().filter(|end| **end == TaskEnd::NotStarted).count();
+        assert_eq!((stopped, never), (8, 4));
+        let unused = env.ticket(1).await;
+        let answer = by_ticket(&env.caller, env.callers(0), "DELETE", &unused, 0).await.unwrap();
+        assert_eq!(answer.1.unwrap().verdict, Verdict::NotRun);
+        let answer = env.submit(1, &unused, &job).await;
+        assert_eq!(answer.verdict, Verdict::NotRun, "a cancelled ticket stays refused");
+    });
+}
+
+#[test]
+fn worker_faults_never_start_a_task_twice() {
+    run(async {
+        let env = TestEnv::start(&["bergamo"], 2, 6).await;
+        let faults = [
+            Faults { lose_answer: true, ..Faults::default() },
+            Faults { lose_request: true, ..Faults::default() },
+            Faults { refuse: true, ..Faults::default() },
+            Faults { leaving: true, ..Faults::default() },
+        ];
+        for ((addr, _), fault) in env.fleet.workers.iter().zip(faults) {
+            let _: Value = env.caller.post(*addr, "/faults", &fault, 2_000).await.unwrap();
+        }
+        let mut tasks = 0;
+        for round in 0..6 {
+            let job = coverage_job("coverage-check", &[20; 20], &[20; 20], round);
+            let answer = env.submit(round as usize % 2, &env.ticket(0).await, &job).await;
+            assert_eq!(answer.verdict, Verdict::Complete, "{:?}", answer.reason);
+            assert!(is_whole(&job, &answer));
+            tasks += 20;
+        }
+        assert_eq!(env.starts().await, (1, tasks));
+    });
+}
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -1,6 +1,6 @@
 //! Which requests are accepted, and truthful refusals of the others.
 
-use crate::answer::{Answer, Reason};
+use crate::answer::{Answer, Reason, Verdict};
 use crate::catalogue::KindSpec;
 use crate::clock::Millis;
 use crate::engine::{Action, Engine, JournalResult};
@@ -32,7 +32,7 @@
             Standing::Fresh => self.admit(submission, now),
             Standing::Held(answer, digest) => {
                 self.counters.duplicates_stopped += 1;
-                if digest == submission.digest {
+                if digest == submission.digest || answer.verdict == Verdict::NotRun {
                     self.reply(request, answer);
                 } else {
                     self.reply_unknown(request, Reason::OtherRequest);
--- a/crates/dispatch/tests/at_most_once.rs
+++ b/crates/dispatch/tests/at_most_once.rs
@@ -245,3 +245,16 @@
     world.settle_down();
     assert!(world.broken().is_empty(), "{:?}", world.broken());
 }
+
+#[test]
+fn a_job_spread_over_failing_workers_is_failed_and_never_partial() {
+    let mut world = World::new(1, 2);
+    for worker in world.workers.values_mut().take(1) {
+        worker.fails_all = true;
+    }
+    let place = world.submit(0, "check", 4).unwrap_or_default();
+    world.settle_down();
+    let answer = &world.answers[&world.asked[place].requests[0]][0];
+    assert_eq!((answer.verdict, answer.reason), (Verdict::Failed, Reason::TaskFailed));
+    assert_eq!(answer.tasks.len(), 4);
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -67,7 +67,6 @@
     pub asked: Vec<Asked>,
     pub answers: HashMap<u64, Vec<Rc<Answer>>>,
     pub asked_home: HashMap<u64, usize>,
-    pub crashed: HashSet<usize>,
     pub plant: bool,
     pub log_out: bool,
     next_request: u64,
@@ -114,7 +113,6 @@
             asked: Vec::new(),
             answers: HashMap::new(),
             asked_home: HashMap::new(),
-            crashed: HashSet::new(),
             plant: false,
             log_out: false,
             next_request: 1,
@@ -231,9 +229,7 @@
     }
 
     pub fn crash(&mut self, home: usize) {
-        if self.homes[home].take().is_some() {
-            self.crashed.insert(home);
-        }
+        self.homes[home] = None;
     }
 
     /// Drains a home into another where it has no open jobs, as the daemon does.
--- /dev/null
+++ b/crates/dispatch/tests/tickets.rs
@@ -0,0 +1,95 @@
+//! Tickets cannot be forged, and used ones cost little and are never forgotten too early.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use dispatch::clock::Millis;
+use dispatch::ticket::{Incarnation, JobId, Key, Keyring, Ticket, TicketError};
+use dispatch::window::{BLOCK_TICKETS, Mark, Window};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+fn ticket(seq: u64) -> Ticket {
+    Ticket {
+        job: JobId { incarnation: Incarnation(4), seq },
+        home: SocketAddr::from(([10, 0, 0, 1], 7_002)),
+        zone: "sondrio".into(),
+        issued_ms: Millis(5),
+        expiry_ms: Millis(900),
+    }
+}
+
+fn key(id: u8) -> Key {
+    Key { id, secret: [id; 32] }
+}
+
+#[test]
+fn every_altered_character_is_refused() {
+    let keys = Keyring::new(key(1), Vec::new());
+    let text = keys.issue(&ticket(1));
+    assert_eq!(keys.check(&text), Ok(ticket(1)));
+    for place in 0..text.len() {
+        let mut altered = text.clone().into_bytes();
+        altered[place] = if altered[place] == b'A' { b'B' } else { b'A' };
+        let altered = String::from_utf8(altered).unwrap();
+        assert!(keys.check(&altered).is_err(), "character {place}");
+    }
+    assert_eq!(keys.check("no ticket"), Err(TicketError::Malformed));
+    assert_eq!(keys.check(""), Err(TicketError::Malformed));
+}
+
+#[test]
+fn rotation_accepts_old_keys_until_they_are_dropped() {
+    let old = Keyring::new(key(1), Vec::new());
+    let both = Keyring::new(key(2), vec![key(1)]);
+    let new = Keyring::new(key(2), Vec::new());
+    let text = old.issue(&ticket(1));
+    assert!(both.check(&text).is_ok());
+    assert_eq!(new.check(&text), Err(TicketError::UnknownKey));
+    assert!(new.check(&both.issue(&ticket(1))).is_ok());
+}
+
+#[test]
+fn used_tickets_cost_less_than_two_bits() {
+    let mut window = Window::default();
+    let submissions = 1_100 * 600;
+    for now in 0..submissions {
+        let seq = window.issue(Millis(now + 600_000));
+        window.burn(seq);
+    }
+    let bits = window.held_bytes() as f64 * 8.0 / submissions as f64;
+    assert!(bits < 2.0, "{bits} bits a submission");
+}
+
+#[test]
+fn a_window_agrees_with_a_plain_set_and_never_revives_a_ticket() {
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let steps = vec((0..4_u8, 0..3_000_u64), 1..200);
+    let outcome = TestRunner::new_with_rng(config, rng).run(&steps, |steps| {
+        let mut window = Window::default();
+        let mut used = HashSet::new();
+        let mut now = 0;
+        for (what, number) in steps {
+            match what {
+                0 => (0..number % (2 * BLOCK_TICKETS)).for_each(|_| {
+                    window.issue(Millis(now + 100));
+                }),
+                1 => {
+                    let fresh = window.mark(number) == Mark::Unused;
+                    prop_assert_eq!(window.burn(number), fresh);
+                    prop_assert!(!fresh || used.insert(number), "{} was used twice", number);
+                }
+                2 => now += number % 60,
+                _ => window.expire(Millis(now)),
+            }
+            for seq in &used {
+                let mark = window.mark(*seq);
+                prop_assert!(matches!(mark, Mark::Used | Mark::Expired), "{} {:?}", seq, mark);
+            }
+        }
+        Ok(())
+    });
+    assert!(outcome.is_ok(), "{outcome:?}");
+}
--- a/crates/measure/src/children.rs
+++ b/crates/measure/src/children.rs
@@ -42,12 +42,27 @@
     /// # Errors
     /// Fails where a process cannot be started or the fleet does not become ready.
     pub async fn start(fleet: Fleet) -> Result<Self, String> {
+        Self::start_parts(fleet, true).await
+    }
+
+    /// Starts the platform and every daemon; workers are only listed and do not run.
+    ///
+    /// # Errors
+    /// Fails where a process cannot be started or the fleet does not become ready.
+    pub async fn start_without_workers(fleet: Fleet) -> Result<Self, String> {
+        Self::start_parts(fleet, false).await
+    }
+
+    async fn start_parts(fleet: Fleet, with_workers: bool) -> Result<Self, String> {
         let number = rand::random::<u32>();
         let folder = std::env::temp_dir().join(format!("clementine-measure-{number:08x}"));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let daemons = fleet.daemons.iter().map(|_| None).collect();
         let mut children = Self { fleet, daemons, standins: Vec::new(), folder };
-        children.start_standins()?;
+        children.start_platform()?;
+        if with_workers {
+            children.start_workers()?;
+        }
         actix_rt::time::sleep(Duration::from_millis(300)).await;
         for place in 0..children.daemons.len() {
             children.start_daemon(place)?;
@@ -122,7 +137,7 @@
         self.daemons[place].as_ref().map(Child::id)
     }
 
-    fn start_standins(&mut self) -> Result<(), String> {
+    fn start_platform(&mut self) -> Result<(), String> {
         let list = self.folder.join("vms.json");
         let vms = serde_json::json!({ "vms": self.fleet.vm_list() });
         std::fs::write(&list, vms.to_string()).map_err(|error| error.to_string())?;
@@ -131,6 +146,10 @@
         let args = ["platform", "--log", &log, "--vms", &vms, "--list", &list];
         let child = self.spawn(&args)?;
         self.standins.push(child);
+        Ok(())
+    }
+
+    fn start_workers(&mut self) -> Result<(), String> {
         let slots = self.fleet.slots.to_string();
         for group in self.workers().chunks(WORKERS_PER_PROCESS) {
             let addrs: Vec<String> = group.iter().map(ToString::to_string).collect();
--- a/crates/measure/src/cli.rs
+++ b/crates/measure/src/cli.rs
@@ -19,6 +19,8 @@
 pub enum Command {
     /// Proves at most once and true answers under kills, pauses, drains, cuts and outages.
     Once(OnceArgs),
+    /// Measures what control costs, with slopes up to the letter's size.
+    Control(NoArgs),
     /// Compares policies of choosing a worker.
     Policy(PolicyArgs),
     /// Runs a daemon; measurements start it themselves.
@@ -29,6 +31,13 @@
     Platform(PlatformArgs),
 }
 
+/// No options.
+#[derive(Debug, Options)]
+pub struct NoArgs {
+    /// Prints this help.
+    pub help: bool,
+}
+
 /// Options of the proof of at most once.
 #[derive(Debug, Options)]
 pub struct OnceArgs {
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod calls;
 pub mod children;
 pub mod cli;
+pub mod control;
 pub mod fleet;
 pub mod ideal;
 pub mod ledgers;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -10,6 +10,7 @@
     let args = Args::parse_args_default_or_exit();
     let result = match args.command {
         Some(Command::Once(args)) => verdict("once", measure::once::run(args.tasks)),
+        Some(Command::Control(_)) => verdict("control", measure::control::run()),
         Some(Command::Policy(args)) => {
             verdict("policy", measure::policy::run(&args.only, args.quick, &args.baselines))
         }
