Hand tables on after a plain refusal; give tickets a letter; take ports apart

Cause: repeated runs of the tests failed in three ways. (1) Of two daemons that drained at once, one could offer its tables to the other just before that one drained; the order to take over was then refused for good, and the giver took this for a lost heir: its tickets became unknown. (2) A ticket that began with '-' was read as an option by the tool. Change: a plain refusal is final and lets the giver ask the next heir; an heir remembers whose tables it took, also when they went on, so that a repeated order is not refused; only silence ends the search. Tickets begin with 't'. Test ports come from below the system's range. Conclusion: a drain ends in unknown only where the heir falls silent.

--- a/crates/clementined/src/daemon.rs
+++ b/crates/clementined/src/daemon.rs
@@ -1,7 +1,7 @@
 //! The daemon's shared state, and the one way in which events reach the engine.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -91,6 +91,8 @@
     pub log_reached_at: Cell<Option<Millis>>,
     /// Tables that a draining daemon offered and has not handed over yet.
     pub offered: RefCell<HashMap<Incarnation, Vec<HandedTable>>>,
+    /// Drained daemons whose tables were taken over here, also where they went on since.
+    pub taken: RefCell<HashSet<Incarnation>>,
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Rc<Answer>>>>,
     next_request: Cell<RequestId>,
     began: Instant,
@@ -159,6 +161,7 @@
             phase: Cell::new(Phase::Serving),
             log_reached_at: Cell::new(None),
             offered: RefCell::default(),
+            taken: RefCell::default(),
             waiting: RefCell::default(),
             next_request: Cell::new(1),
             began: Instant::now(),
--- a/crates/clementined/src/drain.rs
+++ b/crates/clementined/src/drain.rs
@@ -18,6 +18,17 @@
 /// Heartbeats of the farewell count above the ordinary ones of the same millisecond.
 const FAREWELL_COUNT: u64 = 900;
 
+/// What became of the order to an heir.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Handed {
+    /// The heir answers from now on.
+    Taken,
+    /// The heir does not and will not answer.
+    Refused,
+    /// It is not known whether the heir answers.
+    Lost,
+}
+
 impl Daemon {
     /// Finishes what is in flight, gives the tables to an heir and tells the others.
     pub async fn drain(self: &Rc<Self>) {
@@ -51,8 +62,13 @@
         loop {
             let heirs = self.membership.borrow().heirs(self.now());
             for heir in &heirs {
-                if self.offer(heir, tables).await {
-                    return self.hand_to(heir, tables).await;
+                if !self.offer(heir, tables).await {
+                    continue;
+                }
+                match self.hand_to(heir, tables).await {
+                    Handed::Taken => return true,
+                    Handed::Refused => {}
+                    Handed::Lost => return false,
                 }
             }
             if self.now() > until {
@@ -69,10 +85,14 @@
         matches!(told, Ok(Tell::Done))
     }
 
-    /// Orders the heir to answer from now on; no other may be asked after this.
-    async fn hand_to(&self, heir: &Peer, tables: &[HandedTable]) -> bool {
+    /// Orders the heir to answer from now on. Another may be asked only after its plain refusal:
+    /// without a word from it, it may answer already.
+    async fn hand_to(&self, heir: &Peer, tables: &[HandedTable]) -> Handed {
         for _ in 0..TAKE_OVER_TRIES {
             let told = self.links.call(heir.last.addr, Ask::TakeOver, OFFER_WAIT_MS).await;
+            if matches!(told, Ok(Tell::Refused)) {
+                return Handed::Refused;
+            }
             if matches!(told, Ok(Tell::Done)) {
                 let now = self.now();
                 for table in tables {
@@ -84,11 +104,11 @@
                     self.membership.borrow_mut().inherits(inheritance, now);
                 }
                 log::info!("drain: {} answers from now on.", heir.last.incarnation);
-                return true;
+                return Handed::Taken;
             }
             actix_rt::time::sleep(TAKE_OVER_PAUSE).await;
         }
         log::error!("drain: The heir {} is lost.", heir.last.incarnation);
-        false
+        Handed::Lost
     }
 }
--- a/crates/clementined/src/peers.rs
+++ b/crates/clementined/src/peers.rs
@@ -66,14 +66,18 @@
     }
 
     /// Takes the offered tables into force; a repeated order changes nothing.
+    ///
+    /// A refusal is final: these tables are not and will not be answered for here, so that the
+    /// giver may offer them to another.
     fn take_over(self: &Rc<Self>, from: Incarnation) -> Tell {
-        let Some(tables) = self.offered.borrow_mut().remove(&from) else {
-            let done = self.engine.borrow().answers_for(from);
-            return if done { Tell::Done } else { Tell::Refused };
-        };
-        if self.phase.get() != Phase::Serving {
-            return Tell::Refused;
+        if self.taken.borrow().contains(&from) {
+            return Tell::Done;
         }
+        let offered = self.offered.borrow_mut().remove(&from);
+        let Some(tables) = offered.filter(|_| self.phase.get() == Phase::Serving) else {
+            return Tell::Refused;
+        };
+        self.taken.borrow_mut().insert(from);
         let now = self.now();
         for table in tables {
             let inheritance = Inheritance {
--- a/crates/dispatch/src/ticket.rs
+++ b/crates/dispatch/src/ticket.rs
@@ -14,6 +14,9 @@
 /// Bytes of the authentication tag on tickets and on messages between daemons.
 pub const TAG_BYTES: usize = 16;
 
+/// Every ticket begins with this letter, so that none looks like a command-line option.
+const TICKET_LETTER: char = 't';
+
 /// A random number that a daemon process draws at its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
@@ -154,7 +157,7 @@
     /// Renders a ticket as the text that callers carry.
     pub fn issue(&self, ticket: &Ticket) -> String {
         let content = postcard::to_allocvec(ticket).unwrap_or_default();
-        URL_SAFE_NO_PAD.encode(self.seal(content))
+        format!("{TICKET_LETTER}{}", URL_SAFE_NO_PAD.encode(self.seal(content)))
     }
 
     /// Reads and checks a ticket from a caller.
@@ -162,6 +165,7 @@
     /// # Errors
     /// Fails where the text is no ticket or was not issued under a known key.
     pub fn check(&self, text: &str) -> Result<Ticket, TicketError> {
+        let text = text.strip_prefix(TICKET_LETTER).ok_or(TicketError::Malformed)?;
         let sealed = URL_SAFE_NO_PAD.decode(text).map_err(|_| TicketError::Malformed)?;
         let content = self.open(&sealed)?;
         postcard::from_bytes(content).map_err(|_| TicketError::Malformed)
--- a/crates/dispatch/tests/tickets.rs
+++ b/crates/dispatch/tests/tickets.rs
@@ -31,7 +31,7 @@
     assert_eq!(keys.check(&text), Ok(ticket(1)));
     for place in 0..text.len() {
         let mut altered = text.clone().into_bytes();
-        altered[place] = if altered[place] == b'A' { b'B' } else { b'A' };
+        altered[place] = if altered[place] == b'A' { b'Q' } else { b'A' };
         let altered = String::from_utf8(altered).unwrap();
         assert!(keys.check(&altered).is_err(), "character {place}");
     }
@@ -39,6 +39,12 @@
     assert_eq!(keys.check(""), Err(TicketError::Malformed));
 }
 
+#[test]
+fn no_ticket_looks_like_an_option() {
+    let keys = Keyring::new(key(1), Vec::new());
+    assert!((0..500).all(|seq| keys.issue(&ticket(seq)).starts_with('t')));
+}
+
 #[test]
 fn rotation_accepts_old_keys_until_they_are_dropped() {
     let old = Keyring::new(key(1), Vec::new());
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -1,13 +1,20 @@
 //! The layout of a small fleet on loopback: addresses, settings and the catalogue.
 
 use std::fmt::Write as _;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use dispatch::catalogue::{Change, Item, KindSpec, TeamSpec};
 use dispatch::queue::Class;
 use dispatch::workers::Choice;
 use platform::wire::{Vm, VmRole};
 
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u16 = 20_000;
+const PORT_STEP: u16 = 400;
+const PORT_STARTS: u32 = 50;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
 /// The zones of Ferrandi.
 pub const FERRANDI_ZONES: [&str; 4] = ["milano-nord", "bergamo", "brescia", "sondrio"];
 /// The zones of Kesel.
@@ -48,18 +55,16 @@
 impl Fleet {
     /// Lays a fleet out on free ports.
     pub fn lay_out(zones: &[&str], daemons: usize, workers: usize, slots: u32) -> Self {
-        let mut held = Vec::new();
-        let mut free = || free_addr(&mut held);
         let zone_of = |place: usize| zones[place % zones.len()].to_owned();
         let daemons = (0..daemons).map(|place| DaemonAddrs {
-            callers: free(),
-            operators: free(),
-            peers: free(),
+            callers: free_addr(),
+            operators: free_addr(),
+            peers: free_addr(),
             zone: zone_of(place),
         });
         let daemons = daemons.collect();
-        let workers = (0..workers).map(|place| (free(), zone_of(place))).collect();
-        let (log, vms) = (free(), free());
+        let workers = (0..workers).map(|place| (free_addr(), zone_of(place))).collect();
+        let (log, vms) = (free_addr(), free_addr());
         let extra = String::new();
         Self { daemons, workers, slots, log, vms, choice: Choice::Shares, extra }
     }
@@ -143,15 +148,16 @@
     entries.into_iter().map(change).collect()
 }
 
-fn free_addr(held: &mut Vec<TcpListener>) -> SocketAddr {
+/// Gives a free address below the range from which the system takes ports for connections, so
+/// that no connection can take it before its daemon listens.
+fn free_addr() -> SocketAddr {
+    let first = FIRST_PORT + (std::process::id() % PORT_STARTS) as u16 * PORT_STEP;
     loop {
-        let Ok(listener) = TcpListener::bind("127.0.0.1:0") else {
-            continue;
-        };
-        let Ok(addr) = listener.local_addr() else {
-            continue;
-        };
-        held.push(listener);
-        return addr;
+        let turn = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let port = FIRST_PORT + (first - FIRST_PORT + turn) % PORTS;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+            return addr;
+        }
     }
 }
