Recover a dead home's answers from its workers; bound what grew without bound

Cause: a dead home's tickets stayed 'unknown' for good, though its workers knew what they had run.

Change: where another process answers at the home's address, a resubmission asks every worker once, many tickets to a message; each tells what it ran of the job and bars the rest. All done is complete; nothing anywhere is a true 'not run'; a mix is failed with definite ends; a silent worker leaves it unknown. Conclusion: asking again after the home's replacement settles its tickets; how many is measured next.

--- a/crates/clementined/src/beats.rs
+++ b/crates/clementined/src/beats.rs
@@ -106,6 +106,7 @@
         let gone: Vec<Incarnation> = seen.difference(&live).copied().collect();
         for peer in &gone {
             log::warn!("membership: {peer} is silent or leaves.");
+            self.offered.borrow_mut().remove(peer);
             self.drive(Event::PeerGone(*peer));
         }
         if !gone.is_empty() {
--- a/crates/clementined/src/callers.rs
+++ b/crates/clementined/src/callers.rs
@@ -156,13 +156,32 @@
             Some(answer) => answer,
             None => self.forward(ticket.home, text, call.clone()).await,
         };
+        let HomeCall::Submit { request, .. } = call else {
+            return answer;
+        };
         let lost = matches!(answer.reason, Reason::HomeGone | Reason::HomeUnreachable);
-        match call {
-            HomeCall::Submit { request, .. } if lost && self.is_journalled(&request.kind) => {
-                self.void(ticket).await.unwrap_or(answer)
-            }
-            HomeCall::Submit { .. } | HomeCall::Wait { .. } | HomeCall::Cancel => answer,
+        if !lost {
+            return answer;
+        }
+        self.prove(ticket, &request, answer).await
+    }
+
+    /// Tries to prove what became of a job whose home does not answer, without starting anything.
+    ///
+    /// Workers are asked only where the home is known to be dead: barring the tasks of a living
+    /// home would fail its job.
+    async fn prove(self: &Rc<Self>, ticket: &Ticket, request: &JobRequest, lost: Answer) -> Answer {
+        let journalled =
+            if self.is_journalled(&request.kind) { self.void(ticket).await } else { None };
+        if let Some(answer) = journalled.as_ref().filter(|a| a.verdict == Verdict::NotRun) {
+            return answer.clone();
+        }
+        if lost.reason == Reason::HomeGone
+            && let Some(answer) = self.recover(ticket.job, request.tasks.len()).await
+        {
+            return answer;
         }
+        journalled.unwrap_or(lost)
     }
 
     /// Answers as the home, or asks the known heir; none where neither is known.
--- a/crates/clementined/src/catalogue.rs
+++ b/crates/clementined/src/catalogue.rs
@@ -14,6 +14,8 @@
 use crate::daemon::Daemon;
 
 const LONG_POLL_MS: u64 = 5_000;
+/// A long poll is at most the retention divided by this, so that snapshots come in time.
+const POLLS_PER_RETENTION: u64 = 16;
 const RETRY: Duration = Duration::from_millis(200);
 const PEER_WAIT_MS: u64 = 2_000;
 /// How long an edit's outcome is awaited after its append.
@@ -23,12 +25,16 @@
 impl Daemon {
     /// Follows the catalogue until the process ends.
     pub async fn follow_catalogue(self: Rc<Self>) {
+        let mut longest_ms = LONG_POLL_MS;
         loop {
             let from = self.follower.borrow().read_from();
-            let wait_ms = if self.follower.borrow().fold().is_some() { LONG_POLL_MS } else { 0 };
+            let wait_ms = if self.follower.borrow().fold().is_some() { longest_ms } else { 0 };
             self.platform_messages.set(self.platform_messages.get() + 2);
             match self.log.read(CATALOGUE_STREAM, from, wait_ms).await {
-                Ok(page) => self.take_page(page).await,
+                Ok(page) => {
+                    longest_ms = LONG_POLL_MS.min(page.retention_ms / POLLS_PER_RETENTION);
+                    self.take_page(page).await;
+                }
                 Err(error) => {
                     log::debug!("catalogue: {error}.");
                     actix_rt::time::sleep(RETRY).await;
--- a/crates/clementined/src/daemon.rs
+++ b/crates/clementined/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::claims::Claims;
 use crate::config::Config;
 use crate::journal::Journal;
+use crate::recovery::Recovery;
 
 /// Where a daemon is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +68,8 @@
     pub journal: Journal,
     /// Claims of bare keys.
     pub claims: Claims,
+    /// Jobs of dead homes.
+    pub recovery: Recovery,
     /// Metrics.
     pub metrics: Metrics,
     /// Traffic with other daemons.
@@ -149,6 +152,7 @@
             vms: VmClient::new(config.vm_list, caller),
             journal: Journal::default(),
             claims: Claims::default(),
+            recovery: Recovery::default(),
             metrics,
             traffic,
             worker_messages: Cell::new(0),
--- a/crates/clementined/src/journal.rs
+++ b/crates/clementined/src/journal.rs
@@ -30,6 +30,13 @@
         self.folds.borrow().get(&job.incarnation).and_then(|fold| fold.mark(job.seq))
     }
 
+    /// Forgets a job whose mark has been used: a burnt ticket is never journalled again.
+    fn forget(&self, job: JobId) {
+        if let Some(fold) = self.folds.borrow_mut().get_mut(&job.incarnation) {
+            fold.forget(job.seq);
+        }
+    }
+
     fn next_offset(&self, incarnation: Incarnation) -> u64 {
         self.folds.borrow().get(&incarnation).map_or(0, JournalFold::next_offset)
     }
@@ -108,6 +115,7 @@
                     Some(JournalMark::Voided) => JournalResult::Voided,
                     None => JournalResult::Out,
                 };
+                self.journal.forget(job);
                 self.drive(Event::Journalled { job, result });
             }
         }
--- a/crates/clementined/src/lib.rs
+++ b/crates/clementined/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod logging;
 pub mod operators;
 pub mod peers;
+pub mod recovery;
 pub mod run;
 pub mod vms;
--- a/crates/clementined/src/operators.rs
+++ b/crates/clementined/src/operators.rs
@@ -192,6 +192,8 @@
             ("worker_messages", self.worker_messages.get()),
             ("platform_messages", self.platform_messages.get()),
             ("forward_messages", self.forward_messages.get()),
+            ("lost_homes_proved", self.recovery.proved.get()),
+            ("lost_homes_unproved", self.recovery.unproved.get()),
         ];
         self.metrics.render(engine.counters(), &more, levels)
     }
--- a/crates/clementined/src/vms.rs
+++ b/crates/clementined/src/vms.rs
@@ -19,7 +19,7 @@
                     version = list.version;
                     if let Some(vms) = list.vms {
                         log::info!("vms: List {version} has {} VMs.", vms.len());
-                        self.membership.borrow_mut().listed(&entries_of(&vms));
+                        self.membership.borrow_mut().set_listed(&entries_of(&vms));
                         self.drive(Event::Workers(workers_of(&vms)));
                     }
                 }
--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -94,7 +94,9 @@
             Self::TicketExpired | Self::Voided => "Submit under a new ticket.",
             Self::NotSubmitted => "Submit the request under this ticket.",
             Self::NoLongerHeld => "The work ended earlier; do not submit it again.",
-            Self::HomeGone => "Check the effect of the work; it may have started.",
+            Self::HomeGone => {
+                "Submit the same request with the same ticket: workers are asked, nothing starts."
+            }
             Self::HomeUnreachable => "Ask again with the same ticket.",
             Self::LogOut => "Submit again when the log service is back.",
             Self::MayHaveStarted => "Check the effect of the work; the journal shows a start.",
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -81,9 +81,9 @@
         self.next_offset
     }
 
-    /// Forgets tickets below `seq`, which have expired.
-    pub fn forget_below(&mut self, seq: u64) {
-        self.marks = self.marks.split_off(&seq);
+    /// Forgets a ticket of which the home has taken note.
+    pub fn forget(&mut self, seq: u64) {
+        self.marks.remove(&seq);
     }
 }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod journal;
 pub mod membership;
 pub mod queue;
+pub mod recovery;
 pub mod report;
 pub mod shares;
 mod slots;
--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -95,6 +95,8 @@
     own: Incarnation,
     own_addr: SocketAddr,
     zone: String,
+    seeds: Vec<SocketAddr>,
+    listed: Vec<SocketAddr>,
     known: BTreeMap<SocketAddr, Option<Peer>>,
     inheritances: BTreeMap<Incarnation, (Inheritance, Millis)>,
     told_next: usize,
@@ -109,6 +111,8 @@
             own,
             own_addr,
             zone: zone.to_owned(),
+            seeds: seeds.to_vec(),
+            listed: Vec::new(),
             known: others.map(|addr| (*addr, None)).collect(),
             inheritances: BTreeMap::new(),
             told_next: 0,
@@ -116,8 +120,9 @@
         }
     }
 
-    /// Adds daemons that the VM list names.
-    pub fn listed(&mut self, addrs: &[SocketAddr]) {
+    /// Takes the daemons that the VM list names now.
+    pub fn set_listed(&mut self, addrs: &[SocketAddr]) {
+        self.listed = addrs.to_vec();
         for addr in addrs.iter().filter(|addr| **addr != self.own_addr) {
             self.known.entry(*addr).or_insert(None);
         }
@@ -186,6 +191,9 @@
                 *peer = None;
             }
         }
+        let (seeds, listed) = (&self.seeds, &self.listed);
+        let named = |addr: &SocketAddr| seeds.contains(addr) || listed.contains(addr);
+        self.known.retain(|addr, peer| peer.is_some() || named(addr));
     }
 
     /// Lists the live daemons, without this one.
@@ -255,11 +263,13 @@
 
 #[cfg(test)]
 mod tests {
+    use std::net::SocketAddr;
+
     use super::{Heard, Heartbeat, Inheritance, Membership, PeerState, SILENT_MS};
     use crate::clock::Millis;
     use crate::ticket::Incarnation;
 
-    fn addr(port: u16) -> std::net::SocketAddr {
+    fn addr(port: u16) -> SocketAddr {
         ([127, 0, 0, 1], port).into()
     }
 
@@ -303,6 +313,17 @@
         assert_eq!(view.rank(Millis(9_001)), (1, 2));
     }
 
+    #[test]
+    fn an_address_that_nobody_names_any_more_is_forgotten() {
+        let mut view = Membership::new(Incarnation(1), addr(30), "bergamo", &[addr(40)]);
+        view.set_listed(&[addr(50)]);
+        view.heard(beat(2, 20, 1), Millis(0));
+        view.set_listed(&[]);
+        view.expire(Millis(700_000));
+        let known: Vec<SocketAddr> = view.peers(Millis(700_000)).map(|peer| peer.0).collect();
+        assert_eq!(known, [addr(40)]);
+    }
+
     #[test]
     fn an_heir_is_found_over_several_drains() {
         let mut view = Membership::new(Incarnation(1), addr(10), "bergamo", &[]);
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -166,6 +166,11 @@
         self.doubts.len()
     }
 
+    /// Lists the addresses of the workers.
+    pub fn worker_addrs(&self) -> Vec<std::net::SocketAddr> {
+        self.workers.iter().map(|worker| worker.info.addr).collect()
+    }
+
     /// Tells whether a worker is in another zone than the daemon.
     pub fn is_far(&self, worker: std::net::SocketAddr) -> bool {
         let index = self.workers.find(worker);
--- a/crates/dispatch/src/workers.rs
+++ b/crates/dispatch/src/workers.rs
@@ -3,7 +3,7 @@
 //! Each daemon holds shares of a worker's slots and binds a task only to a free one.
 //! The ready set keeps the choice logarithmic; see `docs/design/upstreams.md`.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use rand::Rng as _;
@@ -82,6 +82,8 @@
     /// When the last reply came.
     pub hint_at: Millis,
     own_zone: bool,
+    /// The VM list no longer names the worker, so that its place may be used again.
+    gone: bool,
     key: Option<ReadyKey>,
 }
 
@@ -138,11 +140,13 @@
 
     /// Takes a new VM list; workers that it no longer names get nothing new.
     pub fn update(&mut self, infos: &[WorkerInfo]) {
+        let listed: HashSet<SocketAddr> = infos.iter().map(|info| info.addr).collect();
         for index in 0..self.list.len() as u32 {
-            let addr = self.list[index as usize].info.addr;
-            if !infos.iter().any(|info| info.addr == addr) {
-                self.change(index, |worker| worker.info.leaving = true);
-            }
+            let gone = !listed.contains(&self.list[index as usize].info.addr);
+            self.change(index, |worker| {
+                worker.gone = gone;
+                worker.info.leaving |= gone;
+            });
         }
         for info in infos {
             match self.by_addr.get(&info.addr).copied() {
@@ -381,10 +385,8 @@
     }
 
     fn add(&mut self, info: WorkerInfo) {
-        let index = self.list.len() as u32;
-        self.by_addr.insert(info.addr, index);
         let own_zone = info.zone == self.zone;
-        self.list.push(Worker {
+        let worker = Worker {
             info,
             credits: 0,
             outstanding: 0,
@@ -395,8 +397,10 @@
             hint_free: 0,
             hint_at: Millis(0),
             own_zone,
+            gone: false,
             key: None,
-        });
+        };
+        let index = self.place_for(worker);
         if own_zone {
             let (rank, count) = self.rank;
             self.change(index, |worker| {
@@ -405,6 +409,22 @@
         }
     }
 
+    /// Puts a worker where one was that is gone for good, or at the end.
+    fn place_for(&mut self, worker: Worker) -> u32 {
+        let addr = worker.info.addr;
+        let reusable = self.list.iter().position(|old| old.gone && old.outstanding == 0);
+        let index = if let Some(index) = reusable {
+            self.by_addr.remove(&self.list[index].info.addr);
+            self.list[index] = worker;
+            index as u32
+        } else {
+            self.list.push(worker);
+            self.list.len() as u32 - 1
+        };
+        self.by_addr.insert(addr, index);
+        index
+    }
+
     fn change(&mut self, index: u32, change: impl FnOnce(&mut Worker)) {
         let worker = &mut self.list[index as usize];
         let old = worker.key;
--- a/crates/dispatch/tests/policy.rs
+++ b/crates/dispatch/tests/policy.rs
@@ -190,6 +190,26 @@
     assert!(bench.starts.iter().all(|(_, _, worker)| *worker == addr(0)), "{:?}", bench.starts);
 }
 
+#[test]
+fn the_place_of_a_worker_that_is_gone_is_used_again() {
+    let mut bench = Bench::new(2);
+    for round in 0..50 {
+        let info = |place: usize| WorkerInfo {
+            addr: addr(place),
+            zone: "zone".into(),
+            slots: SLOTS,
+            size: Needs { cores: 8, memory_mb: 1_000, accelerators: 0 },
+            leaving: false,
+        };
+        bench.drive(Event::Workers(vec![info(0), info(100 + round)]));
+        bench.submit("check", 8, Needs::default());
+        let new = bench.starts.iter().filter(|(_, _, worker)| *worker == addr(100 + round));
+        assert_eq!(new.count(), SLOTS as usize, "round {round}");
+        bench.end_all(None);
+    }
+    assert_eq!(bench.engine.worker_addrs().len(), 2, "50 workers came and went in one place");
+}
+
 #[test]
 fn a_job_that_no_worker_can_hold_is_refused_at_once() {
     let mut bench = Bench::new(2);
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -12,7 +12,10 @@
 use httpedge::server::{Request, Response, serve};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
-use upstreams::wire::{Done, RenewCall, SettleCall, StartCall, StopCall, WorkerEnd, WorkerReply};
+use upstreams::wire::{
+    Done, RenewCall, SettleCall, SettleJobsCall, SettleJobsReply, StartCall, StopCall, WorkerEnd,
+    WorkerReply,
+};
 
 use crate::coverage::{Sample, answer, digest_of, question_of, sample};
 use crate::ledger::{Deed, Ledger};
@@ -73,6 +76,7 @@
     open: usize,
     running: HashMap<String, RunningTask>,
     barred: HashSet<String>,
+    barred_jobs: HashSet<String>,
     ended: HashMap<String, WorkerEnd>,
     faults: Faults,
     ledger: Ledger,
@@ -90,6 +94,7 @@
             open: 0,
             running: HashMap::new(),
             barred: HashSet::new(),
+            barred_jobs: HashSet::new(),
             ended: HashMap::new(),
             faults: Faults::default(),
             ledger: Ledger::default(),
@@ -115,6 +120,11 @@
         stop
     }
 
+    fn is_barred(&self, task: &str) -> bool {
+        let job = task.rsplit_once('.').map_or(task, |(job, _)| job);
+        self.barred.contains(task) || self.barred_jobs.contains(job)
+    }
+
     fn reply(&self, task: &str, end: WorkerEnd) -> Response {
         let reply = WorkerReply {
             end,
@@ -143,6 +153,9 @@
         (&Method::POST, ["settle"]) => {
             with_body(&body, |call| async move { settle(&worker, &call) }).await
         }
+        (&Method::POST, ["settle-jobs"]) => {
+            with_body(&body, |call| async move { settle_jobs(&worker, call) }).await
+        }
         (&Method::POST, ["stop"]) => {
             with_body(&body, |call| async move { stop(&worker, &call) }).await
         }
@@ -201,7 +214,7 @@
     } else {
         permit
     };
-    let barred = worker.borrow().barred.contains(&call.task);
+    let barred = worker.borrow().is_barred(&call.task);
     let end = if barred { WorkerEnd::NeverWill } else { run(&worker, &call).await };
     drop(permit);
     worker.borrow_mut().open -= 1;
@@ -218,7 +231,7 @@
     let permit = Arc::clone(&state.free).try_acquire_owned().ok();
     let full = !call.hold && permit.is_none();
     let crowded = state.open >= MOST_OPEN_STARTS;
-    let refusal = if state.barred.contains(&call.task) {
+    let refusal = if state.is_barred(&call.task) {
         Some(WorkerEnd::NeverWill)
     } else if state.faults.leaving {
         Some(WorkerEnd::Leaving)
@@ -311,6 +324,21 @@
     state.reply(&call.task, end)
 }
 
+fn settle_jobs(worker: &Shared, call: SettleJobsCall) -> Response {
+    let mut state = worker.borrow_mut();
+    state.ledger.messages += 1;
+    let asked = |task: &str| {
+        task.rsplit_once('.').is_some_and(|(job, _)| call.jobs.iter().any(|asked| asked == job))
+    };
+    let ended = state.ended.iter().filter(|(task, _)| asked(task));
+    let mut ends: Vec<(String, WorkerEnd)> =
+        ended.map(|(task, end)| (task.clone(), end.clone())).collect();
+    let running = state.running.keys().filter(|task| asked(task));
+    ends.extend(running.map(|task| (task.clone(), WorkerEnd::StillRuns)));
+    state.barred_jobs.extend(call.jobs);
+    Response::json(200, &SettleJobsReply { ends })
+}
+
 fn stop(worker: &Shared, call: &StopCall) -> Response {
     let mut state = worker.borrow_mut();
     state.ledger.messages += 1;
--- a/crates/upstreams/src/client.rs
+++ b/crates/upstreams/src/client.rs
@@ -1,12 +1,18 @@
 //! Calls to workers, turned into what the engine understands.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use dispatch::answer::TaskEnd;
 use dispatch::engine::{Hint, StartEnd};
-use dispatch::ticket::TaskId;
+use dispatch::recovery::Known;
+use dispatch::ticket::{JobId, TaskId};
 use httpedge::client::{CallError, Caller};
 
-use crate::wire::{Done, RenewCall, SettleCall, StartCall, StopCall, WorkerEnd, WorkerReply};
+use crate::wire::{
+    Done, RenewCall, SettleCall, SettleJobsCall, SettleJobsReply, StartCall, StopCall, WorkerEnd,
+    WorkerReply,
+};
 
 /// The longest time that a start may stay open.
 const LONGEST_RUN_MS: u64 = 600_000;
@@ -46,6 +52,28 @@
         }
     }
 
+    /// Asks about all tasks of jobs whose home is dead; what never began is barred.
+    ///
+    /// # Errors
+    /// Fails where the worker gave no reply.
+    pub async fn settle_jobs(
+        &self,
+        worker: SocketAddr,
+        jobs: &[JobId],
+    ) -> Result<HashMap<JobId, Vec<(u32, Known)>>, CallError> {
+        let call = SettleJobsCall { jobs: jobs.iter().map(ToString::to_string).collect() };
+        let reply: SettleJobsReply =
+            self.caller.post(worker, "/settle-jobs", &call, ORDER_TIMEOUT_MS).await?;
+        let mut by_job: HashMap<JobId, Vec<(u32, Known)>> = HashMap::new();
+        for (task, end) in reply.ends {
+            let task: TaskId = task.parse().map_err(|_| CallError::Unreadable(worker))?;
+            if let Some(known) = known_of(end) {
+                by_job.entry(task.job).or_default().push((task.index, known));
+            }
+        }
+        Ok(by_job)
+    }
+
     /// Stops tasks.
     ///
     /// # Errors
@@ -74,6 +102,19 @@
     }
 }
 
+/// Gives what an end says of a dead home's task; none where it never began.
+fn known_of(end: WorkerEnd) -> Option<Known> {
+    match end {
+        WorkerEnd::Done { output, digest, .. } => {
+            Some(Known::Ended(TaskEnd::Done { output, digest }))
+        }
+        WorkerEnd::Failed { detail, .. } => Some(Known::Ended(TaskEnd::Failed { detail })),
+        WorkerEnd::Stopped => Some(Known::Ended(TaskEnd::Stopped)),
+        WorkerEnd::StillRuns => Some(Known::Runs),
+        WorkerEnd::Full | WorkerEnd::Leaving | WorkerEnd::Refused | WorkerEnd::NeverWill => None,
+    }
+}
+
 fn names(tasks: &[TaskId]) -> Vec<String> {
     tasks.iter().map(ToString::to_string).collect()
 }
--- a/crates/upstreams/src/wire.rs
+++ b/crates/upstreams/src/wire.rs
@@ -73,6 +73,20 @@
     pub task: String,
 }
 
+/// A question about all tasks of jobs whose home is dead; what never began is barred.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SettleJobsCall {
+    /// The jobs' identities.
+    pub jobs: Vec<String>,
+}
+
+/// What a worker ran of some jobs; everything else of them it bars.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SettleJobsReply {
+    /// Tasks by their identities, with what became of them.
+    pub ends: Vec<(String, WorkerEnd)>,
+}
+
 /// Tasks to stop.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StopCall {
