--- a/crates/measure/src/once.rs
+++ b/crates/measure/src/once.rs
@@ -2,7 +2,7 @@
 //! outages, with callers that resubmit.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -107,10 +107,11 @@
         let _ = caller.await;
     }
     actix_rt::time::sleep(SETTLE).await;
-    ask_everyone_again(&children, &shared).await;
+    let before = unknown_shares(&shared.told.borrow());
+    let settled = ask_everyone_again(&children, &shared).await;
     let caller = Caller::new();
     let ledgers = ledgers::read(&caller, &children.workers()).await?;
-    Ok(report(&shared, &ledgers, &deeds, &message_table))
+    Ok(report(&shared, &ledgers, &deeds, &message_table, &(before, settled)))
 }
 
 /// Submits jobs one after the other, resubmitting some through any daemon at any time.
@@ -325,25 +326,33 @@
     }
 }
 
-/// Resubmits what is unknown or not run once more at the end: a refusal must stay true.
-async fn ask_everyone_again(children: &Children, shared: &Shared) {
+/// Resubmits what was refused or is unknown once more at the end: a refusal must stay true, and
+/// what a dead home left may be proved by now. Gives what the unknown ones came to.
+async fn ask_everyone_again(children: &Children, shared: &Shared) -> Settled {
     let caller = Caller::new();
     let entries = children.callers();
+    let mut settled = BTreeMap::new();
     let count = shared.told.borrow().len();
     for place in 0..count {
         let told = shared.told.borrow()[place].clone();
         let refused = told.answers.iter().any(|(verdict, _, _)| *verdict == Verdict::NotRun);
-        if !refused || told.keyed {
+        let unknown = told.answers.last().is_none_or(|last| last.0 == Verdict::Unknown);
+        if told.keyed || !(refused || unknown) {
             continue;
         }
         let entry = entries[place % entries.len()];
         let header = ("ticket", told.ticket.clone());
-        let answer = submit(&caller, entry, Some(header), &told.request, 5_000).await;
+        let answer = submit(&caller, entry, Some(header), &told.request, 10_000).await;
         if let Ok((_, Some(answer))) = answer {
+            if unknown {
+                let verdict = dispatch::report::name_of(&answer.verdict);
+                *settled.entry((told.phase, verdict)).or_insert(0) += 1;
+            }
             let mut all = shared.told.borrow_mut();
             note(&mut all[place], &answer);
         }
     }
+    settled
 }
 
 fn set_phase(shared: &Shared, phase: &'static str) {
@@ -416,7 +425,13 @@
     Ok(total)
 }
 
-fn report(shared: &Shared, ledgers: &Ledgers, deeds: &Deeds, messages: &MessageTable) -> bool {
+fn report(
+    shared: &Shared,
+    ledgers: &Ledgers,
+    deeds: &Deeds,
+    messages: &MessageTable,
+    (shares, settled): &(Shares, Settled),
+) -> bool {
     let told = shared.told.borrow();
     let jobs = told.len();
     let tasks = ledgers.starts.len();
@@ -443,10 +458,13 @@
     println!("contradicting answers            {contradicting} (target 0)");
     let lost = *shared.unanswered.borrow();
     println!("callers without any answer       {lost} (connections refused or lost 4 times)");
-    let shares = unknown_shares(&told);
-    for (phase, (unknown, all, reasons)) in &shares {
+    for (phase, (unknown, all, reasons)) in shares {
         println!("unknown in {phase:14} {unknown:5} of {all:6}  {reasons:?}");
     }
+    println!("the unknown ones with tickets, asked again at the end:");
+    for ((phase, verdict), count) in settled {
+        println!("  {phase:14} {verdict:10} {count:5}");
+    }
     let drain = shares.get("drain").map_or(0, |share| share.0);
     let outage = shares.get("log outage").map_or(0, |share| share.0);
     println!("messages per submission beside the request, its answer and the work itself:");
@@ -469,10 +487,12 @@
 }
 
 type UnknownShare = (usize, usize, HashMap<String, usize>);
+type Shares = BTreeMap<&'static str, UnknownShare>;
+type Settled = BTreeMap<(&'static str, String), usize>;
 
 /// Counts jobs by the phase that they began in whose last answer is unknown; bare keys apart.
-fn unknown_shares(told: &[Told]) -> std::collections::BTreeMap<&'static str, UnknownShare> {
-    let mut shares = std::collections::BTreeMap::new();
+fn unknown_shares(told: &[Told]) -> Shares {
+    let mut shares = BTreeMap::new();
     for told in told {
         let phase = if told.keyed { "bare keys" } else { told.phase };
         let share: &mut UnknownShare = shares.entry(phase).or_default();
