--- a/crates/clementinectl/src/catalogue.rs
+++ b/crates/clementinectl/src/catalogue.rs
@@ -296,7 +296,12 @@
     #[test]
     fn only_differences_are_edited_and_shown() {
         let team = |share| Item::Team(TeamSpec { share, max_queued_tasks: 10 });
-        let versioned = |share| Versioned { revision: 4, by: "anna".into(), item: team(share) };
+        let versioned = |share| Versioned {
+            revision: 4,
+            by: "anna".into(),
+            loose_until_ms: None,
+            item: team(share),
+        };
         let items = [("a".to_owned(), versioned(1)), ("b".to_owned(), versioned(2))].into();
         let current = CatalogueBody { next_offset: 9, items };
         let wanted = [("a".to_owned(), Some(team(1))), ("b".to_owned(), Some(team(3)))].into();
--- a/crates/clementined/src/callers.rs
+++ b/crates/clementined/src/callers.rs
@@ -6,6 +6,7 @@
 use ::callers::render::{ErrorBody, TicketsBody, render, render_problem};
 use ::peers::wire::{Ask, Tell};
 use dispatch::answer::{Answer, Reason, Verdict};
+use dispatch::catalogue::KindSpec;
 use dispatch::engine::Event;
 use dispatch::jobs::{JobRequest, Submission};
 use dispatch::ticket::Ticket;
@@ -171,13 +172,16 @@
     /// Workers are asked only where the home is known to be dead: barring the tasks of a living
     /// home would fail its job.
     async fn prove(self: &Rc<Self>, ticket: &Ticket, request: &JobRequest, lost: Answer) -> Answer {
-        let journalled =
-            if self.is_journalled(&request.kind) { self.void(ticket).await } else { None };
+        let journalled = if self.is_proof_kind(&request.kind) {
+            self.void(ticket, &request.kind).await
+        } else {
+            None
+        };
         if let Some(answer) = journalled.as_ref().filter(|a| a.verdict == Verdict::NotRun) {
             return answer.clone();
         }
         if lost.reason == Reason::HomeGone
-            && let Some(answer) = self.recover(ticket.job, request.tasks.len()).await
+            && let Some(answer) = self.recover(ticket.job, request).await
         {
             return answer;
         }
@@ -267,9 +271,9 @@
         self.forward_messages.set(self.forward_messages.get() + 2);
     }
 
-    fn is_journalled(&self, kind: &str) -> bool {
+    fn is_proof_kind(&self, kind: &str) -> bool {
         let follower = self.follower.borrow();
-        follower.fold().and_then(|fold| fold.kind(kind)).is_some_and(|kind| kind.journal)
+        follower.fold().and_then(|fold| fold.kind(kind)).is_some_and(KindSpec::proves_starts)
     }
 }
 
--- a/crates/clementined/src/journal.rs
+++ b/crates/clementined/src/journal.rs
@@ -15,6 +15,8 @@
 
 /// How long a start waits for its journal before the log service counts as out.
 const JOURNAL_LIMIT_MS: u64 = 2_500;
+/// How much later than the log itself a daemon may act on a change of the catalogue.
+const PROOF_MARGIN_MS: u64 = 60_000;
 const RETRY: Duration = Duration::from_millis(50);
 const GROUP_LOOK: Duration = Duration::from_millis(2);
 
@@ -55,7 +57,7 @@
     }
 
     /// Makes a ticket of a lost home void, where the journal proves that it never started.
-    pub async fn void(&self, ticket: &Ticket) -> Option<Answer> {
+    pub async fn void(&self, ticket: &Ticket, kind: &str) -> Option<Answer> {
         let job = ticket.job;
         let record = serde_json::to_string(&JournalRecord::Void(job.seq)).unwrap_or_default();
         let stream = journal_stream(job.incarnation);
@@ -73,7 +75,8 @@
             let end = page.records.is_empty();
             apply_page(&mut fold, &page);
             if end {
-                let whole = fold.is_whole_since(ticket.issued_ms, kept);
+                let whole = fold.is_whole_since(ticket.issued_ms, kept)
+                    && self.was_journalled(kind, page.now_ms);
                 return Some(match fold.mark(job.seq) {
                     Some(JournalMark::Voided) if whole => Answer::not_run(Reason::Voided),
                     Some(JournalMark::Started) => Answer::unknown(Reason::MayHaveStarted),
@@ -83,6 +86,17 @@
         }
     }
 
+    /// Tells whether every ticket that is still valid was issued when this kind was journalled.
+    fn was_journalled(&self, kind: &str, log_now_ms: u64) -> bool {
+        let follower = self.follower.borrow();
+        let entry = follower.fold().and_then(|fold| fold.get(kind));
+        entry.is_some_and(|entry| {
+            entry.loose_until_ms.is_none_or(|until| {
+                log_now_ms > until.0 + self.config.ticket_valid_ms + PROOF_MARGIN_MS
+            })
+        })
+    }
+
     async fn append_starts(self: Rc<Self>) {
         loop {
             let daemons = self.membership.borrow().count(self.now());
--- a/crates/clementined/src/recovery.rs
+++ b/crates/clementined/src/recovery.rs
@@ -1,14 +1,18 @@
 //! Recovers the answers of a dead home from its workers, without starting anything.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use dispatch::answer::Answer;
+use ::peers::wire::{Ask, Tell};
+use dispatch::answer::{Answer, Reason, TaskEnd};
+use dispatch::jobs::JobRequest;
 use dispatch::recovery::{Conclusion, Word, conclude};
-use dispatch::ticket::JobId;
+use dispatch::ticket::{Incarnation, JobId};
 use tokio::sync::oneshot;
+use upstreams::wire::input_digest;
 
 use crate::daemon::Daemon;
 
@@ -16,6 +20,8 @@
 const GATHER: Duration = Duration::from_millis(30);
 /// How often workers are asked again while something still runs.
 const ROUNDS: usize = 12;
+/// How long a daemon may take to promise.
+const PROMISE_WAIT_MS: u64 = 1_000;
 const ROUND_PAUSE: Duration = Duration::from_millis(400);
 
 #[derive(Debug)]
@@ -30,6 +36,8 @@
 pub struct Recovery {
     waiting: RefCell<Vec<Lost>>,
     asking: Cell<bool>,
+    /// Dead incarnations for which every daemon has promised never to answer.
+    disowned_by_all: RefCell<HashSet<Incarnation>>,
     /// Tickets that were settled by the workers' words.
     pub proved: Cell<u64>,
     /// Tickets that could not be settled.
@@ -38,7 +46,45 @@
 
 impl Daemon {
     /// Asks every worker about a job of a dead home; none where nothing can be proved.
-    pub async fn recover(self: &Rc<Self>, job: JobId, tasks: usize) -> Option<Answer> {
+    ///
+    /// Before that every daemon promises never to answer for the home: an heir that this daemon
+    /// has not heard of must not be robbed of its tickets.
+    pub async fn recover(self: &Rc<Self>, job: JobId, request: &JobRequest) -> Option<Answer> {
+        if !self.is_disowned(job.incarnation).await {
+            return None;
+        }
+        let answer = self.ask_workers(job, request.tasks.len()).await?;
+        let same = answer.tasks.iter().zip(&request.tasks).all(|(end, task)| match end {
+            TaskEnd::Done { digest, .. } => *digest == input_digest(&task.input),
+            TaskEnd::Failed { .. } | TaskEnd::Stopped | TaskEnd::InDoubt | TaskEnd::NotStarted => {
+                true
+            }
+        });
+        Some(if same { answer } else { Answer::unknown(Reason::OtherRequest) })
+    }
+
+    /// Tells whether every daemon has promised never to answer for a dead incarnation.
+    async fn is_disowned(&self, incarnation: Incarnation) -> bool {
+        if self.recovery.disowned_by_all.borrow().contains(&incarnation) {
+            return true;
+        }
+        let Tell::Disowned { known: mut open } = self.disown(incarnation) else { return false };
+        let mut asked: BTreeSet<SocketAddr> = BTreeSet::from([self.config.peers]);
+        while let Some(addr) = open.pop() {
+            if !asked.insert(addr) {
+                continue;
+            }
+            let told = self.links.call(addr, Ask::Disown(incarnation), PROMISE_WAIT_MS).await;
+            match told {
+                Ok(Tell::Disowned { known }) => open.extend(known),
+                Ok(_) | Err(_) => return false,
+            }
+        }
+        self.recovery.disowned_by_all.borrow_mut().insert(incarnation);
+        true
+    }
+
+    async fn ask_workers(self: &Rc<Self>, job: JobId, tasks: usize) -> Option<Answer> {
         let (told, answer) = oneshot::channel();
         self.recovery.waiting.borrow_mut().push(Lost { job, tasks, told });
         if !self.recovery.asking.replace(true) {
--- a/crates/clementined/tests/path.rs
+++ b/crates/clementined/tests/path.rs
@@ -141,10 +141,59 @@
         }
         let answer = env.submit(1, &used_invoice, &invoice).await;
         assert_eq!(answer.verdict, Verdict::Complete, "the worker still has the answer");
+        let answer =
+            env.submit(1, &done, &coverage_job("coverage-check", &[9; 5], &[9; 5], 7)).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::Unknown, Reason::OtherRequest));
         assert_eq!(env.starts().await, (1, 6));
     });
 }
 
+#[test]
+fn no_answer_is_recovered_while_a_daemon_may_be_the_heir() {
+    run(async {
+        let mut env = TestEnv::start(&["bergamo"], 3, 2).await;
+        let ticket = env.ticket(0).await;
+        let check = coverage_job("coverage-check", &[20; 2], &[20; 2], 1);
+        env.kill(2);
+        env.kill(0);
+        env.start_daemon(0);
+        let ready = [env.operators()[0], env.operators()[1]];
+        measure::calls::await_catalogue(&env.caller, &ready, 1).await.unwrap();
+        let answer = env.submit(1, &ticket, &check).await;
+        let unknown = (Verdict::Unknown, Reason::HomeGone);
+        assert_eq!((answer.verdict, answer.reason), unknown, "the third daemon cannot promise");
+        env.start_daemon(2);
+        measure::calls::await_ready(&env.caller, &env.operators(), 1).await.unwrap();
+        let answer = env.submit(1, &ticket, &check).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::NotRun, Reason::Voided));
+        assert_eq!(env.starts().await, (0, 0));
+    });
+}
+
+#[test]
+fn a_journal_proves_nothing_for_a_kind_that_lately_went_without_it() {
+    run(async {
+        let mut env = TestEnv::start(&["bergamo"], 2, 2).await;
+        let ticket = env.ticket(0).await;
+        let mut edits = measure::fleet::sample_catalogue();
+        edits.retain(|change| change.name == "invoice");
+        for (round, journal) in [false, true].into_iter().enumerate() {
+            let mut change = edits[0].clone();
+            change.base = Some(env.revision("invoice").await);
+            if let Some(dispatch::catalogue::Item::Kind(kind)) = change.item.as_mut() {
+                kind.journal = journal;
+            }
+            let id = format!("loose-{round}");
+            let operators = env.operators()[1];
+            measure::calls::edit(&env.caller, operators, &id, vec![change]).await.unwrap();
+        }
+        env.kill(0);
+        let invoice = coverage_job("invoice", &[20], &[20], 2);
+        let answer = env.submit(1, &ticket, &invoice).await;
+        assert_eq!(answer.verdict, Verdict::Unknown, "a start may have gone without a journal");
+    });
+}
+
 #[test]
 fn a_daemon_that_starts_while_the_log_is_out_takes_the_catalogue_from_a_peer() {
     run(async {
--- a/crates/clementined/tests/support/mod.rs
+++ b/crates/clementined/tests/support/mod.rs
@@ -91,6 +91,15 @@
         panic!("the daemon did not end");
     }
 
+    /// Gives the revision of a catalogue entry.
+    pub async fn revision(&self, name: &str) -> u64 {
+        let operators = self.operators()[1];
+        let path = "/v1/catalogue";
+        let body: operators::wire::CatalogueBody =
+            self.caller.get(operators, path, 5_000).await.unwrap();
+        body.items[name].revision
+    }
+
     pub async fn ticket(&self, place: usize) -> String {
         let path = "/v1/tickets?count=1";
         let body: TicketsBody = self.caller.get(self.callers(place), path, 5_000).await.unwrap();
--- a/crates/dispatch/src/catalogue.rs
+++ b/crates/dispatch/src/catalogue.rs
@@ -61,6 +61,13 @@
     pub max_tasks: u32,
 }
 
+impl KindSpec {
+    /// Tells whether every start of this kind is in the journal before it is made.
+    pub fn proves_starts(&self) -> bool {
+        self.journal && self.on_log_out == OnLogOut::Refuse
+    }
+}
+
 /// One team with its quota.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -200,6 +207,10 @@
     pub revision: u64,
     /// Who made it.
     pub by: String,
+    /// Until when, on the log's clock, an entry of this name let starts go without a journal;
+    /// none where it never did. Before that a journal proves nothing.
+    #[serde(default)]
+    pub loose_until_ms: Option<Millis>,
     /// The content.
     pub item: Item,
 }
@@ -309,7 +320,7 @@
         }
         let outcome = self.judge(edit);
         if matches!(outcome, Outcome::Applied { .. }) {
-            self.make_changes(offset, edit);
+            self.make_changes(offset, at_ms, edit);
             let names = edit.changes.iter().map(|change| change.name.clone()).collect();
             let (by, edit) = (edit.by.clone(), edit.id.clone());
             self.history.push_back(HistoryLine { revision: offset, at_ms, by, edit, names });
@@ -326,13 +337,24 @@
         }
     }
 
-    fn make_changes(&mut self, offset: u64, edit: &Edit) {
+    fn loose_until(&self, name: &str, at_ms: Millis) -> Option<Millis> {
+        let Some(before) = self.items.get(name) else {
+            return self.removed.contains_key(name).then_some(at_ms);
+        };
+        match &before.item {
+            Item::Kind(kind) if kind.proves_starts() => before.loose_until_ms,
+            Item::Kind(_) | Item::Team(_) => Some(at_ms),
+        }
+    }
+
+    fn make_changes(&mut self, offset: u64, at_ms: Millis, edit: &Edit) {
         for change in &edit.changes {
             let name = change.name.clone();
             let by = edit.by.clone();
             if let Some(item) = change.item.clone() {
+                let loose_until_ms = self.loose_until(&name, at_ms);
                 self.removed.remove(&name);
-                self.items.insert(name, Versioned { revision: offset, by, item });
+                self.items.insert(name, Versioned { revision: offset, by, loose_until_ms, item });
                 continue;
             }
             self.items.remove(&name);
--- a/crates/measure/src/calls.rs
+++ b/crates/measure/src/calls.rs
@@ -10,7 +10,7 @@
 use httpedge::client::{CallError, Caller, RawCall};
 use operators::wire::EditBody;
 use serde_json::{Value, json};
-use standins::coverage::digest_of;
+use upstreams::wire::input_digest;
 
 const CALL_TIMEOUT_MS: u64 = 120_000;
 const OPERATOR_TIMEOUT_MS: u64 = 10_000;
@@ -86,7 +86,7 @@
 /// Tells whether a complete answer has one right digest for each task of the job.
 pub fn is_whole(job: &JobRequest, answer: &AnswerBody) -> bool {
     let right = |(task, end): (&TaskSpec, &TaskEnd)| match end {
-        TaskEnd::Done { digest, .. } => *digest == digest_of(&task.input),
+        TaskEnd::Done { digest, .. } => *digest == input_digest(&task.input),
         TaskEnd::Failed { .. } | TaskEnd::Stopped | TaskEnd::InDoubt | TaskEnd::NotStarted => false,
     };
     answer.tasks.len() == job.tasks.len() && job.tasks.iter().zip(&answer.tasks).all(right)
@@ -120,6 +120,30 @@
     caller.get(operators, "/v1/state", OPERATOR_TIMEOUT_MS).await
 }
 
+/// Waits until the given daemons have the catalogue.
+///
+/// # Errors
+/// Fails where that takes more than some seconds.
+pub async fn await_catalogue(
+    caller: &Caller,
+    operators: &[SocketAddr],
+    offset: u64,
+) -> Result<(), String> {
+    for _ in 0..400 {
+        let mut ready = 0;
+        for addr in operators {
+            let state = state(caller, *addr).await;
+            let at = state.ok().and_then(|state| state["catalogue_offset"].as_u64());
+            ready += usize::from(at >= Some(offset));
+        }
+        if ready == operators.len() {
+            return Ok(());
+        }
+        actix_rt::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    Err("the catalogue did not come".to_owned())
+}
+
 /// Waits until every daemon has the catalogue and hears every other.
 ///
 /// # Errors
--- a/crates/standins/src/coverage.rs
+++ b/crates/standins/src/coverage.rs
@@ -79,11 +79,6 @@
     serde_json::from_str(input).unwrap_or_default()
 }
 
-/// Gives the digest of a task's input, by which a crossed or partial answer shows.
-pub fn digest_of(input: &str) -> String {
-    blake3::hash(input.as_bytes()).to_hex()[..16].to_owned()
-}
-
 /// Answers a question.
 pub fn answer(sample: &Sample, question: &Question) -> String {
     let Some(contract) = sample.contracts.iter().find(|c| c.contract == question.contract) else {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -14,10 +14,10 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use upstreams::wire::{
     Done, RenewCall, SettleCall, SettleJobsCall, SettleJobsReply, StartCall, StopCall, WorkerEnd,
-    WorkerReply,
+    WorkerReply, input_digest,
 };
 
-use crate::coverage::{Sample, answer, digest_of, question_of, sample};
+use crate::coverage::{Sample, answer, question_of, sample};
 use crate::ledger::{Deed, Ledger};
 
 const LARGEST_BODY_BYTES: usize = 4 << 20;
@@ -277,7 +277,7 @@
         }
         Either::Left(_) => {
             let output = answer(&sample, &question);
-            let digest = digest_of(&call.input);
+            let digest = input_digest(&call.input);
             (Deed::Finished, WorkerEnd::Done { output, digest, run_ms })
         }
     };
--- a/crates/upstreams/src/wire.rs
+++ b/crates/upstreams/src/wire.rs
@@ -2,6 +2,17 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Characters of an input's digest.
+const DIGEST_LENGTH: usize = 16;
+
+/// Gives the digest of a task's input that a worker's answer carries, by which a crossed answer
+/// shows: the first 16 hexadecimal digits of `blake3`.
+pub fn input_digest(input: &str) -> String {
+    let mut digest = blake3::hash(input.as_bytes()).to_hex().to_string();
+    digest.truncate(DIGEST_LENGTH);
+    digest
+}
+
 /// A start; the reply comes when the task has ended or is refused.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StartCall {
