--- a/crates/clementined/src/journal.rs
+++ b/crates/clementined/src/journal.rs
@@ -32,10 +32,9 @@
         self.folds.borrow().get(&job.incarnation).and_then(|fold| fold.mark(job.seq))
     }
 
-    /// Forgets a job whose mark has been used: a burnt ticket is never journalled again.
-    fn forget(&self, job: JobId) {
-        if let Some(fold) = self.folds.borrow_mut().get_mut(&job.incarnation) {
-            fold.forget(job.seq);
+    fn forget_starts(&self, incarnation: Incarnation) {
+        if let Some(fold) = self.folds.borrow_mut().get_mut(&incarnation) {
+            fold.forget_starts();
         }
     }
 
@@ -129,9 +128,9 @@
                     Some(JournalMark::Voided) => JournalResult::Voided,
                     None => JournalResult::Out,
                 };
-                self.journal.forget(job);
                 self.drive(Event::Journalled { job, result });
             }
+            self.journal.forget_starts(incarnation);
         }
     }
 
--- a/crates/clementined/tests/path.rs
+++ b/crates/clementined/tests/path.rs
@@ -170,6 +170,24 @@
     });
 }
 
+#[test]
+fn a_ticket_voided_through_another_daemon_is_never_started_by_its_living_home() {
+    run(async {
+        let env = TestEnv::start(&["bergamo"], 2, 2).await;
+        let (earlier, ticket) = (env.ticket(0).await, env.ticket(0).await);
+        let invoice = coverage_job("invoice", &[20; 2], &[20; 2], 1);
+        assert_eq!(env.submit(0, &earlier, &invoice).await.verdict, Verdict::Complete);
+        set_cut(&env, 1, &[env.fleet.daemons[0].peers]).await;
+        for place in [1, 0, 1] {
+            let answer = env.submit(place, &ticket, &invoice).await;
+            assert_eq!((answer.verdict, answer.reason), (Verdict::NotRun, Reason::Voided));
+        }
+        let answer = env.submit(1, &earlier, &invoice).await;
+        assert_eq!((answer.verdict, answer.reason), (Verdict::Unknown, Reason::MayHaveStarted));
+        assert_eq!(env.starts().await, (1, 2));
+    });
+}
+
 #[test]
 fn a_journal_proves_nothing_for_a_kind_that_lately_went_without_it() {
     run(async {
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -81,9 +81,9 @@
         self.next_offset
     }
 
-    /// Forgets a ticket of which the home has taken note.
-    pub fn forget(&mut self, seq: u64) {
-        self.marks.remove(&seq);
+    /// Forgets every start: the home has taken note, and never journals a burnt ticket again.
+    pub fn forget_starts(&mut self) {
+        self.marks.retain(|_, mark| *mark == JournalMark::Voided);
     }
 }
 
--- a/crates/peers/src/links.rs
+++ b/crates/peers/src/links.rs
@@ -17,6 +17,8 @@
 use crate::wire::{Ask, Body, Frame, Tell};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Frames that wait for a slow peer; past it nothing more is sent.
+const MOST_QUEUED_FRAMES: usize = 4_096;
 const LARGEST_FRAME_BYTES: usize = 64 << 20;
 
 /// Why a question brought no reply.
@@ -36,7 +38,7 @@
 type Waiting = Rc<RefCell<HashMap<u64, oneshot::Sender<Tell>>>>;
 
 struct Link {
-    frames: mpsc::UnboundedSender<Frame>,
+    frames: mpsc::Sender<Frame>,
     waiting: Waiting,
 }
 
@@ -115,7 +117,7 @@
             let link = open.get(&addr).ok_or(LinkError::NoConnection(addr))?;
             link.waiting.borrow_mut().insert(id, sender);
             let frame = Frame { from: self.own, id, body: Body::Ask(ask) };
-            link.frames.send(frame).map_err(|_| LinkError::ReplyLost(addr))?;
+            link.frames.try_send(frame).map_err(|_| LinkError::NoConnection(addr))?;
         }
         let reply = actix_rt::time::timeout(Duration::from_millis(wait_ms), receiver).await;
         match reply {
@@ -139,7 +141,7 @@
         let open = self.open.borrow();
         let link = open.get(&addr).ok_or(LinkError::NoConnection(addr))?;
         let frame = Frame { from: self.own, id: 0, body: Body::Ask(ask) };
-        link.frames.send(frame).map_err(|_| LinkError::ReplyLost(addr))
+        link.frames.try_send(frame).map_err(|_| LinkError::NoConnection(addr))
     }
 
     /// Closes every link to the given addresses.
@@ -173,7 +175,7 @@
             return Err(LinkError::NoConnection(addr));
         };
         let _ = stream.set_nodelay(true);
-        let (frames, outgoing) = mpsc::unbounded_channel();
+        let (frames, outgoing) = mpsc::channel(MOST_QUEUED_FRAMES);
         let waiting = Waiting::default();
         let link = Link { frames, waiting: Rc::clone(&waiting) };
         let mut open = self.open.borrow_mut();
@@ -191,7 +193,7 @@
         &self,
         addr: SocketAddr,
         stream: TcpStream,
-        mut outgoing: mpsc::UnboundedReceiver<Frame>,
+        mut outgoing: mpsc::Receiver<Frame>,
         waiting: Waiting,
     ) {
         let (mut sink, mut source) = framed(stream).split();
@@ -224,7 +226,7 @@
     async fn serve_stream(&self, stream: TcpStream, handler: Handler) {
         let _ = stream.set_nodelay(true);
         let (mut sink, mut source) = framed(stream).split();
-        let (replies, mut outgoing) = mpsc::unbounded_channel::<Frame>();
+        let (replies, mut outgoing) = mpsc::channel::<Frame>(MOST_QUEUED_FRAMES);
         let reader = async {
             while let Some(Ok(bytes)) = source.next().await {
                 let Some(frame) = self.open_frame(&bytes) else {
@@ -236,7 +238,7 @@
                 let (from, id) = (self.own, frame.id);
                 actix_rt::spawn(async move {
                     let Some(tell) = answered.await else { return };
-                    let _ = replies.send(Frame { from, id, body: Body::Tell(tell) });
+                    let _ = replies.send(Frame { from, id, body: Body::Tell(tell) }).await;
                 });
             }
         };
