--- a/crates/clementined/src/catalogue.rs
+++ b/crates/clementined/src/catalogue.rs
@@ -5,8 +5,9 @@
 
 use ::operators::wire::EditBody;
 use ::peers::wire::{Ask, Tell};
-use dispatch::catalogue::{CATALOGUE_STREAM, CatalogueRecord, Edit, LogRecord, validate};
+use dispatch::catalogue::{CATALOGUE_STREAM, CatalogueRecord, Edit, validate};
 use dispatch::clock::Millis;
+use dispatch::follower::LogRecord;
 use dispatch::membership::Heartbeat;
 use httpedge::client::CallError;
 use platform::wire::Page;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod estimate;
 mod execution;
+pub mod follower;
 pub mod health;
 pub mod home;
 pub mod jobs;
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod play;
 pub mod policy;
 pub mod roles;
+pub mod scenario;
 pub mod trace;
--- a/crates/peers/src/links.rs
+++ b/crates/peers/src/links.rs
@@ -115,9 +115,9 @@
         {
             let open = self.open.borrow();
             let link = open.get(&addr).ok_or(LinkError::NoConnection(addr))?;
-            link.waiting.borrow_mut().insert(id, sender);
             let frame = Frame { from: self.own, id, body: Body::Ask(ask) };
             link.frames.try_send(frame).map_err(|_| LinkError::NoConnection(addr))?;
+            link.waiting.borrow_mut().insert(id, sender);
         }
         let reply = actix_rt::time::timeout(Duration::from_millis(wait_ms), receiver).await;
         match reply {
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use dispatch::answer::Answer;
-use dispatch::catalogue::{Fold, LogRecord};
+use dispatch::catalogue::Fold;
+use dispatch::follower::LogRecord;
 use dispatch::home::HandedTable;
 use dispatch::jobs::JobRequest;
 use dispatch::shares::{SlotAsk, SlotGrant};
