Find a scarce worker behind many others; bound the work of asking

Cause: a task with needs looked at the first 64 ready workers only, so that an accelerator behind them was not seen; and each event of a waiting daemon went over all workers to count shares and to look for unclaimed slots. Change: a task with needs looks at all ready workers; shares are counted only when an ask may go out, and slots are claimed at most every 10 ms. Measured: counts in virtual time (a_scarce_worker_is_found_behind_many_others); no timing was taken. Conclusion: needs are met wherever a free slot meets them.

--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -319,6 +319,7 @@
             owners_running: HashMap::new(),
             expired_at: Millis(0),
             returned_at: Millis(0),
+            claimed_at: Millis(0),
             global_log_ratio: 0.0,
             actions: Vec::new(),
         }
@@ -354,6 +355,7 @@
     pub(crate) owners_running: HashMap<String, usize>,
     pub(crate) expired_at: Millis,
     pub(crate) returned_at: Millis,
+    pub(crate) claimed_at: Millis,
     pub(crate) global_log_ratio: f64,
     pub(crate) actions: Vec<Action>,
 }
--- a/crates/dispatch/src/shares.rs
+++ b/crates/dispatch/src/shares.rs
@@ -121,10 +121,15 @@
         self.asked.remove(&peer);
     }
 
+    /// Tells whether an ask may go out again.
+    pub const fn may_ask(&self, now: Millis) -> bool {
+        now.since(self.last_ask_at) >= ASK_EVERY_MS
+    }
+
     /// Decides whom to ask for slots.
     pub fn ask(&mut self, need: &Need, now: Millis) -> Option<(Incarnation, SlotAsk)> {
         let wait_ms = need.waited_ms + need.drain_ms;
-        if now.since(self.last_ask_at) < ASK_EVERY_MS || wait_ms < PATIENCE_MS.min(self.spill_ms) {
+        if !self.may_ask(now) || wait_ms < PATIENCE_MS.min(self.spill_ms) {
             return None;
         }
         let spills = wait_ms >= self.spill_ms;
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -14,6 +14,8 @@
 const RETURN_EVERY_MS: u64 = 400;
 /// How long a task waits without a slot before unclaimed free slots are taken.
 const CLAIM_AFTER_MS: u64 = 300;
+/// The shortest time between two such claims.
+const CLAIM_EVERY_MS: u64 = 10;
 
 impl Engine {
     /// Starts what can be started, asks for slots and gives some.
@@ -83,6 +85,9 @@
     }
 
     fn ask_for_slots(&mut self, now: Millis) {
+        if !self.shares.may_ask(now) {
+            return;
+        }
         let due = self.queue.due_tasks(now, MOST_DUE) as u64;
         if due == 0 {
             return;
@@ -95,7 +100,17 @@
             self.counters.slot_asks += 1;
             self.actions.push(Action::AskSlots(peer, ask));
         }
-        if waited_ms > CLAIM_AFTER_MS && self.workers.claim_unused(now).is_some() {
+        if waited_ms > CLAIM_AFTER_MS {
+            self.claim_slot(now);
+        }
+    }
+
+    fn claim_slot(&mut self, now: Millis) {
+        if now.since(self.claimed_at) < CLAIM_EVERY_MS {
+            return;
+        }
+        self.claimed_at = now;
+        if self.workers.claim_unused(now).is_some() {
             self.counters.slots_claimed += 1;
             self.serve_queue(now);
         }
--- a/crates/dispatch/src/workers.rs
+++ b/crates/dispatch/src/workers.rs
@@ -102,8 +102,8 @@
 const FRESH_HINT_MS: u64 = 300;
 /// A worker of which no share is held is tried after this long without a word.
 const UNHEARD_MS: u64 = 2_000;
-/// Ready workers looked at for one that fits a task's needs.
-const FIT_SCAN: usize = 64;
+/// Ready workers looked at for a task without needs, which nearly every worker fits.
+const PLAIN_SCAN: usize = 64;
 const SLOW_TIERS: [f64; 3] = [1.8, 2.8, 4.0];
 const EARLY_BINDING_LIMIT: u32 = 64;
 const MOST_ASIDE_SHARE: usize = 3;
@@ -452,7 +452,9 @@
         waited_ms: u64,
         now: Millis,
     ) -> Option<u32> {
-        let candidates = self.ready.iter().take(FIT_SCAN).map(|key| key.3);
+        let plain = *needs == Needs::default();
+        let scan = if plain { PLAIN_SCAN } else { usize::MAX };
+        let candidates = self.ready.iter().take(scan).map(|key| key.3);
         candidates.into_iter().find(|index| {
             let worker = &self.list[*index as usize];
             let probing = matches!(worker.health.trust, Trust::Probing(_));
--- a/crates/dispatch/tests/policy.rs
+++ b/crates/dispatch/tests/policy.rs
@@ -225,6 +225,23 @@
     assert!(bench.starts.is_empty());
 }
 
+#[test]
+fn a_scarce_worker_is_found_behind_many_others() {
+    let mut bench = Bench::new(0);
+    let info = |place: usize| WorkerInfo {
+        addr: addr(place),
+        zone: "zone".into(),
+        slots: SLOTS,
+        size: Needs { cores: 8, memory_mb: 1_000, accelerators: u32::from(place == 199) },
+        leaving: false,
+    };
+    bench.drive(Event::Workers((0..200).map(info).collect()));
+    let needs = Needs { accelerators: 1, ..Needs::default() };
+    bench.submit("check", 2, needs);
+    assert_eq!(bench.starts.len(), 2);
+    assert!(bench.starts.iter().all(|(_, _, worker)| *worker == addr(199)));
+}
+
 #[test]
 fn past_its_bound_a_request_is_refused_at_once_and_truthfully() {
     let mut bench = Bench::new(1);
