Part what is done to a fleet from the callers that measure it

Change: measure::harm does the kills, drains, pauses, cuts and outages. Measured: linter and build only; behaviour is as it was. Conclusion: once.rs is about callers and ledgers again.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 pub mod control;
 pub mod fleet;
+pub mod harm;
 pub mod ideal;
 pub mod ledgers;
 pub mod once;
--- a/crates/measure/src/once.rs
+++ b/crates/measure/src/once.rs
@@ -14,13 +14,11 @@
 use httpedge::client::Caller;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
-use serde_json::Value;
-use standins::log::LogFaults;
-use standins::worker::Faults;
 
 use crate::calls::{coverage_job, is_whole, state, submit};
-use crate::children::{Children, Signal};
+use crate::children::Children;
 use crate::fleet::{FERRANDI_ZONES, Fleet};
+use crate::harm::{Deeds, harm};
 use crate::ledgers::{self, Ledgers};
 
 const DAEMONS: usize = 8;
@@ -45,17 +43,6 @@
     keyed: bool,
 }
 
-/// What was done to the fleet while the callers ran.
-#[derive(Clone, Debug, Default)]
-struct Deeds {
-    crashes: usize,
-    drains: usize,
-    pauses: usize,
-    cuts: usize,
-    outages: usize,
-    worker_faults: usize,
-}
-
 #[derive(Debug)]
 struct Shared {
     told: RefCell<Vec<Told>>,
@@ -90,7 +77,8 @@
         .collect();
     let mut deeds = Deeds::default();
     while *shared.tasks.borrow() < tasks {
-        harm(&mut children, &shared, &mut deeds).await?;
+        let set_phase = |phase| *shared.phase.borrow_mut() = phase;
+        harm(&mut children, set_phase, &mut deeds).await?;
         println!(
             "{:5.1} s  {} tasks asked for, {} crashes, {} drains, {} pauses, {} cuts, {} outages",
             began.elapsed().as_secs_f64(),
@@ -215,117 +203,6 @@
     None
 }
 
-/// Does one harm after the other, each with its own name in the report.
-async fn harm(
-    children: &mut Children,
-    shared: &Rc<Shared>,
-    deeds: &mut Deeds,
-) -> Result<(), String> {
-    let caller = Caller::new();
-    let turn = deeds.crashes % DAEMONS;
-    set_phase(shared, "worker faults");
-    harm_workers(&caller, children, deeds).await;
-    set_phase(shared, "drain");
-    pause(500).await;
-    let drained = [(turn + 2) % DAEMONS, (turn + 5) % DAEMONS];
-    for place in drained {
-        children.signal(place, Signal::Terminate);
-        deeds.drains += 1;
-    }
-    for place in drained {
-        if !children.await_end(place, Duration::from_secs(25)).await {
-            return Err("a draining daemon did not end".to_owned());
-        }
-        children.start_daemon(place)?;
-    }
-    pause(3_000).await;
-    set_phase(shared, "log outage");
-    pause(300).await;
-    set_log(&caller, children, LogFaults { down: true, ..LogFaults::default() }).await;
-    pause(3_000).await;
-    let lossy = LogFaults { lose_reply_every: 3, slow_ms: 60, ..LogFaults::default() };
-    set_log(&caller, children, lossy).await;
-    deeds.outages += 1;
-    pause(2_000).await;
-    set_log(&caller, children, LogFaults::default()).await;
-    set_phase(shared, "pause");
-    children.signal((turn + 1) % DAEMONS, Signal::Stop);
-    pause(2_500).await;
-    children.signal((turn + 1) % DAEMONS, Signal::Continue);
-    deeds.pauses += 1;
-    pause(1_000).await;
-    set_phase(shared, "cut");
-    cut_first_zone(&caller, children, true).await;
-    pause(3_000).await;
-    cut_first_zone(&caller, children, false).await;
-    deeds.cuts += 1;
-    pause(1_500).await;
-    set_phase(shared, "crash");
-    pause(500).await;
-    children.signal(turn, Signal::Kill);
-    deeds.crashes += 1;
-    pause(800).await;
-    children.start_daemon(turn)?;
-    pause(3_000).await;
-    set_phase(shared, "calm");
-    pause(1_000).await;
-    Ok(())
-}
-
-async fn harm_workers(caller: &Caller, children: &Children, deeds: &mut Deeds) {
-    let workers = children.workers();
-    let faults = [
-        Faults { lose_answer: true, ..Faults::default() },
-        Faults { lose_request: true, ..Faults::default() },
-        Faults { refuse: true, ..Faults::default() },
-        Faults { lapse: true, ..Faults::default() },
-        Faults { leaving: true, ..Faults::default() },
-        Faults { slow_factor: 8.0, ..Faults::default() },
-    ];
-    for (worker, fault) in workers.iter().step_by(7).zip(faults) {
-        post_fault(caller, *worker, fault).await;
-        deeds.worker_faults += 1;
-    }
-    pause(1_500).await;
-    for worker in &workers {
-        post_fault(caller, *worker, Faults::default()).await;
-    }
-}
-
-async fn post_fault(caller: &Caller, worker: SocketAddr, faults: Faults) {
-    let _: Result<Value, _> = caller.post(worker, "/faults", &faults, 3_000).await;
-}
-
-async fn set_log(caller: &Caller, children: &Children, faults: LogFaults) {
-    let _: Result<Value, _> = caller.post(children.fleet.log, "/faults", &faults, 3_000).await;
-}
-
-/// Cuts the first zone off from the other daemons and from the platform, or heals it.
-async fn cut_first_zone(caller: &Caller, children: &Children, cut: bool) {
-    let zone = &children.fleet.daemons[0].zone;
-    for daemon in &children.fleet.daemons {
-        let inside = daemon.zone == *zone;
-        let others = children.fleet.daemons.iter().filter(|other| (other.zone == *zone) != inside);
-        let mut addrs: Vec<SocketAddr> = others.map(|other| other.peers).collect();
-        if inside {
-            let far = children.fleet.workers.iter().filter(|(_, other)| other != zone);
-            addrs.extend(far.map(|(addr, _)| *addr));
-            addrs.extend([children.fleet.log, children.fleet.vms]);
-        }
-        let addrs = if cut { addrs } else { Vec::new() };
-        let body = serde_json::json!({ "cut": addrs }).to_string().into_bytes();
-        let call = httpedge::client::RawCall {
-            addr: daemon.operators,
-            method: "POST",
-            path: "/v1/faults",
-            headers: &[],
-            body,
-            timeout_ms: 3_000,
-        };
-        let _ = caller.raw(call).await;
-    }
-}
-
 /// Resubmits what was refused or is unknown once more at the end: a refusal must stay true, and
 /// what a dead home left may be proved by now. Gives what the unknown ones came to.
 async fn ask_everyone_again(children: &Children, shared: &Shared) -> Settled {
@@ -355,14 +232,6 @@
     settled
 }
 
-fn set_phase(shared: &Shared, phase: &'static str) {
-    *shared.phase.borrow_mut() = phase;
-}
-
-async fn pause(span_ms: u64) {
-    actix_rt::time::sleep(Duration::from_millis(span_ms)).await;
-}
-
 fn job_of(ticket: &str) -> String {
     let keys = Keyring::new(Key { id: 1, secret: [0x5e; 32] }, Vec::new());
     keys.check(ticket).map(|ticket| ticket.job.to_string()).unwrap_or_default()
