A replaced worker's word is no proof; recover only what every task came to

Cause: reading what 'never began' rests on. A worker whose process was replaced after a start knows nothing of it and would say 'never': the task would start twice. The recovery's 'not run' had the same hole, and another: a worker that had left the VM list is not asked at all. Change: workers tell a number that their process drew; a start goes only to a worker whose number is known, and 'never' counts only under the same number. Recovery neither bars nor refuses: it tells complete or failed where every task has a known end, and otherwise stays unknown. Conclusion: a proof of absence needs the same witness before and after.

--- a/crates/clementined/src/callers.rs
+++ b/crates/clementined/src/callers.rs
@@ -169,8 +169,8 @@
 
     /// Tries to prove what became of a job whose home does not answer, without starting anything.
     ///
-    /// Workers are asked only where the home is known to be dead: barring the tasks of a living
-    /// home would fail its job.
+    /// Workers are asked only where the home is known to be dead: a home that is merely out of
+    /// reach will answer itself, at fewer messages.
     async fn prove(self: &Rc<Self>, ticket: &Ticket, request: &JobRequest, lost: Answer) -> Answer {
         let journalled = if self.is_proof_kind(&request.kind) {
             self.void(ticket, &request.kind).await
--- a/crates/clementined/src/daemon.rs
+++ b/crates/clementined/src/daemon.rs
@@ -96,8 +96,6 @@
     pub offered: RefCell<HashMap<Incarnation, Vec<HandedTable>>>,
     /// Drained daemons whose tables were taken over here, also where they went on since.
     pub taken: RefCell<HashSet<Incarnation>>,
-    /// Dead incarnations for which this daemon has promised never to answer.
-    pub disowned: RefCell<HashSet<Incarnation>>,
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Rc<Answer>>>>,
     next_request: Cell<RequestId>,
     began: Instant,
@@ -168,7 +166,6 @@
             log_reached_at: Cell::new(None),
             offered: RefCell::default(),
             taken: RefCell::default(),
-            disowned: RefCell::default(),
             waiting: RefCell::default(),
             next_request: Cell::new(1),
             began: Instant::now(),
--- a/crates/clementined/src/peers.rs
+++ b/crates/clementined/src/peers.rs
@@ -34,16 +34,13 @@
                 None
             }
             Ask::OfferTables(tables) => {
-                let promised = self.disowned.borrow();
-                let disowned = tables.iter().any(|table| promised.contains(&table.incarnation));
-                if disowned || self.phase.get() != Phase::Serving {
+                if self.phase.get() != Phase::Serving {
                     return Some(Tell::Refused);
                 }
                 self.offered.borrow_mut().insert(from, tables);
                 Some(Tell::Done)
             }
             Ask::TakeOver => Some(self.take_over(from)),
-            Ask::Disown(incarnation) => Some(self.disown(incarnation)),
             Ask::CatalogueFrom(offset) => Some(self.catalogue_from(offset)),
         }
     }
@@ -95,22 +92,6 @@
         Tell::Done
     }
 
-    /// Promises never to answer for a dead incarnation; declines where this daemon may have to,
-    /// or knows who does.
-    pub fn disown(&self, incarnation: Incarnation) -> Tell {
-        let membership = self.membership.borrow();
-        let offered = self.offered.borrow();
-        let may_come = offered.values().flatten().any(|table| table.incarnation == incarnation);
-        let own = incarnation == self.incarnation || self.engine.borrow().answers_for(incarnation);
-        let has_heir = membership.heir_of(incarnation).is_some();
-        if own || may_come || has_heir || self.phase.get() != Phase::Serving {
-            return Tell::Refused;
-        }
-        self.disowned.borrow_mut().insert(incarnation);
-        let known = membership.peers(self.now()).map(|(addr, _, _)| addr).collect();
-        Tell::Disowned { known }
-    }
-
     fn catalogue_from(&self, offset: u64) -> Tell {
         let follower = self.follower.borrow();
         let Some(fold) = follower.fold() else {
--- a/crates/clementined/src/recovery.rs
+++ b/crates/clementined/src/recovery.rs
@@ -1,16 +1,14 @@
-//! Recovers the answers of a dead home from its workers, without starting anything.
+//! Recovers the answers of a dead home from its workers, without starting or barring anything.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use ::peers::wire::{Ask, Tell};
 use dispatch::answer::{Answer, Reason, TaskEnd};
 use dispatch::jobs::JobRequest;
-use dispatch::recovery::{Conclusion, Word, conclude};
-use dispatch::ticket::{Incarnation, JobId};
+use dispatch::recovery::{Conclusion, Known, conclude};
+use dispatch::ticket::JobId;
 use tokio::sync::oneshot;
 use upstreams::wire::input_digest;
 
@@ -20,8 +18,6 @@
 const GATHER: Duration = Duration::from_millis(30);
 /// How often workers are asked again while something still runs.
 const ROUNDS: usize = 12;
-/// How long a daemon may take to promise.
-const PROMISE_WAIT_MS: u64 = 1_000;
 const ROUND_PAUSE: Duration = Duration::from_millis(400);
 
 #[derive(Debug)]
@@ -36,8 +32,6 @@
 pub struct Recovery {
     waiting: RefCell<Vec<Lost>>,
     asking: Cell<bool>,
-    /// Dead incarnations for which every daemon has promised never to answer.
-    disowned_by_all: RefCell<HashSet<Incarnation>>,
     /// Tickets that were settled by the workers' words.
     pub proved: Cell<u64>,
     /// Tickets that could not be settled.
@@ -46,13 +40,7 @@
 
 impl Daemon {
     /// Asks every worker about a job of a dead home; none where nothing can be proved.
-    ///
-    /// Before that every daemon promises never to answer for the home: an heir that this daemon
-    /// has not heard of must not be robbed of its tickets.
     pub async fn recover(self: &Rc<Self>, job: JobId, request: &JobRequest) -> Option<Answer> {
-        if !self.is_disowned(job.incarnation).await {
-            return None;
-        }
         let answer = self.ask_workers(job, request.tasks.len()).await?;
         let same = answer.tasks.iter().zip(&request.tasks).all(|(end, task)| match end {
             TaskEnd::Done { digest, .. } => *digest == input_digest(&task.input),
@@ -63,27 +51,6 @@
         Some(if same { answer } else { Answer::unknown(Reason::OtherRequest) })
     }
 
-    /// Tells whether every daemon has promised never to answer for a dead incarnation.
-    async fn is_disowned(&self, incarnation: Incarnation) -> bool {
-        if self.recovery.disowned_by_all.borrow().contains(&incarnation) {
-            return true;
-        }
-        let Tell::Disowned { known: mut open } = self.disown(incarnation) else { return false };
-        let mut asked: BTreeSet<SocketAddr> = BTreeSet::from([self.config.peers]);
-        while let Some(addr) = open.pop() {
-            if !asked.insert(addr) {
-                continue;
-            }
-            let told = self.links.call(addr, Ask::Disown(incarnation), PROMISE_WAIT_MS).await;
-            match told {
-                Ok(Tell::Disowned { known }) => open.extend(known),
-                Ok(_) | Err(_) => return false,
-            }
-        }
-        self.recovery.disowned_by_all.borrow_mut().insert(incarnation);
-        true
-    }
-
     async fn ask_workers(self: &Rc<Self>, job: JobId, tasks: usize) -> Option<Answer> {
         let (told, answer) = oneshot::channel();
         self.recovery.waiting.borrow_mut().push(Lost { job, tasks, told });
@@ -111,15 +78,8 @@
             let words = self.ask_all_workers(&lost).await;
             let mut running = Vec::new();
             for one in lost {
-                let of_job: Vec<Word> = words
-                    .iter()
-                    .map(|word| match word {
-                        Some(by_job) => {
-                            Word::Told(by_job.get(&one.job).cloned().unwrap_or_default())
-                        }
-                        None => Word::Silent,
-                    })
-                    .collect();
+                let of_job = words.iter().filter_map(|by_job| by_job.get(&one.job));
+                let of_job: Vec<(u32, Known)> = of_job.flatten().cloned().collect();
                 match conclude(one.tasks, &of_job) {
                     Conclusion::Proved(answer) => self.tell(one, Some(answer)),
                     Conclusion::StillRuns => running.push(one),
@@ -137,13 +97,13 @@
         }
     }
 
-    async fn ask_all_workers(&self, lost: &[Lost]) -> Vec<Option<JobWords>> {
+    async fn ask_all_workers(&self, lost: &[Lost]) -> Vec<JobWords> {
         let addrs = self.engine.borrow().worker_addrs();
         let jobs: Vec<JobId> = lost.iter().map(|lost| lost.job).collect();
         self.worker_messages.set(self.worker_messages.get() + 2 * addrs.len() as u64);
-        let asked = addrs.iter().map(|addr| self.workers.settle_jobs(*addr, &jobs));
+        let asked = addrs.iter().map(|addr| self.workers.recall(*addr, &jobs));
         let told = futures_util::future::join_all(asked).await;
-        told.into_iter().map(Result::ok).collect()
+        told.into_iter().filter_map(Result::ok).collect()
     }
 
     fn tell(&self, lost: Lost, answer: Option<Answer>) {
@@ -153,4 +113,4 @@
     }
 }
 
-type JobWords = HashMap<JobId, Vec<(u32, dispatch::recovery::Known)>>;
+type JobWords = HashMap<JobId, Vec<(u32, Known)>>;
--- a/crates/clementined/src/vms.rs
+++ b/crates/clementined/src/vms.rs
@@ -25,7 +25,22 @@
                 }
                 Err(error) => log::debug!("vms: {error}."),
             }
+            self.greet_workers();
             actix_rt::time::sleep(Duration::from_millis(self.config.vm_poll_ms)).await;
         }
     }
+
+    /// Asks workers that are not known yet for the number of their process.
+    fn greet_workers(self: &Rc<Self>) {
+        for worker in self.engine.borrow().strange_workers() {
+            let daemon = Rc::clone(self);
+            daemon.worker_messages.set(daemon.worker_messages.get() + 2);
+            actix_rt::spawn(async move {
+                match daemon.workers.boot(worker).await {
+                    Ok(boot) => daemon.drive(Event::Boot { worker, boot }),
+                    Err(error) => log::debug!("vms: {error}."),
+                }
+            });
+        }
+    }
 }
--- a/crates/dispatch/benches/decision.rs
+++ b/crates/dispatch/benches/decision.rs
@@ -32,6 +32,9 @@
         .collect();
     let mut workers = Workers::new("zone", Choice::Shares, 1);
     workers.update(&infos);
+    for info in &infos {
+        workers.set_boot(info.addr, 1);
+    }
     workers
 }
 
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -70,6 +70,13 @@
     },
     /// A worker did not confirm that it still runs a task.
     Unconfirmed(TaskId),
+    /// A worker told the number that its process drew at its start.
+    Boot {
+        /// The worker.
+        worker: SocketAddr,
+        /// The number.
+        boot: u64,
+    },
     /// The VM list has changed.
     Workers(Vec<WorkerInfo>),
     /// The place of this daemon among those of its zone has changed.
@@ -223,6 +230,8 @@
     pub free: u32,
     /// Whether the worker is leaving.
     pub leaving: bool,
+    /// The number that the worker's process drew at its start.
+    pub boot: u64,
 }
 
 /// What the journal says of a job.
@@ -245,6 +254,7 @@
     pub(crate) sent_at: Millis,
     pub(crate) lease_until: Millis,
     pub(crate) lease_ms: u64,
+    pub(crate) boot: Option<u64>,
     pub(crate) doubt_since: Option<Millis>,
     pub(crate) next_ask_at: Millis,
 }
@@ -373,9 +383,11 @@
                 if let Some(hint) = hint {
                     self.hinted(task, attempt, hint, now);
                 }
-                self.ended(task, attempt, end, now);
+                let boot = hint.map(|hint| hint.boot);
+                self.ended(task, attempt, end, boot, now);
             }
             Event::Unconfirmed(task) => self.doubt(task, now),
+            Event::Boot { worker, boot } => self.workers.set_boot(worker, boot),
             Event::Workers(infos) => self.workers.update(&infos),
             Event::Rank { rank, count } => self.workers.set_shares(rank, count),
             Event::PeerLoad { peer, load } => self.shares.heard(peer, load),
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -49,6 +49,7 @@
                 sent_at: now,
                 lease_until: now.plus(lease_ms),
                 lease_ms,
+                boot: self.workers.get(worker).boot,
                 doubt_since: None,
                 next_ask_at: now,
             },
@@ -68,7 +69,7 @@
     pub(crate) fn hinted(&mut self, task: TaskId, attempt: u64, hint: Hint, now: Millis) {
         let running = self.running.get(&task);
         if let Some(running) = running.filter(|running| running.attempt == attempt) {
-            self.workers.hinted(running.worker, hint.free, hint.leaving, now);
+            self.workers.hinted(running.worker, hint, now);
         }
     }
 
@@ -76,13 +77,23 @@
     ///
     /// A reply to an earlier attempt must not be taken for one to the present attempt: a late
     /// "never will" would otherwise free a task that runs elsewhere.
-    pub(crate) fn ended(&mut self, task: TaskId, attempt: u64, end: StartEnd, now: Millis) {
+    pub(crate) fn ended(
+        &mut self,
+        task: TaskId,
+        attempt: u64,
+        end: StartEnd,
+        boot: Option<u64>,
+        now: Millis,
+    ) {
         let running = self.running.get(&task).cloned();
         let Some(running) = running.filter(|running| running.attempt == attempt) else {
             self.counters.late_replies += 1;
             return;
         };
+        // A process that began after the start went out knows nothing of it.
+        let knows = running.doubt_since.is_none() || (boot.is_some() && boot == running.boot);
         match end {
+            StartEnd::NeverWill if !knows => self.doubt_goes_on(task, StartEnd::NoAnswer, now),
             StartEnd::Done { output, digest, run_ms } => {
                 self.learn(&running, task, run_ms);
                 self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(MOST_RETRY_TOKENS);
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -166,6 +166,12 @@
         self.doubts.len()
     }
 
+    /// Lists the workers whose number is not known yet.
+    pub fn strange_workers(&self) -> Vec<std::net::SocketAddr> {
+        let strange = self.workers.iter().filter(|worker| worker.boot.is_none());
+        strange.map(|worker| worker.info.addr).collect()
+    }
+
     /// Lists the addresses of the workers.
     pub fn worker_addrs(&self) -> Vec<std::net::SocketAddr> {
         self.workers.iter().map(|worker| worker.info.addr).collect()
--- a/crates/dispatch/src/workers.rs
+++ b/crates/dispatch/src/workers.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::engine::Hint;
 use crate::health::{Trust, WorkerHealth};
 
 /// What a task needs of its worker.
@@ -81,6 +82,8 @@
     pub hint_free: u32,
     /// When the last reply came.
     pub hint_at: Millis,
+    /// The number that the worker's process drew; without it a lost start could not be settled.
+    pub boot: Option<u64>,
     own_zone: bool,
     /// The VM list no longer names the worker, so that its place may be used again.
     gone: bool,
@@ -243,12 +246,20 @@
     }
 
     /// Notes what a reply told of the worker's free slots and intent to leave.
-    pub fn hinted(&mut self, index: u32, free: u32, leaving: bool, now: Millis) {
+    pub fn hinted(&mut self, index: u32, hint: Hint, now: Millis) {
         let worker = &mut self.list[index as usize];
-        worker.hint_free = free;
+        worker.hint_free = hint.free;
+        worker.boot = Some(hint.boot);
         worker.hint_at = now;
-        if worker.says_leaving != leaving {
-            self.change(index, |worker| worker.says_leaving = leaving);
+        if worker.says_leaving != hint.leaving {
+            self.change(index, |worker| worker.says_leaving = hint.leaving);
+        }
+    }
+
+    /// Takes the number that a worker's process drew.
+    pub fn set_boot(&mut self, addr: SocketAddr, boot: u64) {
+        if let Some(index) = self.by_addr.get(&addr).copied() {
+            self.change(index, |worker| worker.boot = Some(boot));
         }
     }
 
@@ -396,6 +407,7 @@
             health: WorkerHealth::default(),
             hint_free: 0,
             hint_at: Millis(0),
+            boot: None,
             own_zone,
             gone: false,
             key: None,
@@ -516,7 +528,7 @@
 }
 
 fn free_of(worker: &Worker) -> u64 {
-    if !available(worker) || worker.unreachable_until.0 > 0 {
+    if !available(worker) || worker.unreachable_until.0 > 0 || worker.boot.is_none() {
         return 0;
     }
     u64::from(usable_credits(worker).saturating_sub(worker.outstanding))
--- a/crates/measure/src/harm.rs
+++ b/crates/measure/src/harm.rs
@@ -97,6 +97,7 @@
         Faults { lapse: true, ..Faults::default() },
         Faults { leaving: true, ..Faults::default() },
         Faults { slow_factor: 8.0, ..Faults::default() },
+        Faults { restart: true, ..Faults::default() },
     ];
     for (worker, fault) in workers.iter().step_by(7).zip(faults) {
         post_fault(caller, *worker, fault).await;
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -1,7 +1,5 @@
 //! What daemons say to each other.
 
-use std::net::SocketAddr;
-
 use dispatch::answer::Answer;
 use dispatch::catalogue::Fold;
 use dispatch::follower::LogRecord;
@@ -43,8 +41,6 @@
     OfferTables(Vec<HandedTable>),
     /// Answer for the offered tables from now on.
     TakeOver,
-    /// Promise never to answer for this incarnation, whose process is dead.
-    Disown(Incarnation),
     /// Give the catalogue's records from an offset on.
     CatalogueFrom(u64),
 }
@@ -63,11 +59,6 @@
     Done,
     /// It will not be done, such as by a daemon that drains itself.
     Refused,
-    /// The promise, with the daemons that the sender knows.
-    Disowned {
-        /// Where they are reached.
-        known: Vec<SocketAddr>,
-    },
     /// Records of the catalogue.
     Records(Vec<LogRecord>),
     /// The whole catalogue, where single records are no longer at hand.
--- a/crates/upstreams/src/client.rs
+++ b/crates/upstreams/src/client.rs
@@ -10,8 +10,8 @@
 use httpedge::client::{CallError, Caller};
 
 use crate::wire::{
-    Done, RenewCall, SettleCall, SettleJobsCall, SettleJobsReply, StartCall, StopCall, WorkerEnd,
-    WorkerReply,
+    AboutReply, Done, RecallCall, RecallReply, RenewCall, SettleCall, StartCall, StopCall,
+    WorkerEnd, WorkerReply,
 };
 
 /// The longest time that a start may stay open.
@@ -52,18 +52,18 @@
         }
     }
 
-    /// Asks about all tasks of jobs whose home is dead; what never began is barred.
+    /// Asks what a worker ran of jobs whose home is dead.
     ///
     /// # Errors
     /// Fails where the worker gave no reply.
-    pub async fn settle_jobs(
+    pub async fn recall(
         &self,
         worker: SocketAddr,
         jobs: &[JobId],
     ) -> Result<HashMap<JobId, Vec<(u32, Known)>>, CallError> {
-        let call = SettleJobsCall { jobs: jobs.iter().map(ToString::to_string).collect() };
-        let reply: SettleJobsReply =
-            self.caller.post(worker, "/settle-jobs", &call, ORDER_TIMEOUT_MS).await?;
+        let call = RecallCall { jobs: jobs.iter().map(ToString::to_string).collect() };
+        let reply: RecallReply =
+            self.caller.post(worker, "/recall", &call, ORDER_TIMEOUT_MS).await?;
         let mut by_job: HashMap<JobId, Vec<(u32, Known)>> = HashMap::new();
         for (task, end) in reply.ends {
             let task: TaskId = task.parse().map_err(|_| CallError::Unreadable(worker))?;
@@ -74,6 +74,15 @@
         Ok(by_job)
     }
 
+    /// Asks for the number that the worker drew at its start.
+    ///
+    /// # Errors
+    /// Fails where the worker gave no reply.
+    pub async fn boot(&self, worker: SocketAddr) -> Result<u64, CallError> {
+        let about: AboutReply = self.caller.get(worker, "/about", ORDER_TIMEOUT_MS).await?;
+        Ok(about.boot)
+    }
+
     /// Stops tasks.
     ///
     /// # Errors
@@ -126,7 +135,7 @@
 ) -> (StartEnd, Option<Hint>) {
     match reply {
         Ok(reply) if reply.task == task.to_string() => {
-            let hint = Hint { free: reply.free, leaving: reply.leaving };
+            let hint = Hint { free: reply.free, leaving: reply.leaving, boot: reply.boot };
             (end_of(reply.end), Some(hint))
         }
         Err(CallError::NoConnection(_)) => (StartEnd::NoConnection, None),
--- a/crates/upstreams/src/wire.rs
+++ b/crates/upstreams/src/wire.rs
@@ -75,6 +75,15 @@
     pub free: u32,
     /// Whether the worker is leaving.
     pub leaving: bool,
+    /// A number that the worker drew at its start: what it does not know, an earlier process may.
+    pub boot: u64,
+}
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AboutReply {
+    /// The number that it drew at its start.
+    pub boot: u64,
 }
 
 /// A question about a task in doubt.
@@ -84,16 +93,16 @@
     pub task: String,
 }
 
-/// A question about all tasks of jobs whose home is dead; what never began is barred.
+/// A question about all tasks of jobs whose home is dead.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct SettleJobsCall {
+pub struct RecallCall {
     /// The jobs' identities.
     pub jobs: Vec<String>,
 }
 
-/// What a worker ran of some jobs; everything else of them it bars.
+/// What a worker ran of some jobs.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct SettleJobsReply {
+pub struct RecallReply {
     /// Tasks by their identities, with what became of them.
     pub ends: Vec<(String, WorkerEnd)>,
 }
