Claim a slot only after several replies in a row show it unclaimed

Cause: at 200% of load 0.6 starts a task were refused as full: a reply's hint counts the slot that its own task has just left, and one between two tasks of another daemon, and both were claimed as unused. Change: a hint counts against the own free slots at its time, and only four in a row allow a claim.

--- a/crates/dispatch/src/workers.rs
+++ b/crates/dispatch/src/workers.rs
@@ -82,6 +82,8 @@
     pub hint_free: u32,
     /// When the last reply came.
     pub hint_at: Millis,
+    /// Replies in a row that told more free slots than this daemon holds free.
+    unclaimed_hints: u32,
     /// The number that the worker's process drew; without it a lost start could not be settled.
     pub boot: Option<u64>,
     own_zone: bool,
@@ -101,6 +103,8 @@
 
 const LEARN_SHARE: f64 = 0.12;
 const UNREACHABLE_MS: u64 = 500;
+/// Replies in a row that must show an unclaimed slot: one alone is a slot between two tasks.
+const CLAIM_HINTS: u32 = 4;
 /// A hint on free slots counts for this long.
 const FRESH_HINT_MS: u64 = 300;
 /// A worker of which no share is held is tried after this long without a word.
@@ -248,6 +252,9 @@
     /// Notes what a reply told of the worker's free slots and intent to leave.
     pub fn hinted(&mut self, index: u32, hint: Hint, now: Millis) {
         let worker = &mut self.list[index as usize];
+        let own_free = worker.credits.saturating_sub(worker.outstanding.saturating_sub(1));
+        let unclaimed = hint.free > own_free;
+        worker.unclaimed_hints = if unclaimed { worker.unclaimed_hints + 1 } else { 0 };
         worker.hint_free = hint.free;
         worker.boot = Some(hint.boot);
         worker.hint_at = now;
@@ -275,15 +282,13 @@
     pub fn claim_unused(&mut self, now: Millis) -> Option<u32> {
         let index = self.list.iter().position(|worker| {
             let age_ms = now.since(worker.hint_at);
-            let unclaimed = worker.hint_free > worker.credits.saturating_sub(worker.outstanding);
-            let early = worker.credits + worker.hint_free <= worker.info.slots;
-            let shown = age_ms < FRESH_HINT_MS && unclaimed && early;
+            let shown = age_ms < FRESH_HINT_MS && worker.unclaimed_hints >= CLAIM_HINTS;
             let unheard = worker.credits == 0 && age_ms > UNHEARD_MS;
             worker.own_zone && (shown || unheard) && available(worker)
         })? as u32;
         self.change(index, |worker| {
             worker.credits += 1;
-            worker.hint_free = worker.hint_free.saturating_sub(1);
+            worker.unclaimed_hints = 0;
             worker.hint_at = now;
         });
         Some(index)
@@ -407,6 +412,7 @@
             health: WorkerHealth::default(),
             hint_free: 0,
             hint_at: Millis(0),
+            unclaimed_hints: 0,
             boot: None,
             own_zone,
             gone: false,
