A start names the process it is meant for; the owner with the fewest slots goes first

Cause: (1) the interleavings, with worker restarts, found a task started twice: the bar against a late start is forgotten with the worker's process, and the start then began on its successor. (2) Behind a flooding owner another one got every second slot only, though it held less than its share. Change: a start carries the number of the process that it is meant for, and any other refuses it. Flows are ordered by slots held for their weight, then by virtual time. Slack counts for nothing where declared times are off by four.

--- a/crates/clementined/src/actions.rs
+++ b/crates/clementined/src/actions.rs
@@ -15,12 +15,13 @@
     pub fn carry_out(self: &Rc<Self>, action: Action) {
         match action {
             Action::Reply { request, answer } => self.answer(request, answer),
-            Action::Start { task, attempt, worker, work, lease_ms, hold } => {
+            Action::Start { task, attempt, worker, boot, work, lease_ms, hold } => {
                 let call = StartCall {
                     task: task.to_string(),
                     kind: work.kind.clone(),
                     input: work.tasks[task.index as usize].input.clone(),
                     lease_ms,
+                    boot,
                     hold,
                 };
                 self.start(task, attempt, worker, call);
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -133,6 +133,8 @@
         attempt: u64,
         /// The worker.
         worker: SocketAddr,
+        /// The process that the start is meant for; another must refuse it.
+        boot: Option<u64>,
         /// The request that the task belongs to.
         work: Rc<JobRequest>,
         /// How long the worker may hold the task without hearing of it again.
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -10,7 +10,7 @@
 /// Mean absolute log error above which declared run times are ignored.
 const TRUSTED_LOG_ERROR: f64 = 0.7;
 /// Mean absolute log error at which declared run times say nothing of a task's slack.
-const WORTHLESS_LOG_ERROR: f64 = 0.8;
+const WORTHLESS_LOG_ERROR: f64 = 0.7;
 
 #[derive(Clone, Debug, Serialize)]
 struct Learnt {
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -65,6 +65,7 @@
             task: queued.task,
             attempt: self.attempts,
             worker: self.workers.get(worker).info.addr,
+            boot: self.workers.get(worker).boot,
             work,
             lease_ms,
             hold: self.choice != Choice::Shares,
@@ -318,10 +319,11 @@
         self.doubts.remove(&task);
         let running = self.running.remove(&task)?;
         self.workers.ended(running.worker);
-        if let Some(job) = self.jobs.get(&task.job)
-            && let Some(count) = self.owners_running.get_mut(&job.flow.owner)
-        {
-            *count = count.saturating_sub(1);
+        if let Some(job) = self.jobs.get(&task.job) {
+            self.queue.released(&job.flow);
+            if let Some(count) = self.owners_running.get_mut(&job.flow.owner) {
+                *count = count.saturating_sub(1);
+            }
         }
         Some(running)
     }
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -1,6 +1,8 @@
 //! Queued tasks, shared fairly between owners and classes.
 //!
-//! Each owner within a class is a flow with a virtual time (start-time fair queueing).
+//! Each owner within a class is a flow. The flow that holds the fewest slots for its weight goes
+//! first, so that an owner within its share hardly waits behind one that floods; among equals the
+//! one with the least virtual time does (start-time fair queueing).
 //! Within a flow the task comes first whose latest start is earliest: a job's longest task
 //! should start at once, while its short ones may wait without delaying the answer. See
 //! `docs/design/upstreams.md`.
@@ -82,10 +84,14 @@
     owner: String,
     weight: u64,
     virtual_time: u64,
+    running: u64,
     tasks: BTreeMap<(Millis, TaskId), u64>,
     queued_ms: u64,
 }
 
+/// Slots held for the weight, virtual time, and the flow.
+type FlowOrder = (u64, u64, usize);
+
 /// Scale of virtual time, so that weights divide without loss.
 const VIRTUAL_SCALE: u64 = 1_024;
 
@@ -94,7 +100,7 @@
 pub struct Queue {
     flows: Vec<Flow>,
     index: HashMap<FlowKey, usize>,
-    active: BTreeSet<(u64, usize)>,
+    active: BTreeSet<FlowOrder>,
     virtual_now: u64,
     queued_ms: u64,
     queued_tasks: usize,
@@ -112,6 +118,7 @@
         work: &ExpectedWork<'_>,
     ) {
         let flow = self.flow_of(key);
+        self.active.remove(&self.order_of(flow));
         self.flows[flow].weight = (key.class.weight() * share).max(1);
         let longest_ms = work.tasks.iter().map(|(_, expected_ms)| *expected_ms).max().unwrap_or(0);
         for (index, expected_ms) in work.tasks {
@@ -130,25 +137,33 @@
 
     /// Gives the next task of the flow at `place` in the order of service, without taking it.
     pub fn peek(&self, place: usize) -> Option<QueuedTask> {
-        let (_, flow) = self.active.iter().nth(place)?;
+        let (_, _, flow) = self.active.iter().nth(place)?;
         self.first_of(*flow)
     }
 
     /// Takes the next task of the flow at `place` in the order of service.
     pub fn pop(&mut self, place: usize) -> Option<QueuedTask> {
-        let (virtual_time, index) = *self.active.iter().nth(place)?;
+        let order = *self.active.iter().nth(place)?;
+        let (_, virtual_time, index) = order;
         let queued = self.first_of(index)?;
         self.virtual_now = self.virtual_now.max(virtual_time);
+        self.active.remove(&order);
         self.take(index, &queued);
         let flow = &mut self.flows[index];
-        self.active.remove(&(virtual_time, index));
+        flow.running += 1;
         flow.virtual_time += queued.expected_ms * VIRTUAL_SCALE / flow.weight.max(1);
-        if !flow.tasks.is_empty() {
-            self.active.insert((flow.virtual_time, index));
-        }
+        self.activate(index);
         Some(queued)
     }
 
+    /// Notes that a task of a flow, taken before, holds its slot no more.
+    pub fn released(&mut self, key: &FlowKey) {
+        let index = self.flow_of(key);
+        self.active.remove(&self.order_of(index));
+        self.flows[index].running = self.flows[index].running.saturating_sub(1);
+        self.activate(index);
+    }
+
     /// Takes every waiting task of a job out.
     pub fn remove_job(&mut self, key: &FlowKey, job: JobId) {
         let flow = self.flow_of(key);
@@ -160,17 +175,16 @@
                 due_at: *due_at,
             })
             .collect();
+        self.active.remove(&self.order_of(flow));
         for queued in &of_job {
             self.take(flow, queued);
         }
-        if self.flows[flow].tasks.is_empty() {
-            self.active.remove(&(self.flows[flow].virtual_time, flow));
-        }
+        self.activate(flow);
     }
 
     /// Counts the tasks that should have started by `now`, up to `most`.
     pub fn due_tasks(&self, now: Millis, most: usize) -> usize {
-        let flows = self.active.iter().map(|(_, flow)| &self.flows[*flow]);
+        let flows = self.active.iter().map(|(_, _, flow)| &self.flows[*flow]);
         let due = flows.flat_map(|flow| flow.tasks.keys().take_while(|(due_at, _)| *due_at <= now));
         due.take(most).count()
     }
@@ -187,7 +201,7 @@
         let others: u64 = self
             .active
             .iter()
-            .map(|(_, flow)| &self.flows[*flow])
+            .map(|(_, _, flow)| &self.flows[*flow])
             .filter(|flow| own.is_none_or(|own| !std::ptr::eq(*flow, own)))
             .map(|flow| flow.weight)
             .sum();
@@ -203,7 +217,7 @@
 
     /// Gives the earliest latest start among all that waits.
     pub fn first_due(&self) -> Option<Millis> {
-        let firsts = self.active.iter().filter_map(|(_, flow)| self.first_of(*flow));
+        let firsts = self.active.iter().filter_map(|(_, _, flow)| self.first_of(*flow));
         firsts.map(|queued| queued.due_at).min()
     }
 
@@ -246,12 +260,23 @@
         let flow = &mut self.flows[index];
         if flow.tasks.is_empty() {
             flow.virtual_time = flow.virtual_time.max(self.virtual_now);
-            self.active.insert((flow.virtual_time, index));
         }
         flow.tasks.insert((queued.due_at, queued.task), queued.expected_ms);
         flow.queued_ms += queued.expected_ms;
         self.queued_ms += queued.expected_ms;
         self.queued_tasks += 1;
+        self.activate(index);
+    }
+
+    fn order_of(&self, index: usize) -> FlowOrder {
+        let flow = &self.flows[index];
+        (flow.running * VIRTUAL_SCALE / flow.weight.max(1), flow.virtual_time, index)
+    }
+
+    fn activate(&mut self, index: usize) {
+        if !self.flows[index].tasks.is_empty() {
+            self.active.insert(self.order_of(index));
+        }
     }
 
     fn take(&mut self, index: usize, queued: &QueuedTask) {
--- a/crates/dispatch/tests/at_most_once.rs
+++ b/crates/dispatch/tests/at_most_once.rs
@@ -277,3 +277,24 @@
     assert_eq!((answer.verdict, answer.reason), (Verdict::Failed, Reason::WorkerLost));
     assert_eq!(world.starts[&task], 1);
 }
+
+/// Found by the interleavings: the bar is forgotten with the process that was told, and a start
+/// that was meant for it must not begin on its successor.
+#[test]
+fn a_late_start_does_not_begin_on_a_replaced_worker() {
+    let mut world = World::new(1, 2);
+    world.submit(0, "check", 1);
+    let Some(late @ Parcel::Start { task, attempt, worker, .. }) = world.parcels.pop() else {
+        panic!("a start must be under way");
+    };
+    world.parcels.push(Parcel::Reply { home: 0, task, attempt, boot: 0, end: StartEnd::ReplyLost });
+    for _ in 0..4 {
+        world.deliver(0, false);
+    }
+    assert_eq!(world.starts[&task], 1, "the second attempt runs");
+    world.restart_worker(worker);
+    world.parcels.insert(0, late);
+    world.deliver(0, false);
+    world.settle_down();
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -21,12 +21,41 @@
 /// One message or event under way.
 #[derive(Clone, Debug)]
 pub enum Parcel {
-    Start { home: usize, task: TaskId, attempt: u64, worker: SocketAddr, input: String },
-    Ask { home: usize, task: TaskId, attempt: u64, worker: SocketAddr },
-    Stop { worker: SocketAddr, tasks: Vec<TaskId> },
-    Renew { home: usize, worker: SocketAddr, tasks: Vec<TaskId> },
-    Reply { home: usize, task: TaskId, attempt: u64, boot: u64, end: StartEnd },
-    Journalled { home: usize, job: JobId, result: JournalResult },
+    Start {
+        home: usize,
+        task: TaskId,
+        attempt: u64,
+        worker: SocketAddr,
+        boot: Option<u64>,
+        input: String,
+    },
+    Ask {
+        home: usize,
+        task: TaskId,
+        attempt: u64,
+        worker: SocketAddr,
+    },
+    Stop {
+        worker: SocketAddr,
+        tasks: Vec<TaskId>,
+    },
+    Renew {
+        home: usize,
+        worker: SocketAddr,
+        tasks: Vec<TaskId>,
+    },
+    Reply {
+        home: usize,
+        task: TaskId,
+        attempt: u64,
+        boot: u64,
+        end: StartEnd,
+    },
+    Journalled {
+        home: usize,
+        job: JobId,
+        result: JournalResult,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -204,8 +233,8 @@
         }
         let parcel = self.parcels.remove(place % self.parcels.len());
         match parcel {
-            Parcel::Start { home, task, attempt, worker, input } => {
-                self.deliver_start(home, (task, attempt), worker, input, lost);
+            Parcel::Start { home, task, attempt, worker, boot, input } => {
+                self.deliver_start(home, (task, attempt), (worker, boot), input, lost);
             }
             Parcel::Ask { home, task, attempt, worker } => {
                 let end = if lost { StartEnd::NoAnswer } else { self.settle(worker, task) };
@@ -348,9 +377,9 @@
             Action::Reply { request, answer } => {
                 self.answers.entry(request).or_default().push(answer);
             }
-            Action::Start { task, attempt, worker, work, .. } => {
+            Action::Start { task, attempt, worker, boot, work, .. } => {
                 let input = work.tasks[task.index as usize].input.clone();
-                self.parcels.push(Parcel::Start { home, task, attempt, worker, input });
+                self.parcels.push(Parcel::Start { home, task, attempt, worker, boot, input });
             }
             Action::AskWorker { task, attempt, worker } => {
                 self.parcels.push(Parcel::Ask { home, task, attempt, worker });
@@ -372,7 +401,7 @@
         &mut self,
         home: usize,
         (task, attempt): (TaskId, u64),
-        addr: SocketAddr,
+        (addr, meant_for): (SocketAddr, Option<u64>),
         input: String,
         lost: bool,
     ) {
@@ -384,6 +413,8 @@
             Some(StartEnd::NoConnection)
         } else if lost {
             Some(StartEnd::ReplyLost)
+        } else if meant_for != Some(worker.boot) {
+            Some(StartEnd::Refused)
         } else if worker.barred.contains(&task) {
             Some(StartEnd::NeverWill)
         } else if worker.running.len() >= SLOTS {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -234,7 +234,10 @@
     let permit = Arc::clone(&state.free).try_acquire_owned().ok();
     let full = !call.hold && permit.is_none();
     let crowded = state.open >= MOST_OPEN_STARTS;
-    let refusal = if state.barred.contains(&call.task) {
+    let meant_for_other = call.boot.is_some_and(|boot| boot != state.boot);
+    let refusal = if meant_for_other {
+        Some(WorkerEnd::Refused)
+    } else if state.barred.contains(&call.task) {
         Some(WorkerEnd::NeverWill)
     } else if state.faults.leaving {
         Some(WorkerEnd::Leaving)
--- a/crates/upstreams/src/wire.rs
+++ b/crates/upstreams/src/wire.rs
@@ -24,6 +24,10 @@
     pub input: String,
     /// The worker stops the task where it hears nothing of it for so long.
     pub lease_ms: u64,
+    /// The process that the start is meant for: a later one has forgotten what it was told never
+    /// to begin, so it must refuse.
+    #[serde(default)]
+    pub boot: Option<u64>,
     /// Whether the worker may hold the start until a slot is free.
     #[serde(default)]
     pub hold: bool,
--- a/crates/upstreams/tests/contract.rs
+++ b/crates/upstreams/tests/contract.rs
@@ -37,6 +37,7 @@
             kind: "check".into(),
             input: format!(r#"{{"work_ms": {work_ms}}}"#),
             lease_ms,
+            boot: None,
             hold: false,
         };
         self.client.start(self.worker, task(index), &call).await.0
@@ -80,6 +81,27 @@
     });
 }
 
+#[test]
+fn a_start_meant_for_an_earlier_process_is_refused() {
+    run(async {
+        let env = TestEnv::start(2).await;
+        let boot = env.client.boot(env.worker).await.unwrap();
+        assert_eq!(env.settle(0).await, StartEnd::NeverWill);
+        env.faults(Faults { restart: true, ..Faults::default() }).await;
+        let call = StartCall {
+            task: task(0).to_string(),
+            kind: "check".into(),
+            input: String::new(),
+            lease_ms: 1_000,
+            boot: Some(boot),
+            hold: false,
+        };
+        let end = env.client.start(env.worker, task(0), &call).await.0;
+        assert_eq!(end, StartEnd::Refused);
+        assert!(!env.deeds(0).await.contains(&Deed::Started));
+    });
+}
+
 #[test]
 fn each_fault_is_seen_as_what_it_proves() {
     let lost = (StartEnd::ReplyLost, true);
@@ -112,6 +134,7 @@
                 kind: "check".into(),
                 input: r#"{"work_ms": 60000}"#.into(),
                 lease_ms: 400,
+                boot: None,
                 hold: false,
             },
         );
