--- a/crates/measure/src/policy.rs
+++ b/crates/measure/src/policy.rs
@@ -167,6 +167,7 @@
 #[derive(Clone, Debug)]
 struct Addresses {
     workers: Vec<SocketAddr>,
+    worker_zones: Vec<(SocketAddr, String)>,
     daemons: Vec<(SocketAddr, SocketAddr, String)>,
     callers: Vec<SocketAddr>,
 }
@@ -175,6 +176,7 @@
     let daemons = children.fleet.daemons.iter();
     Addresses {
         workers: children.workers(),
+        worker_zones: children.fleet.workers.clone(),
         daemons: daemons.map(|d| (d.operators, d.peers, d.zone.clone())).collect(),
         callers: children.callers(),
     }
@@ -224,11 +226,16 @@
     }
 }
 
+/// Cuts the first zone off: its daemons and workers and those of other zones do not reach each
+/// other.
 async fn cut_first_zone(caller: &Caller, at: &Addresses) {
     let zone = at.daemons[0].2.clone();
     for (operators, _, own) in &at.daemons {
-        let others = at.daemons.iter().filter(|(_, _, other)| (*other == zone) != (*own == zone));
-        let cut: Vec<SocketAddr> = others.map(|(_, peers, _)| *peers).collect();
+        let across = |other: &String| (*other == zone) != (*own == zone);
+        let daemons = at.daemons.iter().filter(|(_, _, other)| across(other));
+        let mut cut: Vec<SocketAddr> = daemons.map(|(_, peers, _)| *peers).collect();
+        let workers = at.worker_zones.iter().filter(|(_, other)| across(other));
+        cut.extend(workers.map(|(addr, _)| *addr));
         let body = serde_json::json!({ "cut": cut });
         let call = httpedge::client::RawCall {
             addr: *operators,
--- a/crates/measure/src/scenario.rs
+++ b/crates/measure/src/scenario.rs
@@ -36,7 +36,7 @@
     Failing,
     /// Declared times are off by four either way.
     WrongSizes,
-    /// One zone's daemons and the other daemons do not hear each other.
+    /// One zone's daemons and workers and those of the others do not reach each other.
     Cut,
     /// One daemon gets 40% of the requests.
     Skewed,
