Ask for slots early where the own ones cannot keep a large job's slack

Ruled out: the greeting of workers (done before the job) and the order. Change: tasks that the own slots would start past the last latest start count as a need at once. A test in virtual time.

--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -221,6 +221,12 @@
         firsts.map(|queued| queued.due_at).min()
     }
 
+    /// Gives the latest of the latest starts among all that waits.
+    pub fn last_due(&self) -> Option<Millis> {
+        let flows = self.active.iter().map(|(_, _, flow)| &self.flows[*flow]);
+        flows.filter_map(|flow| flow.tasks.last_key_value()).map(|((due_at, _), _)| *due_at).max()
+    }
+
     /// Gives the number of waiting tasks.
     pub const fn len(&self) -> usize {
         self.queued_tasks
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -91,13 +91,15 @@
         if !self.shares.may_ask(now) {
             return;
         }
+        let slots = self.workers.share_slots().max(1);
         let due = self.queue.due_tasks(now, MOST_DUE) as u64;
+        let due = due.max(self.tasks_past_slack(slots, now));
         if due == 0 {
             return;
         }
         let waited_ms = self.queue.first_due().map_or(0, |due_at| now.since(due_at));
         let mean_ms = self.queue.queued_ms() / self.queue.len().max(1) as u64;
-        let drain_ms = due * mean_ms / self.workers.share_slots().max(1);
+        let drain_ms = due * mean_ms / slots;
         let need = Need { queued: due as u32, waited_ms, drain_ms };
         if let Some((peer, ask)) = self.shares.ask(&need, now) {
             self.counters.slot_asks += 1;
@@ -108,6 +110,17 @@
         }
     }
 
+    /// Gives the tasks that the own slots would start past the last latest start: a large job needs
+    /// more slots long before its first task is due.
+    fn tasks_past_slack(&self, slots: u64, now: Millis) -> u64 {
+        let drain_ms = self.queue.queued_ms() / slots;
+        let slack_ms = self.queue.last_due().map_or(0, |due_at| due_at.since(now));
+        if drain_ms <= slack_ms {
+            return 0;
+        }
+        self.queue.len() as u64 * (drain_ms - slack_ms) / drain_ms
+    }
+
     fn claim_slot(&mut self, now: Millis) {
         if now.since(self.claimed_at) < CLAIM_EVERY_MS {
             return;
--- a/crates/dispatch/tests/policy.rs
+++ b/crates/dispatch/tests/policy.rs
@@ -335,6 +335,17 @@
     assert!(late <= 4, "{late} of 160 late starts went to the slow worker");
 }
 
+#[test]
+fn a_large_job_asks_for_slots_before_its_first_task_is_due() {
+    let mut bench = Bench::new(2);
+    let peer = Incarnation(2);
+    let load = PeerLoad { zone: "zone".into(), idle: 8, queued: 0 };
+    bench.drive(Event::PeerLoad { peer, load });
+    bench.submit("check", 100, Needs::default());
+    let asks = bench.others.iter().filter(|action| matches!(action, Action::AskSlots(..)));
+    assert_eq!(asks.count(), 1);
+}
+
 #[test]
 fn slots_move_to_the_peer_that_asks_and_only_when_idle() {
     let mut bench = Bench::new(2);
