Let a replaced stand-in take with it what it had only taken on

Change: a start that was taken on by a process that is gone does not run. Conclusion: the ledger must be one step with the deed it records.

--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -194,7 +194,7 @@
     let task = call.task.clone();
     let boot = worker.borrow().boot;
     // The work goes on when the daemon's connection breaks, as on a real worker.
-    let running = actix_rt::spawn(hold_and_run(Rc::clone(&worker), call, permit));
+    let running = actix_rt::spawn(hold_and_run(Rc::clone(&worker), call, permit, boot));
     let Ok(end) = running.await else {
         return Response::broken();
     };
@@ -210,6 +210,7 @@
     worker: Shared,
     call: StartCall,
     permit: Option<OwnedSemaphorePermit>,
+    boot: u64,
 ) -> WorkerEnd {
     let permit = if permit.is_none() {
         let free = Arc::clone(&worker.borrow().free);
@@ -218,7 +219,15 @@
         permit
     };
     let barred = worker.borrow().barred.contains(&call.task);
-    let end = if barred { WorkerEnd::NeverWill } else { run(&worker, &call).await };
+    // A process that was replaced meanwhile takes what it had taken on with it.
+    let replaced = worker.borrow().boot != boot;
+    let end = if barred {
+        WorkerEnd::NeverWill
+    } else if replaced {
+        WorkerEnd::Stopped
+    } else {
+        run(&worker, &call).await
+    };
     drop(permit);
     worker.borrow_mut().open -= 1;
     end
