Serve a fleet's stand-ins by one piece of code

Cause: rereading the whole change: the tour and the tests of the daemon and of the tool each bound and served the log service, the VM list and the workers. Change: measure::roles::serve_standins, which the three call. Conclusion: a new stand-in is added in one place.

--- a/crates/clementinectl/tests/cli.rs
+++ b/crates/clementinectl/tests/cli.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::process::{Command, Output};
 
-use actix_rt::net::TcpListener;
 use httpedge::client::Caller;
 use measure::calls::await_ready;
 use measure::fleet::{Fleet, sample_catalogue};
@@ -52,14 +51,7 @@
 }
 
 async fn serve(fleet: &Fleet) {
-    let log = TcpListener::bind(fleet.log).await.unwrap();
-    let vms = TcpListener::bind(fleet.vms).await.unwrap();
-    actix_rt::spawn(standins::log::serve_log(log));
-    actix_rt::spawn(standins::vms::serve_vms(vms, fleet.vm_list()));
-    for (addr, _) in &fleet.workers {
-        let listener = TcpListener::bind(addr).await.unwrap();
-        actix_rt::spawn(standins::worker::serve_worker(listener, 8));
-    }
+    measure::roles::serve_standins(fleet).await.unwrap();
     for place in 0..fleet.daemons.len() {
         let config = clementined::config::parse("test", &fleet.settings(place)).unwrap();
         clementined::run::begin(config).await.unwrap();
--- a/crates/clementined/tests/support/mod.rs
+++ b/crates/clementined/tests/support/mod.rs
@@ -5,7 +5,6 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use actix_rt::net::TcpListener;
 use callers::render::{AnswerBody, TicketsBody};
 use dispatch::jobs::JobRequest;
 use httpedge::client::Caller;
@@ -143,15 +142,7 @@
     let (ready, wait) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         actix_rt::System::new().block_on(async move {
-            let log = TcpListener::bind(fleet.log).await.unwrap();
-            let vms = TcpListener::bind(fleet.vms).await.unwrap();
-            actix_rt::spawn(standins::log::serve_log(log));
-            actix_rt::spawn(standins::vms::serve_vms(vms, fleet.vm_list()));
-            for (addr, _) in &fleet.workers {
-                let listener = TcpListener::bind(addr).await.unwrap();
-                let slots = fleet.slots as usize;
-                actix_rt::spawn(standins::worker::serve_worker(listener, slots));
-            }
+            measure::roles::serve_standins(&fleet).await.unwrap();
             ready.send(()).unwrap();
             std::future::pending::<()>().await;
         });
--- a/crates/measure/examples/tour.rs
+++ b/crates/measure/examples/tour.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_rt::net::TcpListener;
 use clementined::daemon::Daemon;
 use dispatch::answer::Verdict;
 use gumdrop::Options;
@@ -15,6 +14,7 @@
 use measure::calls::{await_ready, coverage_job, edit, is_whole, submit};
 use measure::fleet::{Fleet, sample_catalogue};
 use measure::ideal::central_queue;
+use measure::roles::serve_standins;
 use measure::trace::{TraceJob, draw_work_ms};
 use rand::SeedableRng as _;
 
@@ -96,13 +96,7 @@
 }
 
 async fn start(fleet: &Fleet) -> Result<Vec<Rc<Daemon>>, String> {
-    let listen = async |addr| TcpListener::bind(addr).await.map_err(|error| error.to_string());
-    actix_rt::spawn(standins::log::serve_log(listen(fleet.log).await?));
-    actix_rt::spawn(standins::vms::serve_vms(listen(fleet.vms).await?, fleet.vm_list()));
-    for (addr, _) in &fleet.workers {
-        let slots = fleet.slots as usize;
-        actix_rt::spawn(standins::worker::serve_worker(listen(*addr).await?, slots));
-    }
+    serve_standins(fleet).await?;
     let mut daemons = Vec::new();
     for place in 0..fleet.daemons.len() {
         let config = clementined::config::parse("tour", &fleet.settings(place));
--- a/crates/measure/src/roles.rs
+++ b/crates/measure/src/roles.rs
@@ -8,6 +8,7 @@
 use standins::worker::serve_worker;
 
 use crate::cli::{DaemonArgs, PlatformArgs, WorkersArgs};
+use crate::fleet::Fleet;
 
 /// Runs a daemon, just as the daemon's own program does.
 ///
@@ -52,3 +53,17 @@
         Ok(())
     })
 }
+
+/// Serves a fleet's stand-ins on the local thread: log service, VM list and workers.
+///
+/// # Errors
+/// Fails where an address cannot be used.
+pub async fn serve_standins(fleet: &Fleet) -> Result<(), String> {
+    let listen = async |addr| TcpListener::bind(addr).await.map_err(|error| error.to_string());
+    actix_rt::spawn(serve_log(listen(fleet.log).await?));
+    actix_rt::spawn(serve_vms(listen(fleet.vms).await?, fleet.vm_list()));
+    for (addr, _) in &fleet.workers {
+        actix_rt::spawn(serve_worker(listen(*addr).await?, fleet.slots as usize));
+    }
+    Ok(())
+}
