--- a/crates/clementined/src/daemon.rs
+++ b/crates/clementined/src/daemon.rs
@@ -8,6 +8,7 @@
 use ::operators::metrics::Metrics;
 use ::peers::beats::Beats;
 use ::peers::links::{Cuts, Links, Traffic};
+use ::peers::wire::Daemons;
 use dispatch::answer::Answer;
 use dispatch::clock::Millis;
 use dispatch::engine::{Engine, EngineBuilder, Event};
@@ -55,7 +56,7 @@
     /// The keys.
     pub keys: Rc<Keyring>,
     /// Links to other daemons.
-    pub links: Links,
+    pub links: Links<Daemons>,
     /// Heartbeats.
     pub beats: Beats,
     /// Calls to workers.
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,182 @@
+//! Serves callers.
+
+use std::rc::Rc;
+
+use actix_http::Method;
+use adapter::callers::{
+    JobError, WAIT_HEADER, is_job_id, read_job, render_error, render_not_run, render_outcome,
+    render_pending,
+};
+use dispatch::clock::Millis;
+use httpedge::server::{Request, Response};
+use pool::catalogue::Route;
+use pool::job::Outcome;
+
+use crate::route::{Request as JobRequest, Trace};
+use crate::state::{Entry, Phase};
+
+/// The largest body that is read, in bytes; the configuration may allow less.
+pub const MAX_BODY_BYTES: usize = 1 << 20;
+/// When a caller may ask again where the daemon has no configuration yet, in milliseconds.
+const NO_CONFIG_RETRY_MS: u64 = 1_000;
+
+/// Counts a request for as long as it is served, and tells where its caller has left.
+struct InFlight {
+    entry: Rc<Entry>,
+    job: Rc<str>,
+    arrived_at: Millis,
+    answered: bool,
+}
+
+impl InFlight {
+    fn new(entry: &Rc<Entry>, job: &Rc<str>, arrived_at: Millis) -> Self {
+        entry.in_flight.set(entry.in_flight.get() + 1);
+        Self { entry: Rc::clone(entry), job: Rc::clone(job), arrived_at, answered: false }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.entry.in_flight.set(self.entry.in_flight.get() - 1);
+        if !self.answered {
+            let waited_ms = self.entry.now().since(self.arrived_at);
+            self.entry.metrics.requests.with_label_values(&["", "", "caller_left"]).inc();
+            log::info!("part=callers event=caller_left job={} waited_ms={waited_ms}", self.job);
+        }
+    }
+}
+
+impl Entry {
+    /// Answers the platform's question whether callers should be sent here.
+    pub async fn serve_ready(self: Rc<Self>, request: Request) -> Response {
+        if request.path != adapter::settings::READY_PATH {
+            return render_error(404, "no such path");
+        }
+        if self.is_ready() { Response::text(200, "") } else { Response::text(503, "") }
+    }
+
+    /// Answers one caller.
+    pub async fn serve_caller(self: Rc<Self>, request: Request) -> Response {
+        let mut response = self.answer_caller(&request).await;
+        response.closes = self.phase.get() == Phase::Draining;
+        response
+    }
+
+    async fn answer_caller(self: &Rc<Self>, request: &Request) -> Response {
+        let catalogue = self.catalogue.borrow().clone();
+        let Some(catalogue) = catalogue else {
+            return render_not_run(503, "no configuration yet", NO_CONFIG_RETRY_MS);
+        };
+        let host = request.header("host").unwrap_or_default();
+        let Some(route) = catalogue.route(host, &request.path) else {
+            log::info!(
+                "part=callers event=no_route host={host} path={} config={}",
+                request.path,
+                catalogue.version,
+            );
+            return render_error(404, "no such route");
+        };
+        let rest = &request.path[route.path_prefix.len()..];
+        if request.method == Method::GET && rest.is_empty() {
+            return render_pending(self.pending_jobs());
+        }
+        if !is_job_id(rest) {
+            return render_error(404, "the path must end with a job's id");
+        }
+        if request.method == Method::GET {
+            return render_error(410, "no such job is stored");
+        }
+        if request.method == Method::DELETE {
+            return self.cancel_job(rest);
+        }
+        if request.method != Method::POST {
+            return render_error(405, "use POST, GET or DELETE");
+        }
+        let max_body_bytes = catalogue.max_body_bytes.unwrap_or(MAX_BODY_BYTES);
+        match request.body.as_ref().filter(|body| body.len() <= max_body_bytes) {
+            None => render_error(413, "the body is too large"),
+            Some(body) => self.answer_job(request, route, rest, body, catalogue.version).await,
+        }
+    }
+
+    async fn answer_job(
+        self: &Rc<Self>,
+        request: &Request,
+        route: &Route,
+        id: &str,
+        body: &[u8],
+        version: u64,
+    ) -> Response {
+        let arrived_at = self.now();
+        let spec = match read_job(id, body) {
+            Ok(spec) => spec,
+            Err(error) => return self.refuse_job(id, route, &error),
+        };
+        if route.needs_advice {
+            return self.refuse_job(id, route, &JobError::Unsupported("advice"));
+        }
+        let wait_ms = request.header(WAIT_HEADER).and_then(|text| text.parse().ok());
+        let limit_ms = wait_ms.unwrap_or(u64::MAX).min(route.terms.timeout_ms);
+        let mut flight = InFlight::new(self, &spec.id, arrived_at);
+        let tasks = spec.task_count();
+        let job = JobRequest { spec, terms: route.terms.clone(), arrived_at, limit_ms };
+        let mut trace = Trace::default();
+        let outcome = self.run_job(&job, &mut trace).await;
+        flight.answered = true;
+        let response = render_outcome(outcome);
+        self.note_answer(&job, route, outcome, &trace, (tasks, version, response.status));
+        response
+    }
+
+    fn note_answer(
+        &self,
+        job: &JobRequest,
+        route: &Route,
+        outcome: Outcome,
+        trace: &Trace,
+        (tasks, version, status): (usize, u64, u16),
+    ) {
+        let took_ms = self.now().since(job.arrived_at);
+        let why = match outcome {
+            Outcome::Completed => "completed",
+            Outcome::Failed(reason) | Outcome::NotRun { reason, .. } | Outcome::GivenUp(reason) => {
+                reason.as_str()
+            }
+            Outcome::Moved => "moved",
+        };
+        let labels = [&*route.name, &status.to_string(), why];
+        self.metrics.requests.with_label_values(&labels).inc();
+        let seconds = took_ms as f64 / 1_000.0;
+        self.metrics.latency_s.with_label_values(&[&route.name]).observe(seconds);
+        let cell = trace.cell.as_ref().map(ToString::to_string).unwrap_or_default();
+        log::info!(
+            "part=callers event=answer job={} route={} status={status} why={why} took_ms={took_ms} \
+             limit_ms={} longest_ms={} tasks={tasks} cell={cell} tries={} config={version}",
+            job.spec.id,
+            route.name,
+            job.limit_ms,
+            job.spec.critical_path_ms(),
+            trace.tries,
+        );
+    }
+
+    fn refuse_job(&self, id: &str, route: &Route, error: &JobError) -> Response {
+        let status = match error {
+            JobError::Unreadable(_) => 400,
+            JobError::Unsupported(_) => 503,
+        };
+        let labels = [&*route.name, &status.to_string(), "refused"];
+        self.metrics.requests.with_label_values(&labels).inc();
+        log::info!("part=callers event=refused job={id} status={status} why=\"{error}\"");
+        render_error(status, &error.to_string())
+    }
+
+    fn cancel_job(self: &Rc<Self>, id: &str) -> Response {
+        log::info!("part=callers event=cancel job={id} found=false");
+        render_error(410, "no such job is stored")
+    }
+
+    fn pending_jobs(&self) -> usize {
+        self.owned.borrow().values().map(|owned| owned.pool.pending_jobs()).sum()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drain.rs
@@ -0,0 +1,42 @@
+//! Shuts a daemon down without cutting a request off.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use pool::cells::Cell;
+
+use crate::state::{Entry, Phase};
+
+/// How long callers' new connections may still come after the daemon says that it is not ready:
+/// the platform looks once a second and believes the second miss.
+const NEW_CALLERS_MS: u64 = 2_800;
+/// What is left of the grace when the daemon ends, in milliseconds.
+const RESERVE_MS: u64 = 600;
+/// The pause between two looks at what is in flight, in milliseconds.
+const PAUSE_MS: u64 = 50;
+
+impl Entry {
+    /// Gives the cells up, serves what comes in meanwhile at other owners, and returns once
+    /// nothing is in flight or the grace is over.
+    pub async fn drain(self: &Rc<Self>) {
+        let began = self.now();
+        self.phase.set(Phase::Draining);
+        log::info!("part=drain event=begin in_flight={}", self.in_flight.get());
+        let cells: Vec<Cell> = self.owned.borrow().keys().cloned().collect();
+        for cell in &cells {
+            self.give_up(cell, "drain");
+        }
+        self.leave().await;
+        self.announce_change();
+        let most_ms = self.settings.grace_ms.saturating_sub(RESERVE_MS);
+        loop {
+            actix_rt::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+            let passed_ms = self.now().since(began);
+            let is_idle = self.in_flight.get() == 0 && passed_ms >= NEW_CALLERS_MS;
+            if is_idle || passed_ms >= most_ms {
+                break;
+            }
+        }
+        log::info!("part=drain event=end in_flight={}", self.in_flight.get());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dump.rs
@@ -0,0 +1,82 @@
+//! The dump of a daemon's state, for operators.
+
+use pool::worker::{RunState, Worker};
+use serde::Serialize;
+
+use crate::state::Entry;
+
+/// What a daemon believes at one moment.
+#[derive(Debug, Serialize)]
+pub struct Dump {
+    name: String,
+    phase: String,
+    config_version: Option<u64>,
+    in_flight: usize,
+    cells: Vec<CellDump>,
+    owners: Vec<(String, String)>,
+}
+
+#[derive(Debug, Serialize)]
+struct CellDump {
+    cell: String,
+    token: u64,
+    pending_jobs: usize,
+    workers: Vec<WorkerDump>,
+}
+
+#[derive(Debug, Serialize)]
+struct WorkerDump {
+    id: String,
+    takes_work: bool,
+    free_millicores: u64,
+    pace: f64,
+    runs: Vec<(String, u32, &'static str)>,
+    unclaimed: usize,
+}
+
+impl Entry {
+    /// Gives what the daemon believes.
+    pub fn dump(&self) -> Dump {
+        let now = self.now();
+        let owned = self.owned.borrow();
+        let cells = owned.iter().map(|(cell, owned)| CellDump {
+            cell: cell.to_string(),
+            token: owned.pool.token(),
+            pending_jobs: owned.pool.pending_jobs(),
+            workers: owned
+                .pool
+                .workers()
+                .map(|(id, worker)| worker_dump(id, worker, worker.takes_work(now)))
+                .collect(),
+        });
+        let owners = self.owners.borrow();
+        let shown = |cell| owned.contains_key(cell) || cell.partition == 0;
+        let owners = owners.iter().filter(|(cell, _)| shown(cell));
+        Dump {
+            name: self.settings.name.clone(),
+            phase: format!("{:?}", self.phase.get()),
+            config_version: self.catalogue.borrow().as_ref().map(|catalogue| catalogue.version),
+            in_flight: self.in_flight.get(),
+            cells: cells.collect(),
+            owners: owners.map(|(cell, addr)| (cell.to_string(), addr.to_string())).collect(),
+        }
+    }
+}
+
+fn worker_dump(id: &str, worker: &Worker, takes_work: bool) -> WorkerDump {
+    let state = |state| match state {
+        RunState::Starting => "starting",
+        RunState::Running => "running",
+        RunState::InDoubt => "in_doubt",
+        RunState::Stopping => "stopping",
+    };
+    let runs = worker.runs.iter();
+    WorkerDump {
+        id: id.to_owned(),
+        takes_work,
+        free_millicores: worker.free().cpu_millicores,
+        pace: worker.pace,
+        runs: runs.map(|(name, run)| (name.to_string(), run.run, state(run.state))).collect(),
+        unclaimed: worker.unclaimed.len(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/fleet.rs
@@ -0,0 +1,59 @@
+//! What entry daemons say to each other.
+
+use std::rc::Rc;
+
+use peers::wire::Protocol;
+use pool::catalogue::Terms;
+use pool::cells::Cell;
+use pool::job::{JobSpec, Outcome};
+use pool::queue::Backlog;
+use serde::{Deserialize, Serialize};
+
+/// The questions between entry daemons.
+#[derive(Clone, Copy, Debug)]
+pub enum Fleet {}
+
+impl Protocol for Fleet {
+    type Ask = Ask;
+    type Tell = Tell;
+    const ASKS_END_WITH_LINK: bool = true;
+    /// A third of the time that callers of the users' kinds wait.
+    const SILENCE_LIMIT_MS: u64 = 450;
+}
+
+/// A job for the owner of a cell.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RunAsk {
+    /// The cell.
+    pub cell: Cell,
+    /// The job.
+    pub spec: JobSpec,
+    /// What its route promises.
+    pub terms: Terms,
+    /// How old the request is, in milliseconds.
+    pub age_ms: u64,
+    /// How long the caller waits in all, in milliseconds.
+    pub limit_ms: u64,
+    /// Whether an earlier owner may have runs of it.
+    pub resumed: bool,
+}
+
+/// What one daemon asks of another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Ask {
+    /// Run this job on a cell of yours, and tell what became of it.
+    Run(Box<RunAsk>),
+    /// Nobody waits for this job any more.
+    Cancel(Rc<str>),
+    /// The cells are being dealt anew: ask the store now.
+    Rejoin,
+}
+
+/// What the other daemon replies.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Tell {
+    /// What became of a job, and the load of the cell after it.
+    Outcome(Outcome, Backlog),
+    /// The cell is not this daemon's.
+    NotOwner,
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,57 @@
+//! Answers the questions of other entry daemons.
+
+use std::rc::Rc;
+
+use dispatch::ticket::Incarnation;
+use pool::pool::Submission;
+
+use crate::fleet::{Ask, RunAsk, Tell};
+use crate::state::{Entry, RemoteJob};
+
+/// Forgets a job of another daemon where its question ends.
+struct RemoteEntry {
+    entry: Rc<Entry>,
+    key: RemoteJob,
+}
+
+impl Drop for RemoteEntry {
+    fn drop(&mut self) {
+        self.entry.remote_jobs.borrow_mut().remove(&self.key);
+    }
+}
+
+impl Entry {
+    /// Answers one question.
+    pub async fn serve_peer(self: Rc<Self>, from: Incarnation, ask: Ask) -> Option<Tell> {
+        match ask {
+            Ask::Run(ask) => Some(self.run_for(from, *ask).await),
+            Ask::Cancel(job) => {
+                self.cancel_for(from, job);
+                None
+            }
+            Ask::Rejoin => {
+                self.rejoin.notify_one();
+                None
+            }
+        }
+    }
+
+    async fn run_for(self: &Rc<Self>, from: Incarnation, ask: RunAsk) -> Tell {
+        let RunAsk { cell, spec, terms, age_ms, limit_ms, resumed } = ask;
+        let key = (from, Rc::clone(&spec.id));
+        let _remote = RemoteEntry { entry: Rc::clone(self), key: key.clone() };
+        let note = |serial, number| {
+            self.remote_jobs.borrow_mut().insert(key, (cell.clone(), serial, number));
+        };
+        let submission = Submission { spec, terms, age_ms, limit_ms, resumed };
+        let ran = self.run_here(&cell, submission, note).await;
+        ran.map_or(Tell::NotOwner, |(outcome, backlog)| Tell::Outcome(outcome, backlog))
+    }
+
+    fn cancel_for(self: &Rc<Self>, from: Incarnation, job: Rc<str>) {
+        let found = self.remote_jobs.borrow_mut().remove(&(from, job));
+        let Some((cell, serial, number)) = found else { return };
+        self.with_pool(&cell, serial, |pool, now| pool.cancel(now, number));
+        self.perform(&cell);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/route.rs
@@ -0,0 +1,232 @@
+//! Finds the owner that runs a job, and the next one where that refuses.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dispatch::clock::Millis;
+use peers::links::LinkError;
+use pool::catalogue::Terms;
+use pool::cells::Cell;
+use pool::job::{JobSpec, Outcome, Reason};
+use pool::pool::Submission;
+use pool::queue::Backlog;
+
+use crate::fleet::{Ask, RunAsk, Tell};
+use crate::state::{Entry, Load};
+
+/// The most owners that are asked for one job.
+const MAX_TRIES: usize = 3;
+/// How long a refusal by an owner in another zone keeps further jobs from asking it.
+const REFUSAL_MEMORY_MS: u64 = 100;
+/// The pause between two looks for a cell's next owner, in milliseconds.
+const NEXT_OWNER_PAUSE_MS: u64 = 25;
+/// What a reply of another daemon may take beyond the caller's time, in milliseconds.
+const REPLY_SLACK_MS: u64 = 100;
+/// When a caller may ask again where no daemon owns workers: about the time of a takeover.
+const NO_OWNER_RETRY_MS: u64 = 1_000;
+
+/// A job on its way to an owner.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The job.
+    pub spec: JobSpec,
+    /// What its route promises.
+    pub terms: Terms,
+    /// When the request arrived.
+    pub arrived_at: Millis,
+    /// How long the caller waits in all, in milliseconds.
+    pub limit_ms: u64,
+}
+
+/// What one try gave.
+enum Tried {
+    /// The owner answered.
+    Outcome(Outcome),
+    /// The owner cannot have begun the job.
+    NotBegun,
+    /// The owner may have begun the job.
+    Broken,
+}
+
+/// Where a job's last try went, and how many there were.
+#[derive(Clone, Debug, Default)]
+pub struct Trace {
+    /// The cell.
+    pub cell: Option<Cell>,
+    /// How many owners were asked.
+    pub tries: usize,
+}
+
+/// Tells the owner that nobody waits, where the question is dropped.
+struct Forwarded {
+    entry: Rc<Entry>,
+    addr: SocketAddr,
+    job: Rc<str>,
+    ended: bool,
+}
+
+impl Drop for Forwarded {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let (entry, addr) = (Rc::clone(&self.entry), self.addr);
+        let ask = Ask::Cancel(Rc::clone(&self.job));
+        actix_rt::spawn(async move {
+            if let Err(error) = entry.links.tell(addr, ask).await {
+                log::info!("part=route event=cancel_lost owner={addr} why=\"{error}\"");
+            }
+        });
+    }
+}
+
+impl Entry {
+    /// Runs a job at the best owner, or at the next ones where it is refused.
+    pub async fn run_job(self: &Rc<Self>, request: &Request, trace: &mut Trace) -> Outcome {
+        let mut asked: Vec<Cell> = Vec::new();
+        let no_owner =
+            Outcome::NotRun { reason: Reason::NoOwner, retry_after_ms: NO_OWNER_RETRY_MS };
+        let mut refusal = no_owner;
+        while asked.len() < MAX_TRIES {
+            let Some(cell) = self.choose_cell(&asked) else { break };
+            trace.cell = Some(cell.clone());
+            trace.tries += 1;
+            match self.try_cell(&cell, request, false).await {
+                Tried::Outcome(outcome @ Outcome::NotRun { .. }) => refusal = outcome,
+                Tried::Outcome(Outcome::Moved) | Tried::Broken => {
+                    return self.resume(&cell, request, trace).await;
+                }
+                Tried::Outcome(outcome) => return outcome,
+                Tried::NotBegun => {}
+            }
+            asked.push(cell);
+        }
+        refusal
+    }
+
+    /// Brings a job that may have been begun to the next owner of the same cell, which finds its
+    /// runs. No other cell may run it: nobody knows whether its tasks still run.
+    async fn resume(self: &Rc<Self>, cell: &Cell, request: &Request, trace: &mut Trace) -> Outcome {
+        let ends_at = request.arrived_at.plus(request.limit_ms);
+        while self.now() < ends_at {
+            actix_rt::time::sleep(Duration::from_millis(NEXT_OWNER_PAUSE_MS)).await;
+            if self.owner_of(cell).is_none() {
+                continue;
+            }
+            trace.tries += 1;
+            match self.try_cell(cell, request, true).await {
+                Tried::Outcome(Outcome::NotRun { reason, .. }) => return Outcome::GivenUp(reason),
+                Tried::Outcome(Outcome::Moved) | Tried::Broken | Tried::NotBegun => {}
+                Tried::Outcome(outcome) => return outcome,
+            }
+        }
+        Outcome::GivenUp(Reason::NoOwner)
+    }
+
+    async fn try_cell(self: &Rc<Self>, cell: &Cell, request: &Request, resumed: bool) -> Tried {
+        let age_ms = self.now().since(request.arrived_at);
+        let ran = if self.owned.borrow().contains_key(cell) {
+            let submission = Submission {
+                spec: request.spec.clone(),
+                terms: request.terms.clone(),
+                age_ms,
+                limit_ms: request.limit_ms,
+                resumed,
+            };
+            self.run_here(cell, submission, |_, _| {}).await
+        } else {
+            let Some(addr) = self.owner_of(cell) else { return Tried::NotBegun };
+            let ask = RunAsk {
+                cell: cell.clone(),
+                spec: request.spec.clone(),
+                terms: request.terms.clone(),
+                age_ms,
+                limit_ms: request.limit_ms,
+                resumed,
+            };
+            match self.run_there(addr, ask).await {
+                Ok(ran) => ran,
+                Err(LinkError::NoConnection(addr)) => {
+                    self.note_silent(addr);
+                    None
+                }
+                Err(LinkError::ReplyLost(addr)) => {
+                    self.note_silent(addr);
+                    self.metrics.forwarded.with_label_values(&["lost"]).inc();
+                    log::info!(
+                        "part=route event=owner_lost job={} cell={cell} owner={addr}",
+                        request.spec.id,
+                    );
+                    return Tried::Broken;
+                }
+            }
+        };
+        let Some((outcome, backlog)) = ran else { return Tried::NotBegun };
+        self.note_load(cell, outcome, backlog);
+        Tried::Outcome(outcome)
+    }
+
+    async fn run_there(
+        self: &Rc<Self>,
+        addr: SocketAddr,
+        ask: RunAsk,
+    ) -> Result<Option<(Outcome, Backlog)>, LinkError> {
+        let job = Rc::clone(&ask.spec.id);
+        let wait_ms = ask.limit_ms.saturating_sub(ask.age_ms) + REPLY_SLACK_MS;
+        let mut forwarded = Forwarded { entry: Rc::clone(self), addr, job, ended: false };
+        let told = self.links.call(addr, Ask::Run(Box::new(ask)), wait_ms).await;
+        forwarded.ended = told.is_ok();
+        match told? {
+            Tell::Outcome(outcome, backlog) => {
+                self.metrics.forwarded.with_label_values(&["answered"]).inc();
+                Ok(Some((outcome, backlog)))
+            }
+            Tell::NotOwner => {
+                self.metrics.forwarded.with_label_values(&["not_owner"]).inc();
+                Ok(None)
+            }
+        }
+    }
+
+    fn note_load(&self, cell: &Cell, outcome: Outcome, backlog: Backlog) {
+        let now = self.now();
+        let refused = matches!(outcome, Outcome::NotRun { .. });
+        let load = Load { backlog, at: now, refused_at: refused.then_some(now) };
+        self.loads.borrow_mut().insert(cell.clone(), load);
+    }
+
+    /// Gives the address of a cell's owner, as far as it is known and answers.
+    fn owner_of(&self, cell: &Cell) -> Option<SocketAddr> {
+        if self.owned.borrow().contains_key(cell) {
+            return Some(self.settings.peers);
+        }
+        let addr = self.owners.borrow().get(cell).copied()?;
+        (addr != self.settings.peers && self.may_ask(addr)).then_some(addr)
+    }
+
+    /// Chooses the cell with the shortest wait: one of the own zone, or else one elsewhere that
+    /// has not refused just now.
+    fn choose_cell(&self, asked: &[Cell]) -> Option<Cell> {
+        let own = self.cells_in(&self.settings.zone);
+        self.best_of(own, asked, 0).or_else(|| {
+            let zones = self.settings.zones.iter().filter(|zone| **zone != self.settings.zone);
+            let others = zones.flat_map(|zone| self.cells_in(zone)).collect();
+            self.best_of(others, asked, REFUSAL_MEMORY_MS)
+        })
+    }
+
+    fn best_of(&self, cells: Vec<Cell>, asked: &[Cell], memory_ms: u64) -> Option<Cell> {
+        let now = self.now();
+        let loads = self.loads.borrow();
+        let usable = cells.into_iter().filter(|cell| {
+            let refused_at = loads.get(cell).and_then(|load| load.refused_at);
+            let refused = refused_at.is_some_and(|at| now.since(at) < memory_ms);
+            !refused && !asked.contains(cell) && self.owner_of(cell).is_some()
+        });
+        usable.min_by_key(|cell| {
+            let backlog = loads.get(cell).map(|load| load.backlog).unwrap_or_default();
+            (backlog.waiting_work, std::cmp::Reverse(backlog.free_millicores))
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,137 @@
+//! Runs a daemon from its settings to its end.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::net::TcpListener;
+use httpedge::server::{Limits, Request, Response, serve};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::callers::MAX_BODY_BYTES;
+use crate::cli::Args;
+use crate::error::EntryError;
+use crate::fleet::Fleet;
+use crate::logging;
+use crate::settings::{Settings, load};
+use crate::state::Entry;
+
+/// How long the process stays after its drain, so that last answers reach their callers.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+/// The time between two looks at the settings file, which may change without a signal.
+const SETTINGS_EVERY: Duration = Duration::from_secs(5);
+const SMALL_BODY_BYTES: usize = 1_024;
+
+/// Runs the daemon that the command line asks for.
+///
+/// # Errors
+/// Fails where the settings are wrong or an address cannot be used.
+pub fn run(args: &Args) -> Result<(), EntryError> {
+    let file = args.settings.clone().unwrap_or_else(adapter::settings::settings_file);
+    let settings = load(&file)?;
+    if args.check {
+        println!("{file}: the settings are good");
+        return Ok(());
+    }
+    logging::set_up(settings.log_level, settings.log_lines_per_s)?;
+    actix_rt::System::new().block_on(run_until_terminated(file, settings))
+}
+
+async fn run_until_terminated(file: String, settings: Settings) -> Result<(), EntryError> {
+    let mut terminated = catch(SignalKind::terminate())?;
+    let mut interrupted = catch(SignalKind::interrupt())?;
+    let changed = catch(SignalKind::hangup())?;
+    let entry = begin(settings).await?;
+    actix_rt::spawn(reload(file, entry.settings.clone(), changed));
+    let (first, second) = (std::pin::pin!(terminated.recv()), std::pin::pin!(interrupted.recv()));
+    futures_util::future::select(first, second).await;
+    entry.drain().await;
+    actix_rt::time::sleep(LAST_ANSWERS).await;
+    log::info!("part=daemon event=stop");
+    Ok(())
+}
+
+fn catch(kind: SignalKind) -> Result<Signal, EntryError> {
+    signal(kind).map_err(EntryError::Signals)
+}
+
+/// Binds every address and begins to serve on the local thread.
+///
+/// # Errors
+/// Fails where an address cannot be used.
+pub async fn begin(settings: Settings) -> Result<Rc<Entry>, EntryError> {
+    let callers = listen(settings.callers, "callers").await?;
+    let ready = listen(settings.ready, "readiness").await?;
+    let peers = listen(settings.peers, "other daemons").await?;
+    let metrics = listen(settings.metrics, "metrics").await?;
+    let entry = Entry::new(settings)?;
+    log::info!(
+        "part=daemon event=start name={} zone={} incarnation={}",
+        entry.settings.name,
+        entry.settings.zone,
+        entry.incarnation,
+    );
+    serve_callers(&entry, callers, ready);
+    serve_others(&entry, peers, metrics);
+    actix_rt::spawn(Rc::clone(&entry).follow_catalogue());
+    actix_rt::spawn(Rc::clone(&entry).follow_workers());
+    actix_rt::spawn(Rc::clone(&entry).keep_membership());
+    actix_rt::spawn(Rc::clone(&entry).drive());
+    Ok(entry)
+}
+
+fn serve_callers(entry: &Rc<Entry>, callers: TcpListener, ready: TcpListener) {
+    let limits = Limits { max_body_bytes: MAX_BODY_BYTES, drop_on_disconnect: true };
+    let shared = Rc::clone(entry);
+    let handler = move |request| Rc::clone(&shared).serve_caller(request);
+    actix_rt::spawn(serve(callers, limits, handler));
+    let shared = Rc::clone(entry);
+    let handler = move |request| Rc::clone(&shared).serve_ready(request);
+    actix_rt::spawn(serve(ready, Limits::of_body(SMALL_BODY_BYTES), handler));
+}
+
+fn serve_others(entry: &Rc<Entry>, peers: TcpListener, metrics: TcpListener) {
+    let shared = Rc::clone(entry);
+    let handler: ::peers::links::Handler<Fleet> =
+        Rc::new(move |from, ask| Box::pin(Rc::clone(&shared).serve_peer(from, ask)));
+    actix_rt::spawn(entry.links.clone().serve(peers, handler));
+    let shared = Rc::clone(entry);
+    let handler = move |request| serve_operator(Rc::clone(&shared), request);
+    actix_rt::spawn(serve(metrics, Limits::of_body(SMALL_BODY_BYTES), handler));
+}
+
+async fn serve_operator(entry: Rc<Entry>, request: Request) -> Response {
+    match request.path.as_str() {
+        "/metrics" => Response::text(200, entry.metrics.render()),
+        "/state" => Response::json(200, &entry.dump()),
+        _ => Response::text(404, "ask for /metrics or /state\n"),
+    }
+}
+
+/// Reads the settings again where they changed. What can change while the daemon runs is the log
+/// level; anything else is told and waits for a restart.
+async fn reload(file: String, mut current: Settings, mut changed: Signal) {
+    loop {
+        let pause = actix_rt::time::sleep(SETTINGS_EVERY);
+        futures_util::future::select(std::pin::pin!(pause), std::pin::pin!(changed.recv())).await;
+        let fresh = match load(&file) {
+            Ok(fresh) => fresh,
+            Err(error) => {
+                log::warn!("part=daemon event=reload_refused why=\"{error}\"");
+                continue;
+            }
+        };
+        if fresh == current {
+            continue;
+        }
+        log::set_max_level(fresh.log_level);
+        let rest_is_same = Settings { log_level: current.log_level, ..fresh.clone() } == current;
+        log::info!("part=daemon event=reload needs_restart={}", !rest_is_same);
+        current = fresh;
+    }
+}
+
+async fn listen(addr: SocketAddr, part: &'static str) -> Result<TcpListener, EntryError> {
+    let listening = TcpListener::bind(addr).await;
+    listening.map_err(|why| EntryError::Listen { addr, part, why })
+}
--- a/crates/httpedge/src/client.rs
+++ b/crates/httpedge/src/client.rs
@@ -122,9 +122,17 @@
     /// Sends a request as a caller would and gives status and body as they come.
     ///
     /// # Errors
-    /// Fails where no whole reply came.
+    /// Fails where no whole reply came in time.
     pub async fn raw(&self, call: RawCall<'_>) -> Result<(u16, Vec<u8>), CallError> {
         let addr = call.addr;
+        let limit = Duration::from_millis(call.timeout_ms);
+        let whole = actix_rt::time::timeout(limit, self.exchange(call));
+        whole.await.unwrap_or(Err(CallError::ReplyLost(addr)))
+    }
+
+    async fn exchange(&self, call: RawCall<'_>) -> Result<(u16, Vec<u8>), CallError> {
+        let addr = call.addr;
+        self.check(addr)?;
         let url = format!("http://{addr}{}", call.path);
         let method = call.method.parse().unwrap_or(actix_http::Method::GET);
         let mut request = self.client.request(method, url);
@@ -151,7 +159,7 @@
     pub headers: &'a [(&'static str, String)],
     /// The body.
     pub body: Vec<u8>,
-    /// The longest wait for the reply's head.
+    /// The longest wait for the whole reply, in milliseconds.
     pub timeout_ms: u64,
 }
 
--- a/crates/httpedge/src/server.rs
+++ b/crates/httpedge/src/server.rs
@@ -65,19 +65,38 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body.
     pub body: Vec<u8>,
+    /// Whether the connection is closed after it.
+    pub closes: bool,
+}
+
+/// What a server allows its clients.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// The largest body, in bytes.
+    pub max_body_bytes: usize,
+    /// Whether the handler is dropped where its client closes the connection.
+    pub drop_on_disconnect: bool,
+}
+
+impl Limits {
+    /// Allows bodies up to a size, and lets the handler finish without its client.
+    pub const fn of_body(max_body_bytes: usize) -> Self {
+        Self { max_body_bytes, drop_on_disconnect: false }
+    }
 }
 
 impl Response {
     /// Builds a JSON response.
     pub fn json(status: u16, value: &impl Serialize) -> Self {
         let body = serde_json::to_vec(value).unwrap_or_default();
-        Self { status, content_type: "application/json", headers: Vec::new(), body }
+        Self { status, content_type: "application/json", headers: Vec::new(), body, closes: false }
     }
 
     /// Builds a plain text response.
     pub fn text(status: u16, body: impl Into<String>) -> Self {
         let body = body.into().into_bytes();
-        Self { status, content_type: "text/plain; charset=utf-8", headers: Vec::new(), body }
+        let content_type = "text/plain; charset=utf-8";
+        Self { status, content_type, headers: Vec::new(), body, closes: false }
     }
 
     /// Builds a response whose body breaks off, as when a process dies while it answers.
@@ -93,7 +112,7 @@
 }
 
 /// Serves a listener on the local thread until the returned future is dropped.
-pub async fn serve<F, Fut>(listener: TcpListener, max_body_bytes: usize, handler: F)
+pub async fn serve<F, Fut>(listener: TcpListener, limits: Limits, handler: F)
 where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response> + 'static,
@@ -101,7 +120,8 @@
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
         .client_request_timeout(HEAD_TIMEOUT)
-        .h1(fn_service(move |request| answer(request, max_body_bytes, handler.clone())));
+        .h1_allow_half_closed(!limits.drop_on_disconnect)
+        .h1(fn_service(move |request| answer(request, limits.max_body_bytes, handler.clone())));
     let Ok(service) = ServiceFactory::<(TcpStream, _)>::new_service(&factory, ()).await else {
         return;
     };
@@ -170,5 +190,8 @@
             builder.insert_header((name, value));
         }
     }
+    if response.closes {
+        builder.force_close();
+    }
     builder.body(response.body).map_into_boxed_body()
 }
--- a/crates/httpedge/tests/lost_replies.rs
+++ b/crates/httpedge/tests/lost_replies.rs
@@ -4,7 +4,7 @@
 
 use actix_rt::net::TcpListener;
 use httpedge::client::{CallError, Caller};
-use httpedge::server::{Response, serve};
+use httpedge::server::{Limits, Response, serve};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 /// What a server does after it has read the request.
@@ -50,7 +50,7 @@
     actix_rt::System::new().block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
-        actix_rt::spawn(serve(listener, 1_024, |request| async move {
+        actix_rt::spawn(serve(listener, Limits::of_body(1_024), |request| async move {
             if request.path == "/broken" { Response::broken() } else { Response::json(200, &7) }
         }));
         let caller = Caller::new();
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -7,8 +7,34 @@
 use dispatch::jobs::JobRequest;
 use dispatch::shares::{SlotAsk, SlotGrant};
 use dispatch::ticket::Incarnation;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+/// A set of questions and replies that daemons exchange over links.
+pub trait Protocol: 'static {
+    /// What one daemon asks of another.
+    type Ask: std::fmt::Debug + Serialize + DeserializeOwned + 'static;
+    /// What the other daemon replies.
+    type Tell: std::fmt::Debug + Serialize + DeserializeOwned + 'static;
+    /// Whether a question is dropped where the link that it came over breaks, because its asker
+    /// is gone and nobody waits for the reply.
+    const ASKS_END_WITH_LINK: bool;
+    /// How long a link on which replies are awaited may stay silent, in milliseconds, before it
+    /// counts as broken; zero for any time.
+    const SILENCE_LIMIT_MS: u64;
+}
+
+/// The questions between daemons of an installation that runs on the project's own interfaces.
+#[derive(Clone, Copy, Debug)]
+pub enum Daemons {}
+
+impl Protocol for Daemons {
+    type Ask = Ask;
+    type Tell = Tell;
+    const ASKS_END_WITH_LINK: bool = false;
+    const SILENCE_LIMIT_MS: u64 = 0;
+}
+
 /// What one daemon asks of another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Ask {
@@ -67,20 +93,24 @@
 
 /// One frame of a link.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Frame {
+#[serde(bound = "A: Serialize + DeserializeOwned, T: Serialize + DeserializeOwned")]
+pub struct Frame<A, T> {
     /// The sender.
     pub from: Incarnation,
     /// Pairs questions with replies; zero where no reply is wanted.
     pub id: u64,
     /// The content.
-    pub body: Body,
+    pub body: Body<A, T>,
 }
 
 /// The content of a frame.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Body {
+#[serde(bound = "A: Serialize + DeserializeOwned, T: Serialize + DeserializeOwned")]
+pub enum Body<A, T> {
     /// A question or an order.
-    Ask(Ask),
+    Ask(A),
     /// A reply.
-    Tell(Tell),
+    Tell(T),
+    /// Asks whether the other side still runs, or says so.
+    Ping,
 }
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -10,7 +10,7 @@
 use dispatch::ticket::{Incarnation, Key, Keyring};
 use peers::beats::{LARGEST_BEAT_BYTES, open};
 use peers::links::{Cuts, Handler, LinkError, Links, Traffic};
-use peers::wire::{Ask, Tell};
+use peers::wire::{Ask, Daemons, Tell};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -89,7 +89,7 @@
     assert!(open(&keys(1), &sealed(&ring)).is_none(), "the old ring knows no new key");
 }
 
-fn links(secret: u8, cuts: Cuts) -> (Links, Rc<Traffic>) {
+fn links(secret: u8, cuts: Cuts) -> (Links<Daemons>, Rc<Traffic>) {
     let traffic = Rc::new(Traffic::default());
     let links = Links::new(Incarnation(5), Rc::new(keys(secret)), Rc::clone(&traffic), cuts);
     (links, traffic)
@@ -102,7 +102,7 @@
         let addr = listener.local_addr().unwrap();
         let heard = Rc::new(RefCell::new(0));
         let count = Rc::clone(&heard);
-        let handler: Handler = Rc::new(move |_, _| {
+        let handler: Handler<Daemons> = Rc::new(move |_, _| {
             *count.borrow_mut() += 1;
             Box::pin(async { Some(Tell::Done) })
         });
--- /dev/null
+++ b/crates/pool/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions about best-effort jobs on workers with sizes.
+//!
+//! The modules are state machines: events and the clock go in, actions come out. Nothing here
+//! opens a socket or reads a clock, so that a test can replay any order of events. See
+//! `docs/design/on-the-platform.md`.
+
+pub mod call;
+pub mod catalogue;
+pub mod cells;
+pub mod job;
+pub mod placement;
+pub mod pool;
+pub mod queue;
+pub mod room;
+pub mod worker;
--- /dev/null
+++ b/crates/pool/src/placement.rs
@@ -0,0 +1,65 @@
+//! Chooses the worker of a task.
+//!
+//! Load pattern: tasks take a third to a half of a worker, so that what is left over between them
+//! decides how many run at once. The tightest fit keeps whole workers free for large tasks.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use dispatch::clock::Millis;
+
+use crate::job::Step;
+use crate::worker::Worker;
+
+/// The pace above which a worker is used only where no other has room.
+const SLOW_PACE: f64 = 2.0;
+
+/// What a task needs of its worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// The job's id.
+    pub job: &'a str,
+    /// The service.
+    pub service: &'a str,
+    /// The step's number.
+    pub step_number: u32,
+    /// The step.
+    pub step: &'a Step,
+}
+
+/// Chooses the worker on which the least is left over; racks with the data and workers that are
+/// not slow go first.
+pub fn choose<'a>(
+    workers: &'a BTreeMap<Rc<str>, Worker>,
+    need: Need<'_>,
+    now: Millis,
+) -> Option<&'a Rc<str>> {
+    let fits = |worker: &Worker| {
+        worker.takes_work(now)
+            && worker.free().holds(need.step.each)
+            && suits(worker, need)
+            && below_max(worker, need)
+    };
+    let candidates = workers.iter().filter(|(_, worker)| fits(worker));
+    candidates.min_by_key(|(_, worker)| rank(worker, need)).map(|(id, _)| id)
+}
+
+/// Tells whether the worker could ever run the task.
+pub fn suits(worker: &Worker, need: Need<'_>) -> bool {
+    let label = need.step.required_label.as_ref();
+    *worker.entry.service == *need.service
+        && worker.entry.capacity.holds(need.step.each)
+        && label.is_none_or(|label| worker.entry.labels.contains(label))
+}
+
+fn below_max(worker: &Worker, need: Need<'_>) -> bool {
+    let max = need.step.max_per_worker;
+    max == 0 || worker.runs_of_step(need.job, need.step_number) < max
+}
+
+fn rank(worker: &Worker, need: Need<'_>) -> (bool, bool, u64) {
+    let rack = need.step.data_rack.as_ref();
+    let is_far = rack.is_some_and(|rack| !worker.entry.labels.contains(rack));
+    let left = worker.free().minus(need.step.each);
+    (is_far, worker.pace > SLOW_PACE, left.cpu_millicores)
+}
--- /dev/null
+++ b/crates/pool/src/pool.rs
@@ -0,0 +1,647 @@
+//! Runs jobs on the workers of one cell, for the daemon that owns the cell.
+//!
+//! The fencing token of the ownership goes with every call. Whoever owns the cell next has a
+//! higher one, and a refusal for it ends this pool: its jobs go back as [`Outcome::Moved`].
+//! See `docs/design/on-the-platform.md`.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use dispatch::clock::Millis;
+
+use crate::call::{
+    End, LookCall, LookReply, Refusal, StartCall, StartReply, StopCall, StopReply, Target,
+};
+use crate::catalogue::{Terms, WorkerEntry};
+use crate::job::{Job, JobSpec, Outcome, Reason, TaskName, TaskState};
+use crate::placement::{self, Need};
+use crate::queue::{self, Backlog};
+use crate::worker::{Change, LEASE_BOUND_MS, LEASE_MS, LOOK_WAIT_MS, Run, RunState, Worker};
+
+/// How far a start's number jumps where the worker knows a higher one, such as of an earlier
+/// request with the same id.
+const RUN_NUMBER_JUMP: u32 = 16;
+/// The pause before a look that follows a stop, in milliseconds.
+const LOOK_AFTER_STOP_MS: u64 = 30;
+/// The part of a task's declared time after which its end is looked for.
+const FIRST_LOOK_SHARE: f64 = 0.4;
+
+/// What the daemon is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a start.
+    Start(Target, StartCall),
+    /// Send a stop.
+    Stop(Target, StopCall),
+    /// Send a look.
+    Look(Target, LookCall),
+    /// Give a job's outcome to whoever submitted it under this number.
+    Answer(u64, Outcome),
+}
+
+/// What a submission says besides the job.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// The job.
+    pub spec: JobSpec,
+    /// What its route promises.
+    pub terms: Terms,
+    /// How old the request is, in milliseconds.
+    pub age_ms: u64,
+    /// How long the caller waits in all, in milliseconds.
+    pub limit_ms: u64,
+    /// Whether an earlier owner of the cell may have runs of it.
+    pub resumed: bool,
+}
+
+/// The jobs and workers of one cell.
+#[derive(Debug)]
+pub struct Pool {
+    token: u64,
+    began_at: Millis,
+    fenced: bool,
+    workers: BTreeMap<Rc<str>, Worker>,
+    jobs: HashMap<u64, Job>,
+    watchers: HashMap<u64, u64>,
+    by_id: HashMap<Rc<str>, u64>,
+    held: Vec<u64>,
+    actions: Vec<Action>,
+    next: u64,
+}
+
+impl Pool {
+    /// Builds the pool of a cell that was just taken over under a fencing token.
+    pub fn new(token: u64, now: Millis) -> Self {
+        Self {
+            token,
+            began_at: now,
+            fenced: false,
+            workers: BTreeMap::new(),
+            jobs: HashMap::new(),
+            watchers: HashMap::new(),
+            by_id: HashMap::new(),
+            held: Vec::new(),
+            actions: Vec::new(),
+            next: 1,
+        }
+    }
+
+    /// Gives the fencing token.
+    pub const fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Tells whether a worker knows a later owner.
+    pub const fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Counts the workers.
+    pub fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Gives the workers with their runs, for a dump of the state.
+    pub fn workers(&self) -> impl Iterator<Item = (&Rc<str>, &Worker)> {
+        self.workers.iter()
+    }
+
+    /// Tells whether any worker can take work now.
+    pub fn is_usable(&self, now: Millis) -> bool {
+        !self.fenced && self.workers.values().any(|worker| worker.takes_work(now))
+    }
+
+    /// Counts the jobs of which no task was begun.
+    pub fn pending_jobs(&self) -> usize {
+        self.jobs.values().filter(|job| !job.begun).count()
+    }
+
+    /// Tells whether actions are due.
+    pub const fn has_actions(&self) -> bool {
+        !self.actions.is_empty()
+    }
+
+    /// Takes the actions that are due.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Takes the entries of the cell's workers as they are now.
+    pub fn set_workers<'a>(
+        &mut self,
+        now: Millis,
+        entries: impl Iterator<Item = (&'a Rc<str>, &'a WorkerEntry)>,
+    ) {
+        for worker in self.workers.values_mut() {
+            worker.listed = false;
+        }
+        let mut changes = Vec::new();
+        for (id, entry) in entries {
+            match self.workers.get_mut(id) {
+                None => {
+                    self.workers.insert(Rc::clone(id), Worker::new(entry.clone(), now));
+                }
+                Some(worker) => changes.extend(update(worker, entry, now)),
+            }
+        }
+        self.workers.retain(|_, worker| worker.listed || !worker.runs.is_empty());
+        self.apply(now, changes, None);
+        self.advance(now);
+    }
+
+    /// Takes a job. Its outcome comes as an action under the number that is returned.
+    pub fn submit(&mut self, now: Millis, submission: Submission) -> u64 {
+        let number = self.next_number();
+        if self.fenced {
+            self.actions.push(Action::Answer(number, Outcome::Moved));
+            return number;
+        }
+        let Submission { spec, terms, age_ms, limit_ms, resumed } = submission;
+        if let Some(known) = self.by_id.get(&spec.id) {
+            self.watchers.insert(number, *known);
+            return number;
+        }
+        let mut job = Job::new(spec, terms, now, age_ms, limit_ms);
+        self.claim(number, &mut job);
+        if let Some(outcome) = self.refusal(&job, now) {
+            self.actions.push(Action::Answer(number, outcome));
+            return number;
+        }
+        self.by_id.insert(Rc::clone(&job.spec.id), number);
+        self.watchers.insert(number, number);
+        self.jobs.insert(number, job);
+        if resumed && !self.is_settled(now) {
+            self.held.push(number);
+        }
+        self.finish_if_done(number);
+        self.advance(now);
+        number
+    }
+
+    /// Ends what nobody waits for any more.
+    pub fn cancel(&mut self, now: Millis, number: u64) {
+        let Some(job) = self.watchers.remove(&number) else { return };
+        if self.watchers.values().any(|watched| *watched == job) {
+            return;
+        }
+        self.drop_job(now, job);
+        self.advance(now);
+    }
+
+    /// Takes the reply to a start.
+    pub fn start_reply(&mut self, now: Millis, id: &str, call: &StartCall, reply: StartReply) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(run) = worker.runs.get_mut(&call.task).filter(|run| run.run == call.run) else {
+            return;
+        };
+        match reply {
+            StartReply::Started { clock_ms } => {
+                if run.state == RunState::Starting {
+                    run.state = RunState::Running;
+                    run.since = now;
+                }
+                let first_look_ms = (run.estimate_ms as f64 * FIRST_LOOK_SHARE) as u64;
+                worker.note_clock(clock_ms, now);
+                worker.look_no_later_than(now.plus(first_look_ms));
+            }
+            StartReply::Lost => {
+                run.state = RunState::InDoubt;
+                run.since = now;
+                self.send_stop(id, &call.task, call.run);
+            }
+            StartReply::Refused(refusal) => self.start_refused(now, id, call, refusal),
+        }
+        self.advance(now);
+    }
+
+    /// Takes the reply to a stop.
+    pub fn stop_reply(&mut self, now: Millis, id: &str, call: &StopCall, reply: StopReply) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        match reply {
+            StopReply::Stopped => {
+                if let Some(run) = worker.runs.get_mut(&call.task)
+                    && run.run == call.run
+                {
+                    run.state = RunState::Stopping;
+                    run.since = now;
+                }
+                worker.look_no_later_than(now.plus(LOOK_AFTER_STOP_MS));
+            }
+            StopReply::Refused(Refusal::Fenced) => self.lose(),
+            StopReply::Refused(_) | StopReply::Lost => {
+                worker.look_no_later_than(now.plus(LOOK_AFTER_STOP_MS));
+            }
+        }
+        self.advance(now);
+    }
+
+    /// Takes the reply to a look that was sent at `sent_at`.
+    pub fn look_reply(&mut self, now: Millis, id: &str, sent_at: Millis, reply: &LookReply) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let changes = match reply {
+            LookReply::Report(report) => worker.take_report(now, sent_at, report),
+            LookReply::Refused(Refusal::Fenced) => {
+                self.lose();
+                return;
+            }
+            LookReply::Refused(Refusal::OtherLifetime) => {
+                let entry = worker.entry.clone();
+                worker.restart(entry, now)
+            }
+            LookReply::Refused(_) | LookReply::Lost => worker.look_unanswered(now),
+        };
+        self.apply(now, changes, Some(id));
+        self.advance(now);
+    }
+
+    /// Lets time pass: looks, refusals and ends that are due.
+    pub fn advance(&mut self, now: Millis) {
+        if self.fenced {
+            return;
+        }
+        self.release_held(now);
+        self.end_overdue(now);
+        self.place_waiting(now);
+        self.send_looks(now);
+    }
+
+    /// Gives up the cell: every job goes back to whoever submitted it.
+    pub fn lose(&mut self) {
+        self.fenced = true;
+        let mut numbers: Vec<u64> = self.watchers.drain().map(|(number, _)| number).collect();
+        numbers.sort_unstable();
+        let moved = numbers.into_iter().map(|number| Action::Answer(number, Outcome::Moved));
+        self.actions.retain(|action| matches!(action, Action::Answer(..)));
+        self.actions.extend(moved);
+        self.jobs.clear();
+        self.by_id.clear();
+    }
+
+    /// Renews every lease as long as it goes, before the cell is handed over, so that the next
+    /// owner finds the runs alive.
+    pub fn renew_all(&mut self, now: Millis) {
+        let busy = |(id, worker): (&Rc<str>, &mut Worker)| {
+            let has_runs = !worker.runs.is_empty();
+            let until_ms = worker.clock_at(now).filter(|_| has_runs)? + LEASE_MS;
+            let call = LookCall {
+                token: self.token,
+                ack_cursor: worker.cursor(),
+                lease_until_ms: Some(until_ms),
+                wait_ms: 0,
+            };
+            Some(Action::Look(worker.target(id), call))
+        };
+        let looks: Vec<Action> = self.workers.iter_mut().filter_map(busy).collect();
+        self.actions.extend(looks);
+    }
+
+    /// Gives the load, for daemons that choose between owners.
+    pub fn backlog(&self, now: Millis) -> Backlog {
+        self.backlog_ahead_of(now, None)
+    }
+
+    /// Gives the load ahead of a job that can wait until `latest_start`.
+    fn backlog_ahead_of(&self, now: Millis, latest_start: Option<Millis>) -> Backlog {
+        let mut backlog = Backlog::default();
+        for worker in self.workers.values().filter(|worker| worker.takes_work(now)) {
+            backlog.capacity_millicores += worker.entry.capacity.cpu_millicores;
+            backlog.free_millicores += worker.free().cpu_millicores;
+        }
+        let ahead =
+            |job: &&Job| latest_start.is_none_or(|at| job.begun || job.latest_start() <= at);
+        for job in self.jobs.values().filter(ahead) {
+            let pending = job.tasks.iter().filter(|task| task.state == TaskState::Pending);
+            let work = pending.map(|task| {
+                let step = &job.spec.steps[task.step as usize];
+                step.estimate_ms * step.each.cpu_millicores
+            });
+            backlog.waiting_work += work.sum::<u64>();
+        }
+        backlog
+    }
+
+    /// Gives when something is due next.
+    pub fn next_due(&self, now: Millis) -> Option<Millis> {
+        let looks = self.workers.values().filter(|worker| worker.look_sent.is_none());
+        let looks = looks.filter_map(|worker| worker.look_at);
+        let ends = self.jobs.values().map(|job| {
+            let hopeless = job.hopeless_from().plus(1);
+            if job.begun { job.ends_at } else { job.ends_at.min(hopeless) }
+        });
+        let settled = (!self.held.is_empty()).then(|| self.began_at.plus(LEASE_BOUND_MS));
+        looks.chain(ends).chain(settled).map(|at| at.max(now)).min()
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Takes over runs and ends of the job that an earlier owner ordered.
+    fn claim(&mut self, number: u64, job: &mut Job) {
+        for at in 0..job.tasks.len() {
+            let name = job.name(at);
+            let step = job.spec.steps[job.tasks[at].step as usize].clone();
+            for worker in self.workers.values_mut() {
+                let Some(held) = worker.unclaimed.remove(&name) else { continue };
+                job.begun = true;
+                job.tasks[at].run = job.tasks[at].run.max(held.run);
+                match held.end {
+                    Some(End::Done) => job.tasks[at].state = TaskState::Done,
+                    Some(End::Failed) => job.tasks[at].failures += 1,
+                    Some(End::Cut) => {}
+                    None => {
+                        job.tasks[at].state = TaskState::Placed;
+                        let run = Run {
+                            of: Some((number, at)),
+                            run: held.run,
+                            room: step.each,
+                            state: RunState::Running,
+                            since: held.seen_at,
+                            sent_at: held.seen_at,
+                            estimate_ms: step.estimate_ms,
+                        };
+                        worker.place(name.clone(), run);
+                    }
+                }
+            }
+        }
+    }
+
+    fn refusal(&self, job: &Job, now: Millis) -> Option<Outcome> {
+        if job.begun {
+            return None;
+        }
+        if !self.is_settled(now) && self.workers.values().all(|worker| !worker.is_known()) {
+            return None;
+        }
+        if !self.can_ever_run(job) {
+            let retry_after_ms = queue::retry_after_ms(&Backlog::default());
+            return Some(Outcome::NotRun { reason: Reason::NoWorker, retry_after_ms });
+        }
+        let ahead = self.backlog_ahead_of(now, Some(job.latest_start()));
+        if queue::admits(job, &ahead, now) {
+            return None;
+        }
+        let retry_after_ms = queue::retry_after_ms(&ahead);
+        Some(Outcome::NotRun { reason: Reason::Overload, retry_after_ms })
+    }
+
+    fn can_ever_run(&self, job: &Job) -> bool {
+        let possible = |(number, step)| {
+            let need = need_of(job, number, step);
+            let suits = |worker: &&Worker| worker.may_take_work() && placement::suits(worker, need);
+            self.workers.values().any(|worker| suits(&worker))
+        };
+        job.spec.steps.iter().enumerate().all(|(number, step)| possible((number as u32, step)))
+    }
+
+    /// Tells whether no run of an earlier owner can be unknown here: every worker was looked at,
+    /// or every lease of that owner is over.
+    fn is_settled(&self, now: Millis) -> bool {
+        now.since(self.began_at) >= LEASE_BOUND_MS
+            || self.workers.values().all(|worker| worker.is_known())
+    }
+
+    fn release_held(&mut self, now: Millis) {
+        if self.held.is_empty() || !self.is_settled(now) {
+            return;
+        }
+        for number in std::mem::take(&mut self.held) {
+            let Some(mut job) = self.jobs.remove(&number) else { continue };
+            self.claim(number, &mut job);
+            self.jobs.insert(number, job);
+            self.finish_if_done(number);
+        }
+    }
+
+    /// Ends jobs whose time is over, and refuses those that can no longer help their caller.
+    fn end_overdue(&mut self, now: Millis) {
+        let overdue = |(number, job): (&u64, &Job)| {
+            if now >= job.ends_at {
+                return Some((*number, job.begun));
+            }
+            (!job.begun && now > job.hopeless_from()).then_some((*number, false))
+        };
+        let mut overdue: Vec<(u64, bool)> = self.jobs.iter().filter_map(overdue).collect();
+        overdue.sort_unstable();
+        for (number, begun) in overdue {
+            let retry_after_ms = queue::retry_after_ms(&self.backlog(now));
+            let outcome = if begun {
+                Outcome::GivenUp(Reason::TimeOver)
+            } else {
+                Outcome::NotRun { reason: Reason::Overload, retry_after_ms }
+            };
+            self.answer(number, outcome);
+            self.drop_job(now, number);
+        }
+    }
+
+    fn place_waiting(&mut self, now: Millis) {
+        let mut waiting: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(number, job)| has_pending(job) && !self.held.contains(number))
+            .map(|(number, job)| (queue::order(job, now), *number))
+            .collect();
+        if waiting.is_empty() {
+            return;
+        }
+        waiting.sort_unstable();
+        for (_, number) in waiting {
+            self.place_job(now, number);
+        }
+    }
+
+    fn place_job(&mut self, now: Millis, number: u64) {
+        let Some(job) = self.jobs.get_mut(&number) else { return };
+        for at in 0..job.tasks.len() {
+            let task = job.tasks[at];
+            if task.state != TaskState::Pending || !job.step_is_due(task.step) {
+                continue;
+            }
+            let step = &job.spec.steps[task.step as usize];
+            let need = need_of(job, task.step, step);
+            let Some(id) = placement::choose(&self.workers, need, now).cloned() else { break };
+            let Some(worker) = self.workers.get_mut(&id) else { break };
+            let Some(clock_ms) = worker.clock_at(now) else { break };
+            let name = job.name(at);
+            let run = Run {
+                of: Some((number, at)),
+                run: task.run + 1,
+                room: step.each,
+                state: RunState::Starting,
+                since: now,
+                sent_at: now,
+                estimate_ms: step.estimate_ms,
+            };
+            let call = StartCall {
+                task: name.clone(),
+                run: run.run,
+                spec: Rc::clone(&job.spec.spec),
+                lease_until_ms: clock_ms + LEASE_MS,
+                token: self.token,
+            };
+            self.actions.push(Action::Start(worker.target(&id), call));
+            worker.place(name, run);
+            job.tasks[at].state = TaskState::Placed;
+            job.tasks[at].run = task.run + 1;
+            job.begun = true;
+        }
+    }
+
+    fn send_looks(&mut self, now: Millis) {
+        for (id, worker) in &mut self.workers {
+            let due = worker.look_at.is_some_and(|at| now >= at);
+            if !due || worker.look_sent.is_some() {
+                continue;
+            }
+            let lease_until_ms = worker.look_begins(now);
+            let wait_ms = if worker.runs.is_empty() { 0 } else { LOOK_WAIT_MS };
+            let call = LookCall {
+                token: self.token,
+                ack_cursor: worker.cursor(),
+                lease_until_ms,
+                wait_ms,
+            };
+            self.actions.push(Action::Look(worker.target(id), call));
+        }
+    }
+
+    fn start_refused(&mut self, now: Millis, id: &str, call: &StartCall, refusal: Refusal) {
+        if refusal == Refusal::Fenced {
+            self.lose();
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(run) = worker.remove(&call.task) else { return };
+        match refusal {
+            Refusal::NoRoom | Refusal::Late => worker.distrust_room(now),
+            Refusal::Unwell | Refusal::NotSent => worker.pause(now),
+            Refusal::OtherLifetime => worker.look_no_later_than(now),
+            Refusal::OldRun | Refusal::Unreadable | Refusal::Fenced => {}
+        }
+        let Some((number, at)) = run.of else { return };
+        let Some(job) = self.jobs.get_mut(&number) else { return };
+        job.tasks[at].state = TaskState::Pending;
+        if refusal == Refusal::OldRun {
+            job.tasks[at].run += RUN_NUMBER_JUMP;
+        }
+        if refusal == Refusal::Unreadable {
+            self.task_failed(now, number, at);
+        }
+    }
+
+    fn apply(&mut self, now: Millis, changes: Vec<Change>, id: Option<&str>) {
+        for change in changes {
+            match change {
+                Change::Ended { of: (number, at), end, .. } => {
+                    self.task_ended(now, number, at, end);
+                }
+                Change::Stop { task, run } => {
+                    if let Some(id) = id {
+                        self.send_stop(id, &task, run);
+                    }
+                }
+            }
+        }
+    }
+
+    fn task_ended(&mut self, now: Millis, number: u64, at: usize, end: End) {
+        let Some(job) = self.jobs.get_mut(&number) else { return };
+        match end {
+            End::Done => {
+                job.tasks[at].state = TaskState::Done;
+                self.finish_if_done(number);
+            }
+            End::Cut => job.tasks[at].state = TaskState::Pending,
+            End::Failed => {
+                job.tasks[at].state = TaskState::Pending;
+                self.task_failed(now, number, at);
+            }
+        }
+    }
+
+    fn task_failed(&mut self, now: Millis, number: u64, at: usize) {
+        let Some(job) = self.jobs.get_mut(&number) else { return };
+        job.tasks[at].failures += 1;
+        if job.tasks[at].failures < job.terms.max_attempts.max(1) {
+            return;
+        }
+        self.answer(number, Outcome::Failed(Reason::TaskFailed));
+        self.drop_job(now, number);
+    }
+
+    fn finish_if_done(&mut self, number: u64) {
+        if !self.jobs.get(&number).is_some_and(Job::is_done) {
+            return;
+        }
+        self.answer(number, Outcome::Completed);
+        self.forget(number);
+    }
+
+    fn answer(&mut self, job: u64, outcome: Outcome) {
+        let mut numbers: Vec<u64> = Vec::new();
+        self.watchers.retain(|number, watched| {
+            if *watched == job {
+                numbers.push(*number);
+            }
+            *watched != job
+        });
+        numbers.sort_unstable();
+        self.actions.extend(numbers.into_iter().map(|number| Action::Answer(number, outcome)));
+    }
+
+    fn forget(&mut self, number: u64) {
+        if let Some(job) = self.jobs.remove(&number) {
+            self.by_id.remove(&job.spec.id);
+        }
+    }
+
+    /// Stops every run of a job that nobody waits for.
+    fn drop_job(&mut self, now: Millis, number: u64) {
+        self.forget(number);
+        let mut stops = Vec::new();
+        for (id, worker) in &mut self.workers {
+            for (name, run) in &mut worker.runs {
+                if run.of.is_none_or(|(job, _)| job != number) {
+                    continue;
+                }
+                run.of = None;
+                stops.push((Rc::clone(id), name.clone(), run.run));
+                let may_begin = matches!(run.state, RunState::Starting | RunState::InDoubt);
+                run.state = if may_begin { RunState::InDoubt } else { RunState::Stopping };
+                run.since = now;
+            }
+        }
+        for (id, name, run) in stops {
+            self.send_stop(&id, &name, run);
+        }
+    }
+
+    fn send_stop(&mut self, id: &str, task: &TaskName, run: u32) {
+        let Some((id, worker)) = self.workers.get_key_value(id) else { return };
+        let call = StopCall { task: task.clone(), run, token: self.token };
+        self.actions.push(Action::Stop(worker.target(id), call));
+    }
+}
+
+fn update(worker: &mut Worker, entry: &WorkerEntry, now: Millis) -> Vec<Change> {
+    let reborn = worker.entry.born_ms.is_some()
+        && entry.born_ms.is_some()
+        && worker.entry.born_ms != entry.born_ms;
+    if reborn || worker.entry.addr != entry.addr {
+        return worker.restart(entry.clone(), now);
+    }
+    worker.entry.clone_from(entry);
+    worker.listed = true;
+    Vec::new()
+}
+
+fn has_pending(job: &Job) -> bool {
+    job.tasks.iter().any(|task| task.state == TaskState::Pending)
+}
+
+fn need_of<'a>(job: &'a Job, step_number: u32, step: &'a crate::job::Step) -> Need<'a> {
+    Need { job: &job.spec.id, service: &job.terms.service, step_number, step }
+}
--- /dev/null
+++ b/crates/pool/src/room.rs
@@ -0,0 +1,49 @@
+//! Sizes of tasks and of what is free on a worker.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of cores, memory and accelerators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Cores, in thousandths.
+    pub cpu_millicores: u64,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+}
+
+impl Room {
+    /// Tells whether `need` fits into this amount.
+    pub const fn holds(self, need: Self) -> bool {
+        need.cpu_millicores <= self.cpu_millicores
+            && need.memory_mb <= self.memory_mb
+            && need.accelerators <= self.accelerators
+    }
+
+    /// Adds an amount.
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_add(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Takes an amount away, and gives zero where more is taken than there is.
+    pub const fn minus(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_sub(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Gives how many tasks of size `each` fit.
+    pub fn fits(self, each: Self) -> u64 {
+        let share = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
+        share(self.cpu_millicores, each.cpu_millicores)
+            .min(share(self.memory_mb, each.memory_mb))
+            .min(share(self.accelerators, each.accelerators))
+    }
+}
--- a/crates/standins/src/log.rs
+++ b/crates/standins/src/log.rs
@@ -7,7 +7,7 @@
 
 use actix_http::Method;
 use actix_rt::net::TcpListener;
-use httpedge::server::{Request, Response, serve};
+use httpedge::server::{Limits, Request, Response, serve};
 use platform::wire::{AppendCall, Appended, KeptRecord, Page};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -146,7 +146,10 @@
         began_unix_ms: since_epoch.map_or(0, |since| since.as_millis() as u64),
     };
     let log = Rc::new(RefCell::new(state));
-    serve(listener, LARGEST_BODY_BYTES, move |request| route(Rc::clone(&log), request)).await;
+    serve(listener, Limits::of_body(LARGEST_BODY_BYTES), move |request| {
+        route(Rc::clone(&log), request)
+    })
+    .await;
 }
 
 async fn route(log: Shared, request: Request) -> Response {
--- a/crates/standins/src/vms.rs
+++ b/crates/standins/src/vms.rs
@@ -6,7 +6,7 @@
 
 use actix_http::Method;
 use actix_rt::net::TcpListener;
-use httpedge::server::{Request, Response, serve};
+use httpedge::server::{Limits, Request, Response, serve};
 use platform::wire::{Vm, VmList};
 use serde::{Deserialize, Serialize};
 
@@ -29,7 +29,10 @@
 /// Serves a VM list until the returned future is dropped.
 pub async fn serve_vms(listener: TcpListener, vms: Vec<Vm>) {
     let list: Shared = Rc::new(RefCell::new((1, vms)));
-    serve(listener, LARGEST_BODY_BYTES, move |request| route(Rc::clone(&list), request)).await;
+    serve(listener, Limits::of_body(LARGEST_BODY_BYTES), move |request| {
+        route(Rc::clone(&list), request)
+    })
+    .await;
 }
 
 async fn route(list: Shared, request: Request) -> Response {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -9,7 +9,7 @@
 use actix_http::Method;
 use actix_rt::net::TcpListener;
 use futures_util::future::{Either, select};
-use httpedge::server::{Request, Response, serve};
+use httpedge::server::{Limits, Request, Response, serve};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use upstreams::wire::{
@@ -138,7 +138,10 @@
 /// Serves a worker until the returned future is dropped.
 pub async fn serve_worker(listener: TcpListener, slots: usize) {
     let worker = Rc::new(RefCell::new(Worker::new(slots)));
-    serve(listener, LARGEST_BODY_BYTES, move |request| route(Rc::clone(&worker), request)).await;
+    serve(listener, Limits::of_body(LARGEST_BODY_BYTES), move |request| {
+        route(Rc::clone(&worker), request)
+    })
+    .await;
 }
 
 async fn route(worker: Shared, request: Request) -> Response {
