Put log lines together before they are counted

Cause: the logger writes a line in several pieces, and each piece counted against the bound, so that most lines were dropped or cut. Change: pieces are kept until the line is whole.

--- a/crates/entry/src/logging.rs
+++ b/crates/entry/src/logging.rs
@@ -1,6 +1,6 @@
 //! Structured logs to standard output, bounded in volume and never blocking.
 
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -42,6 +42,8 @@
     lines_per_s: u64,
     left: u64,
     since: Instant,
+    /// The line that is being put together: the logger writes it in pieces.
+    line: Vec<u8>,
     rest: Vec<u8>,
 }
 
@@ -53,7 +55,13 @@
         {
             eprintln!("log: standard output stays blocking: {error}");
         }
-        Self { lines_per_s, left: lines_per_s, since: Instant::now(), rest: Vec::new() }
+        Self {
+            lines_per_s,
+            left: lines_per_s,
+            since: Instant::now(),
+            line: Vec::new(),
+            rest: Vec::new(),
+        }
     }
 
     fn admits(&mut self) -> bool {
@@ -78,20 +86,31 @@
     }
 }
 
-impl Write for Bounded {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+impl Bounded {
+    fn write_line(&mut self, line: &[u8]) {
         if !self.admits() || !self.drain_rest() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
-            return Ok(line.len());
+            return;
         }
         match rustix::io::write(rustix::stdio::stdout(), line) {
             Ok(written) => self.rest.extend_from_slice(&line[written..]),
-            Err(error) if io::Error::from(error).kind() == ErrorKind::BrokenPipe => {}
             Err(_) => {
                 DROPPED.fetch_add(1, Ordering::Relaxed);
             }
         }
-        Ok(line.len())
+    }
+}
+
+impl Write for Bounded {
+    fn write(&mut self, piece: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(piece);
+        if self.line.ends_with(b"\n") {
+            let mut line = std::mem::take(&mut self.line);
+            self.write_line(&line);
+            line.clear();
+            self.line = line;
+        }
+        Ok(piece.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
