--- a/crates/callers/src/parse.rs
+++ b/crates/callers/src/parse.rs
@@ -64,7 +64,8 @@
 }
 
 /// Why a call cannot be read. Nothing was started and no ticket was used.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum CallProblem {
     /// The path or the method is not known.
     #[error("no such call; see POST /v1/jobs, GET and DELETE /v1/jobs/TICKET, GET /v1/tickets")]
--- a/crates/callers/src/render.rs
+++ b/crates/callers/src/render.rs
@@ -7,7 +7,8 @@
 use crate::parse::CallProblem;
 
 /// The body of an answer.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct AnswerBody {
     /// The ticket that the answer belongs to.
     pub ticket: String,
@@ -29,7 +30,8 @@
 }
 
 /// The body of a list of tickets.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct TicketsBody {
     /// The tickets.
     pub tickets: Vec<String>,
@@ -38,7 +40,8 @@
 }
 
 /// The body of an error.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorBody {
     /// What was wrong, with the remedy.
     pub error: String,
--- a/crates/clementinectl/src/cli.rs
+++ b/crates/clementinectl/src/cli.rs
@@ -15,7 +15,8 @@
 ///   clementinectl catalogue edit entries.json --by anna --yes --wait
 ///
 ///   clementinectl --json state
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct Args {
     /// Prints this help.
     pub help: bool,
@@ -34,7 +35,8 @@
 }
 
 /// What to do.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum Command {
     /// Submits a job from a JSON file and waits for its answer.
     Submit(SubmitArgs),
@@ -53,14 +55,16 @@
 }
 
 /// No options.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct NoArgs {
     /// Prints this help.
     pub help: bool,
 }
 
 /// Options of a submission.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct SubmitArgs {
     /// Prints this help.
     pub help: bool,
@@ -76,7 +80,8 @@
 }
 
 /// One ticket.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct TicketArgs {
     /// Prints this help.
     pub help: bool,
@@ -86,7 +91,8 @@
 }
 
 /// How many tickets.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct TicketsArgs {
     /// Prints this help.
     pub help: bool,
@@ -96,7 +102,8 @@
 }
 
 /// What to do with the catalogue.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct CatalogueArgs {
     /// Prints this help.
     pub help: bool,
@@ -106,7 +113,8 @@
 }
 
 /// What to do with the catalogue.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum CatalogueCommand {
     /// Lists the entries.
     List(NoArgs),
@@ -123,7 +131,8 @@
 }
 
 /// One name.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct NameArgs {
     /// Prints this help.
     pub help: bool,
@@ -133,7 +142,8 @@
 }
 
 /// Options of an edit.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct EditArgs {
     /// Prints this help.
     pub help: bool,
@@ -150,7 +160,8 @@
 }
 
 /// Options of the status.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct StatusArgs {
     /// Prints this help.
     pub help: bool,
--- a/crates/clementinectl/src/error.rs
+++ b/crates/clementinectl/src/error.rs
@@ -3,7 +3,8 @@
 use httpedge::client::CallError;
 
 /// Why a command failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum CtlError {
     /// The command line is not complete.
     #[error("{0}; see clementinectl --help")]
--- a/crates/clementined/src/config.rs
+++ b/crates/clementined/src/config.rs
@@ -12,7 +12,8 @@
 use ini::Ini;
 
 /// What is wrong with the settings.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum ConfigError {
     /// The file cannot be read.
     #[error("{file}: cannot be read: {why}; give --settings an INI file")]
--- a/crates/clementined/src/error.rs
+++ b/crates/clementined/src/error.rs
@@ -5,7 +5,8 @@
 use crate::config::ConfigError;
 
 /// Why the daemon could not run.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum DaemonError {
     /// The settings are wrong.
     #[error(transparent)]
--- a/crates/clementined/src/operators.rs
+++ b/crates/clementined/src/operators.rs
@@ -16,7 +16,8 @@
 use crate::daemon::Daemon;
 
 /// The whole state of a daemon.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct StateBody {
     incarnation: String,
     zone: String,
@@ -32,7 +33,8 @@
     fleet: FleetBody,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct TrafficBody {
     peer_sent: u64,
     peer_received: u64,
@@ -47,7 +49,8 @@
     forward_messages: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ExplainBody {
     ticket_job: String,
     home: String,
--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The kind of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// Every task ran and its output is in the answer.
@@ -21,7 +22,8 @@
 }
 
 /// Why an answer is what it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reason {
     /// All went well.
@@ -111,7 +113,8 @@
 }
 
 /// What became of one task.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TaskEnd {
     /// The task ran and gave this output.
@@ -135,7 +138,8 @@
 }
 
 /// The whole answer to one request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// The kind of the answer.
     pub verdict: Verdict,
--- a/crates/dispatch/src/catalogue.rs
+++ b/crates/dispatch/src/catalogue.rs
@@ -22,7 +22,8 @@
 const LARGEST_SHARE: u32 = 1_000;
 
 /// What to do with journalled work while the log service is out.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OnLogOut {
     /// Refuse the work, truthfully, as not run.
@@ -33,7 +34,8 @@
 }
 
 /// One kind of work.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KindSpec {
     /// The team that owns the kind.
@@ -66,7 +68,8 @@
 }
 
 /// One team with its quota.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TeamSpec {
     /// The team's weight against other teams; what it leaves idle others use.
@@ -100,7 +103,8 @@
 }
 
 /// One entry of the catalogue.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Item {
     /// A kind of work.
@@ -110,7 +114,8 @@
 }
 
 /// Why an edit is not valid.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum InvalidEdit {
     /// The edit changes nothing.
     #[error("the edit changes nothing; name at least one entry")]
@@ -141,7 +146,8 @@
 }
 
 /// One entry's change within an edit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Change {
     /// The entry's name.
     pub name: String,
@@ -152,7 +158,8 @@
 }
 
 /// One operator's edit, which takes effect as a whole or not at all.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Edit {
     /// The identity by which a lost reply is resolved.
     pub id: String,
@@ -163,7 +170,8 @@
 }
 
 /// One record of the catalogue stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CatalogueRecord {
     /// An operator's edit.
@@ -173,7 +181,8 @@
 }
 
 /// What became of an edit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// The edit is in force.
@@ -198,7 +207,8 @@
 }
 
 /// An entry with the revision and the author of its last change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Versioned {
     /// The offset of the edit that made it.
     pub revision: u64,
@@ -213,7 +223,8 @@
 }
 
 /// One line of the catalogue's history.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HistoryLine {
     /// The revision.
     pub revision: u64,
@@ -228,7 +239,8 @@
 }
 
 /// The catalogue at one offset of its stream.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Fold {
     next_offset: u64,
     items: BTreeMap<String, Versioned>,
--- a/crates/dispatch/src/clock.rs
+++ b/crates/dispatch/src/clock.rs
@@ -5,9 +5,8 @@
 /// A point in time in milliseconds on the clock of one process.
 ///
 /// Points of different processes are never compared; see `docs/design/tickets.md`.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Millis(pub u64);
 
 impl Millis {
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -12,7 +12,8 @@
 /// Mean absolute log error at which declared run times say nothing of a task's slack.
 const WORTHLESS_LOG_ERROR: f64 = 0.7;
 
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 struct Learnt {
     mean_ms: f64,
     log_ratio: f64,
@@ -20,7 +21,8 @@
 }
 
 /// What was learnt of run times, by kind.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Estimates {
     kinds: HashMap<String, Learnt>,
 }
--- a/crates/dispatch/src/follower.rs
+++ b/crates/dispatch/src/follower.rs
@@ -15,7 +15,8 @@
 const KEPT_TAIL: usize = 256;
 
 /// One record as the log service gave it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LogRecord {
     /// The record's offset.
     pub offset: u64,
--- a/crates/dispatch/src/home.rs
+++ b/crates/dispatch/src/home.rs
@@ -37,7 +37,8 @@
     pub hold_bytes: usize,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 struct HeldAnswer {
     answer: Rc<Answer>,
     request_digest: u64,
@@ -45,7 +46,8 @@
 }
 
 /// One incarnation's table as it goes to an heir, with times as spans from the handover.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct HandedTable {
     /// The incarnation that the table answers for.
     pub incarnation: Incarnation,
@@ -221,7 +223,8 @@
 }
 
 /// What the home table holds, for the state dump and `docs/CAPACITY.md`.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct HomeSizes {
     /// Bytes of used bits.
     pub window_bytes: usize,
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -11,7 +11,8 @@
 use crate::workers::Needs;
 
 /// One task of a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TaskSpec {
     /// What the worker gets.
     pub input: String,
@@ -24,7 +25,8 @@
 }
 
 /// One request: tasks of one kind that are answered together.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct JobRequest {
     /// The kind of work, by its catalogue name.
     pub kind: String,
@@ -33,7 +35,8 @@
 }
 
 /// Where a job stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobPhase {
     /// Its start is being journalled.
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -12,7 +12,8 @@
 use crate::ticket::Incarnation;
 
 /// One record of a home's journal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JournalRecord {
     /// The home is about to start these tickets.
@@ -99,7 +100,8 @@
 pub type KeyHash = [u8; 16];
 
 /// Claims appended together: each key's hash with the ticket that would run it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRecord {
     /// Keys and tickets.
     pub claims: Vec<(KeyHash, String)>,
--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -18,7 +18,8 @@
 const INHERITANCE_MS: u64 = 1_200_000;
 
 /// One drained incarnation with the daemon that now answers for it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Inheritance {
     /// The incarnation that drained.
     pub from: Incarnation,
@@ -29,7 +30,8 @@
 }
 
 /// What a daemon says of itself in each heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender's incarnation.
     pub incarnation: Incarnation,
@@ -58,7 +60,8 @@
 }
 
 /// How a peer is seen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerState {
     /// Named in the settings or the VM list and not heard yet.
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -24,7 +24,7 @@
     Ord,
     Hash,
     serde::Serialize,
-    serde::Deserialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "snake_case")]
 pub enum Class {
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -13,7 +13,8 @@
 use crate::ticket::{JobId, TaskId};
 
 /// Counts since the daemon's start.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Counters {
     /// Requests accepted.
     pub accepted: u64,
@@ -73,7 +74,8 @@
 }
 
 /// One refusal, kept so that an operator can ask why.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Refusal {
     /// The ticket's identity.
     pub job: String,
@@ -84,7 +86,8 @@
 }
 
 /// One worker in the state dump.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct WorkerReport {
     /// Its address.
     pub addr: String,
@@ -105,7 +108,8 @@
 }
 
 /// The state of one engine.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct EngineReport {
     /// Jobs without an answer.
     pub open_jobs: usize,
@@ -134,7 +138,8 @@
 }
 
 /// What is known of one ticket.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Explanation {
     /// The phase of its job, where it is open.
     pub phase: Option<JobPhase>,
--- a/crates/dispatch/src/shares.rs
+++ b/crates/dispatch/src/shares.rs
@@ -13,7 +13,8 @@
 use crate::ticket::Incarnation;
 
 /// A request for slots.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotAsk {
     /// How many slots would be used at once.
     pub want: u32,
@@ -22,7 +23,8 @@
 }
 
 /// Slots that change hands for good.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotGrant {
     /// Workers with the number of their slots given.
     pub slots: Vec<(SocketAddr, u32)>,
--- a/crates/dispatch/src/ticket.rs
+++ b/crates/dispatch/src/ticket.rs
@@ -18,7 +18,8 @@
 const TICKET_LETTER: char = 't';
 
 /// A random number that a daemon process draws at its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
 impl fmt::Display for Incarnation {
@@ -28,7 +29,8 @@
 }
 
 /// The identity of a submission: the incarnation that issued its ticket and the sequence number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct JobId {
     /// The process that issued the ticket.
     pub incarnation: Incarnation,
@@ -43,7 +45,8 @@
 }
 
 /// The identity of one task of a submission.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct TaskId {
     /// The submission that the task belongs to.
     pub job: JobId,
@@ -75,7 +78,8 @@
 }
 
 /// Why a ticket was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum TicketError {
     /// The text is not a ticket at all.
     #[error("the ticket cannot be read; draw a new one with GET /v1/tickets")]
@@ -89,7 +93,8 @@
 }
 
 /// What a ticket says, without its tag.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Ticket {
     /// The identity of the submission made under this ticket.
     pub job: JobId,
--- a/crates/dispatch/src/window.rs
+++ b/crates/dispatch/src/window.rs
@@ -27,14 +27,16 @@
     NeverIssued,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 struct Block {
     words: [u64; BLOCK_WORDS],
     expiry_ms: Millis,
 }
 
 /// One bit for each issued ticket that has not expired.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Window {
     first_block: u64,
     blocks: VecDeque<Block>,
--- a/crates/dispatch/src/workers.rs
+++ b/crates/dispatch/src/workers.rs
@@ -16,7 +16,8 @@
 use crate::health::{Trust, WorkerHealth};
 
 /// What a task needs of its worker.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Needs {
     /// Processor cores.
     #[serde(default)]
@@ -30,7 +31,8 @@
 }
 
 /// What the VM list says of a worker.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkerInfo {
     /// The address at which the worker takes tasks.
     pub addr: SocketAddr,
@@ -45,7 +47,8 @@
 }
 
 /// How a daemon chooses a worker.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Choice {
     /// Shares of slots that move between daemons: what is shipped.
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -123,8 +123,8 @@
         let mut trace = Trace::default();
         let outcome = self.run_job(&job, &mut trace).await;
         flight.answered = true;
-        let response = render_outcome(outcome);
-        self.note_answer(&job, route, outcome, &trace, (tasks, version, response.status));
+        let response = render_outcome(&outcome);
+        self.note_answer(&job, route, &outcome, &trace, (tasks, version, response.status));
         response
     }
 
@@ -132,7 +132,7 @@
         &self,
         job: &JobRequest,
         route: &Route,
-        outcome: Outcome,
+        outcome: &Outcome,
         trace: &Trace,
         (tasks, version, status): (usize, u64, u16),
     ) {
@@ -142,20 +142,20 @@
             Outcome::Failed(reason) | Outcome::NotRun { reason, .. } | Outcome::GivenUp(reason) => {
                 reason.as_str()
             }
-            Outcome::Moved => "moved",
+            Outcome::Moved(_) => "moved",
         };
-        let labels = [&*route.name, &status.to_string(), why];
+        let labels = [&*route.terms.route, &status.to_string(), why];
         self.metrics.requests.with_label_values(&labels).inc();
         let seconds = took_ms as f64 / 1_000.0;
-        self.metrics.latency_s.with_label_values(&[&route.name]).observe(seconds);
+        self.metrics.latency_s.with_label_values(&[&route.terms.route]).observe(seconds);
         let cell = trace.cell.as_ref().map(ToString::to_string).unwrap_or_default();
         log::info!(
             "part=callers event=answer job={} route={} status={status} why={why} took_ms={took_ms} \
              limit_ms={} longest_ms={} tasks={tasks} cell={cell} tries={} config={version}",
             job.spec.id,
-            route.name,
+            route.terms.route,
             job.limit_ms,
-            job.spec.critical_path_ms(),
+            job.spec.critical_path_ms(|step| step.estimate_ms),
             trace.tries,
         );
     }
@@ -165,7 +165,7 @@
             JobError::Unreadable(_) => 400,
             JobError::Unsupported(_) => 503,
         };
-        let labels = [&*route.name, &status.to_string(), "refused"];
+        let labels = [&*route.terms.route, &status.to_string(), "refused"];
         self.metrics.requests.with_label_values(&labels).inc();
         log::info!("part=callers event=refused job={id} status={status} why=\"{error}\"");
         render_error(status, &error.to_string())
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -3,7 +3,8 @@
 use gumdrop::Options;
 
 /// The daemon's options.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct Args {
     /// Prints this help.
     pub help: bool,
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -6,7 +6,8 @@
 use crate::state::Entry;
 
 /// What a daemon believes at one moment.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Dump {
     name: String,
     phase: String,
@@ -16,7 +17,8 @@
     owners: Vec<(String, String)>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct CellDump {
     cell: String,
     token: u64,
@@ -24,7 +26,8 @@
     workers: Vec<WorkerDump>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WorkerDump {
     id: String,
     takes_work: bool,
@@ -75,7 +78,7 @@
         id: id.to_owned(),
         takes_work,
         free_millicores: worker.free().cpu_millicores,
-        pace: worker.pace,
+        pace: worker.pace(),
         runs: runs.map(|(name, run)| (name.to_string(), run.run, state(run.state))).collect(),
         unclaimed: worker.unclaimed.len(),
     }
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -5,7 +5,8 @@
 use crate::settings::SettingsError;
 
 /// Why the daemon could not run.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum EntryError {
     /// The settings are wrong.
     #[error(transparent)]
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -5,7 +5,8 @@
 use peers::wire::Protocol;
 use pool::catalogue::Terms;
 use pool::cells::Cell;
-use pool::job::{JobSpec, Outcome};
+use pool::job::{Earlier, JobSpec, Outcome};
+use pool::pool::SILENCE_MS;
 use pool::queue::Backlog;
 use serde::{Deserialize, Serialize};
 
@@ -17,12 +18,12 @@
     type Ask = Ask;
     type Tell = Tell;
     const ASKS_END_WITH_LINK: bool = true;
-    /// A third of the time that callers of the users' kinds wait.
-    const SILENCE_LIMIT_MS: u64 = 450;
+    const SILENCE_LIMIT_MS: u64 = SILENCE_MS;
 }
 
 /// A job for the owner of a cell.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct RunAsk {
     /// The cell.
     pub cell: Cell,
@@ -34,12 +35,13 @@
     pub age_ms: u64,
     /// How long the caller waits in all, in milliseconds.
     pub limit_ms: u64,
-    /// Whether an earlier owner may have runs of it.
-    pub resumed: bool,
+    /// What an earlier owner of the cell did.
+    pub earlier: Earlier,
 }
 
 /// What one daemon asks of another.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Ask {
     /// Run this job on a cell of yours, and tell what became of it.
     Run(Box<RunAsk>),
@@ -50,7 +52,8 @@
 }
 
 /// What the other daemon replies.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Tell {
     /// What became of a job, and the load of the cell after it.
     Outcome(Outcome, Backlog),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -6,7 +6,7 @@
 use dispatch::clock::Millis;
 use pool::call::{LookCall, LookReply, StartCall, StartReply, StopCall, StopReply, Target};
 use pool::cells::Cell;
-use pool::job::Outcome;
+use pool::job::{Outcome, Progress};
 use pool::pool::{Action, Pool, Submission};
 use pool::queue::Backlog;
 use tokio::sync::oneshot;
@@ -62,7 +62,7 @@
         let place = Place { cell: cell.clone(), serial };
         let submitted = Submitted { entry: Rc::clone(self), place, number };
         self.perform(cell);
-        let outcome = receiver.await.unwrap_or(Outcome::Moved);
+        let outcome = receiver.await.unwrap_or(Outcome::Moved(Progress::default()));
         drop(submitted);
         Some((outcome, self.backlog_of(cell)))
     }
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -22,7 +22,8 @@
 /// The time between two looks at who owns what, in milliseconds.
 const OWNERS_EVERY_MS: u64 = 1_000;
 /// How long a zone must be without any daemon before daemons of other zones take its cells.
-const EMPTY_ZONE_MS: u64 = 2_500;
+/// A zone that is only cut off serves itself, and its workers' entries are gone by then.
+const EMPTY_ZONE_MS: u64 = 5_500;
 
 /// What the loop remembers from one turn to the next.
 #[derive(Debug, Default)]
@@ -122,7 +123,8 @@
         let now = self.now();
         let mut zones = BTreeSet::from([self.settings.zone.clone()]);
         for (zone, since) in &standing.empty_since {
-            if now.since(*since) >= EMPTY_ZONE_MS {
+            let has_workers = self.directory.borrow().count_in(zone) > 0;
+            if has_workers && now.since(*since) >= EMPTY_ZONE_MS {
                 zones.insert(zone.clone());
             }
         }
@@ -174,7 +176,7 @@
         if fenced.is_some_and(|token| generation <= token) {
             return;
         }
-        let pool = Pool::new(generation, self.now());
+        let pool = Pool::new(generation);
         log::info!("part=ownership event=cell_gained cell={cell} token={generation}");
         self.metrics.cells.with_label_values(&["gained"]).inc();
         self.owned.borrow_mut().insert(cell.clone(), Owned { serial: self.draw_serial(), pool });
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -8,9 +8,10 @@
 use peers::links::LinkError;
 use pool::catalogue::Terms;
 use pool::cells::Cell;
-use pool::job::{JobSpec, Outcome, Reason};
-use pool::pool::Submission;
+use pool::job::{Earlier, JobSpec, Outcome, Reason};
+use pool::pool::{SILENCE_MS, Submission};
 use pool::queue::Backlog;
+use pool::worker::LEASE_BOUND_MS;
 
 use crate::fleet::{Ask, RunAsk, Tell};
 use crate::state::{Entry, Load};
@@ -92,10 +93,14 @@
             let Some(cell) = self.choose_cell(&asked) else { break };
             trace.cell = Some(cell.clone());
             trace.tries += 1;
-            match self.try_cell(&cell, request, false).await {
+            match self.try_cell(&cell, request, Earlier::Nothing).await {
                 Tried::Outcome(outcome @ Outcome::NotRun { .. }) => refusal = outcome,
-                Tried::Outcome(Outcome::Moved) | Tried::Broken => {
-                    return self.resume(&cell, request, trace).await;
+                Tried::Outcome(Outcome::Moved(progress)) => {
+                    let earlier = Earlier::Known(progress);
+                    return self.resume(&cell, request, earlier, trace).await;
+                }
+                Tried::Broken => {
+                    return self.resume(&cell, request, Earlier::Unknown, trace).await;
                 }
                 Tried::Outcome(outcome) => return outcome,
                 Tried::NotBegun => {}
@@ -107,24 +112,42 @@
 
     /// Brings a job that may have been begun to the next owner of the same cell, which finds its
     /// runs. No other cell may run it: nobody knows whether its tasks still run.
-    async fn resume(self: &Rc<Self>, cell: &Cell, request: &Request, trace: &mut Trace) -> Outcome {
-        let ends_at = request.arrived_at.plus(request.limit_ms);
-        while self.now() < ends_at {
+    async fn resume(
+        self: &Rc<Self>,
+        cell: &Cell,
+        request: &Request,
+        mut earlier: Earlier,
+        trace: &mut Trace,
+    ) -> Outcome {
+        while self.can_resume(request, &earlier) {
             actix_rt::time::sleep(Duration::from_millis(NEXT_OWNER_PAUSE_MS)).await;
             if self.owner_of(cell).is_none() {
                 continue;
             }
             trace.tries += 1;
-            match self.try_cell(cell, request, true).await {
+            match self.try_cell(cell, request, earlier.clone()).await {
                 Tried::Outcome(Outcome::NotRun { reason, .. }) => return Outcome::GivenUp(reason),
-                Tried::Outcome(Outcome::Moved) | Tried::Broken | Tried::NotBegun => {}
+                Tried::Outcome(Outcome::Moved(progress)) => earlier = Earlier::Known(progress),
+                Tried::Broken => earlier = Earlier::Unknown,
+                Tried::NotBegun => {}
                 Tried::Outcome(outcome) => return outcome,
             }
         }
         Outcome::GivenUp(Reason::NoOwner)
     }
 
-    async fn try_cell(self: &Rc<Self>, cell: &Cell, request: &Request, resumed: bool) -> Tried {
+    /// Tells whether the next owner could still answer in the caller's time. After an owner that
+    /// fell silent it must first wait until no run can be left.
+    fn can_resume(&self, request: &Request, earlier: &Earlier) -> bool {
+        let declared_ms = request.spec.critical_path_ms(|step| step.estimate_ms);
+        let needed_ms = match earlier {
+            Earlier::Nothing | Earlier::Known(_) => 0,
+            Earlier::Unknown => LEASE_BOUND_MS + SILENCE_MS + declared_ms,
+        };
+        self.now().since(request.arrived_at) + needed_ms < request.limit_ms
+    }
+
+    async fn try_cell(self: &Rc<Self>, cell: &Cell, request: &Request, earlier: Earlier) -> Tried {
         let age_ms = self.now().since(request.arrived_at);
         let ran = if self.owned.borrow().contains_key(cell) {
             let submission = Submission {
@@ -132,7 +155,7 @@
                 terms: request.terms.clone(),
                 age_ms,
                 limit_ms: request.limit_ms,
-                resumed,
+                earlier,
             };
             self.run_here(cell, submission, |_, _| {}).await
         } else {
@@ -143,7 +166,7 @@
                 terms: request.terms.clone(),
                 age_ms,
                 limit_ms: request.limit_ms,
-                resumed,
+                earlier,
             };
             match self.run_there(addr, ask).await {
                 Ok(ran) => ran,
@@ -163,7 +186,7 @@
             }
         };
         let Some((outcome, backlog)) = ran else { return Tried::NotBegun };
-        self.note_load(cell, outcome, backlog);
+        self.note_load(cell, &outcome, backlog);
         Tried::Outcome(outcome)
     }
 
@@ -189,7 +212,7 @@
         }
     }
 
-    fn note_load(&self, cell: &Cell, outcome: Outcome, backlog: Backlog) {
+    fn note_load(&self, cell: &Cell, outcome: &Outcome, backlog: Backlog) {
         let now = self.now();
         let refused = matches!(outcome, Outcome::NotRun { .. });
         let load = Load { backlog, at: now, refused_at: refused.then_some(now) };
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,7 +7,8 @@
 use ini::Ini;
 
 /// What is wrong with the settings.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum SettingsError {
     /// The file cannot be read.
     #[error("{file}: {why}; check the path and that it is an INI file")]
--- a/crates/httpedge/src/client.rs
+++ b/crates/httpedge/src/client.rs
@@ -17,7 +17,8 @@
 const LARGEST_REPLY_BYTES: usize = 64 << 20;
 
 /// Why a call brought no reply.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum CallError {
     /// No connection was made, so nothing was sent.
     #[error("no connection to {0}; check that it runs and that the address is right")]
--- a/crates/measure/examples/tour.rs
+++ b/crates/measure/examples/tour.rs
@@ -24,7 +24,8 @@
 const SEED: u64 = 11;
 const LONGEST_MS: u64 = 1_000;
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Args {
     /// Prints this help.
     help: bool,
--- a/crates/measure/src/cli.rs
+++ b/crates/measure/src/cli.rs
@@ -5,7 +5,8 @@
 use gumdrop::Options;
 
 /// Measures clementinedock on loopback.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct Args {
     /// Prints this help.
     pub help: bool,
@@ -15,7 +16,8 @@
 }
 
 /// What to do.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum Command {
     /// Proves at most once and true answers under kills, pauses, drains, cuts and outages.
     Once(OnceArgs),
@@ -32,14 +34,16 @@
 }
 
 /// No options.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct NoArgs {
     /// Prints this help.
     pub help: bool,
 }
 
 /// Options of the proof of at most once.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct OnceArgs {
     /// Prints this help.
     pub help: bool,
@@ -49,7 +53,8 @@
 }
 
 /// Options of the comparison of policies.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct PolicyArgs {
     /// Prints this help.
     pub help: bool,
@@ -64,7 +69,8 @@
 }
 
 /// Options of a daemon.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct DaemonArgs {
     /// Prints this help.
     pub help: bool,
@@ -74,7 +80,8 @@
 }
 
 /// Options of stand-in workers.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct WorkersArgs {
     /// Prints this help.
     pub help: bool,
@@ -87,7 +94,8 @@
 }
 
 /// Options of the platform's stand-ins.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct PlatformArgs {
     /// Prints this help.
     pub help: bool,
--- a/crates/operators/src/parse.rs
+++ b/crates/operators/src/parse.rs
@@ -36,7 +36,8 @@
 }
 
 /// Why a call cannot be read.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum CallProblem {
     /// The path or the method is not known.
     #[error("no such call; see docs/OPERATORS.md")]
--- a/crates/operators/src/wire.rs
+++ b/crates/operators/src/wire.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The catalogue with the offset up to which it is folded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct CatalogueBody {
     /// The offset of the next record to apply.
     pub next_offset: u64,
@@ -16,14 +17,16 @@
 }
 
 /// The last changes.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct HistoryBody {
     /// The oldest first.
     pub lines: Vec<HistoryLine>,
 }
 
 /// What became of an edit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "state", rename_all = "snake_case")]
 pub enum EditBody {
     /// It stands in the log, and this is what it came to.
@@ -46,7 +49,8 @@
 }
 
 /// One daemon as another sees it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct FleetLine {
     /// Where it takes messages from daemons.
     pub addr: SocketAddr,
@@ -67,7 +71,8 @@
 }
 
 /// The fleet as one daemon sees it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct FleetBody {
     /// Every daemon, the asked one first.
     pub daemons: Vec<FleetLine>,
@@ -81,7 +86,8 @@
 }
 
 /// Faults for a failure test; refused unless the settings allow them.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct FaultCall {
     /// Addresses to which nothing is sent and from which nothing is heard.
     #[serde(default)]
@@ -89,7 +95,8 @@
 }
 
 /// The body of an error.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorBody {
     /// What was wrong, with the remedy.
     pub error: String,
--- a/crates/peers/src/links.rs
+++ b/crates/peers/src/links.rs
@@ -22,7 +22,8 @@
 const LARGEST_FRAME_BYTES: usize = 64 << 20;
 
 /// Why a question brought no reply.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum LinkError {
     /// No connection was made, so nothing was sent.
     #[error("no connection to the daemon at {0}; check that it runs")]
@@ -292,7 +293,7 @@
         let (replies, mut outgoing) = mpsc::channel::<FrameOf<P>>(MOST_QUEUED_FRAMES);
         let asks = Asks::<P>::default();
         let reader = async {
-            while let Some(Ok(bytes)) = source.next().await {
+            while let Some(Ok(bytes)) = next_unless_silent(&mut source, &asks).await {
                 let Some(frame) = self.open_frame(&bytes) else {
                     break;
                 };
@@ -372,6 +373,12 @@
     }
 }
 
+impl<P: Protocol> Asks<P> {
+    fn are_open(&self) -> bool {
+        self.tasks.borrow().iter().any(|task| !task.is_finished())
+    }
+}
+
 impl<P: Protocol> Drop for Asks<P> {
     fn drop(&mut self) {
         for task in self.tasks.get_mut() {
@@ -380,6 +387,24 @@
     }
 }
 
+/// Waits for the next frame; none where the asker has fallen silent while it waits for replies.
+async fn next_unless_silent<P: Protocol, S: futures_util::Stream + Unpin>(
+    source: &mut S,
+    asks: &Asks<P>,
+) -> Option<S::Item> {
+    if P::SILENCE_LIMIT_MS == 0 {
+        return source.next().await;
+    }
+    let limit = Duration::from_millis(P::SILENCE_LIMIT_MS);
+    loop {
+        match actix_rt::time::timeout(limit, source.next()).await {
+            Ok(item) => return item,
+            Err(_) if asks.are_open() => return None,
+            Err(_) => {}
+        }
+    }
+}
+
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     let codec = LengthDelimitedCodec::builder().max_frame_length(LARGEST_FRAME_BYTES).new_codec();
     Framed::new(stream, codec)
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -36,7 +36,8 @@
 }
 
 /// What one daemon asks of another.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Ask {
     /// Run a job under a ticket of the receiver, or under one that it draws.
     Submit {
@@ -72,7 +73,8 @@
 }
 
 /// What the other daemon replies.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Tell {
     /// An answer with its ticket.
     Answer {
@@ -92,7 +94,8 @@
 }
 
 /// One frame of a link.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(bound = "A: Serialize + DeserializeOwned, T: Serialize + DeserializeOwned")]
 pub struct Frame<A, T> {
     /// The sender.
@@ -104,7 +107,8 @@
 }
 
 /// The content of a frame.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(bound = "A: Serialize + DeserializeOwned, T: Serialize + DeserializeOwned")]
 pub enum Body<A, T> {
     /// A question or an order.
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -5,14 +5,16 @@
 use serde::{Deserialize, Serialize};
 
 /// Records to append together.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct AppendCall {
     /// The records.
     pub records: Vec<String>,
 }
 
 /// The log service's word that records stand in the log.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Appended {
     /// The offset of the first of them.
     pub first: u64,
@@ -23,7 +25,8 @@
 }
 
 /// One record as the log service keeps it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct KeptRecord {
     /// The offset.
     pub offset: u64,
@@ -34,7 +37,8 @@
 }
 
 /// One page of a stream.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Page {
     /// The lowest offset that is still kept.
     pub first_kept: u64,
@@ -49,7 +53,8 @@
 }
 
 /// What a VM is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum VmRole {
     /// An entry VM; its address is that for messages between daemons.
@@ -59,7 +64,8 @@
 }
 
 /// One VM of the list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Vm {
     /// What it is for.
     pub role: VmRole,
@@ -85,7 +91,8 @@
 }
 
 /// The VM list, or only its version where nothing changed.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct VmList {
     /// Counts up by each change.
     pub version: u64,
--- a/crates/pool/src/catalogue.rs
+++ b/crates/pool/src/catalogue.rs
@@ -9,8 +9,11 @@
 use crate::room::Room;
 
 /// What a route promises its callers.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Terms {
+    /// The route.
+    pub route: Rc<str>,
     /// The service whose workers run the tasks.
     pub service: Rc<str>,
     /// Zero is the most urgent.
@@ -28,8 +31,6 @@
 /// One route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
-    /// Its name.
-    pub name: Rc<str>,
     /// The `Host` that it serves; empty serves every host.
     pub host: String,
     /// What the path begins with.
--- a/crates/pool/src/cells.rs
+++ b/crates/pool/src/cells.rs
@@ -18,7 +18,8 @@
 const PARTITION_STEP: u32 = 9;
 
 /// One cell of a zone.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Cell {
     /// The zone.
     pub zone: Rc<str>,
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -10,7 +10,8 @@
 use crate::room::Room;
 
 /// One step: tasks of one size.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Step {
     /// How many tasks.
     pub count: u32,
@@ -29,7 +30,8 @@
 }
 
 /// What a caller asks for.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct JobSpec {
     /// The caller's id, which task names begin with.
     pub id: Rc<str>,
@@ -45,23 +47,16 @@
         self.steps.iter().map(|step| step.count as usize).sum()
     }
 
-    /// Gives the declared time of the longest chain of steps, in milliseconds.
-    pub fn critical_path_ms(&self) -> u64 {
+    /// Gives the time of the longest chain of steps, in milliseconds, where each step takes as
+    /// long as `step_ms` says.
+    pub fn critical_path_ms(&self, step_ms: impl Fn(&Step) -> u64) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let begins = step.after.iter().filter_map(|at| ends.get(*at)).max();
-            ends.push(begins.copied().unwrap_or(0) + step.estimate_ms);
+            ends.push(begins.copied().unwrap_or(0) + step_ms(step));
         }
         ends.into_iter().max().unwrap_or(0)
     }
-
-    /// Gives the declared work in millicore-milliseconds.
-    pub fn work(&self) -> u64 {
-        let of = |step: &Step| {
-            u64::from(step.count) * step.estimate_ms * step.each.cpu_millicores.max(1)
-        };
-        self.steps.iter().map(of).sum()
-    }
 }
 
 /// The name of a task on the workers.
@@ -95,7 +90,8 @@
 }
 
 /// Why a job was not run, or not to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Reason {
     /// The work waiting ahead leaves too little time.
     Overload,
@@ -122,8 +118,19 @@
     }
 }
 
+/// What the earlier owner of a cell knows of a job's tasks, by their places in the job.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Progress {
+    /// Tasks that are done.
+    pub done: Vec<u32>,
+    /// Tasks that a worker has, or may have.
+    pub placed: Vec<u32>,
+}
+
 /// What became of a job at the daemon that owns the workers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// All tasks are done.
     Completed,
@@ -138,8 +145,20 @@
     },
     /// It was begun and its end was not reached; nothing of it runs on.
     GivenUp(Reason),
-    /// Its workers went over to another daemon, which may have runs of it.
-    Moved,
+    /// Its workers went over to another daemon, with the runs that they have.
+    Moved(Progress),
+}
+
+/// What is known of a job that was submitted to an earlier owner of the cell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Earlier {
+    /// There was none.
+    Nothing,
+    /// What that owner told when it gave the cell up.
+    Known(Progress),
+    /// That owner fell silent: any task may be running.
+    Unknown,
 }
 
 /// The state of one task.
@@ -149,6 +168,8 @@
     Pending,
     /// A worker has it, or may have it.
     Placed,
+    /// An earlier owner of the cell may have started it, and no worker was found to have it.
+    InDoubt,
     /// It is done.
     Done,
 }
@@ -183,6 +204,10 @@
     pub tasks: Vec<Task>,
     /// Whether any task was ever sent to a worker.
     pub begun: bool,
+    /// How long the longest chain of steps is expected to run, in milliseconds.
+    pub expected_ms: u64,
+    /// When the runs of an earlier owner that were not found are surely over.
+    pub doubt_ends_at: Millis,
 }
 
 /// The latency objective's multiple up to which an answer still counts as late, and not as lost.
@@ -190,6 +215,7 @@
 
 impl Job {
     /// Builds a job whose request is `age_ms` old.
+    /// It is expected to run as long as declared, until the caller of this says better.
     pub fn new(spec: JobSpec, terms: Terms, now: Millis, age_ms: u64, limit_ms: u64) -> Self {
         let mut tasks = Vec::with_capacity(spec.task_count());
         for (step, content) in spec.steps.iter().enumerate() {
@@ -204,28 +230,78 @@
         }
         let arrived_at = Millis(now.0.saturating_sub(age_ms));
         let ends_at = arrived_at.plus(limit_ms);
-        Self { spec, terms, arrived_at, ends_at, tasks, begun: false }
+        let expected_ms = spec.critical_path_ms(|step| step.estimate_ms);
+        let doubt_ends_at = now;
+        Self { spec, terms, arrived_at, ends_at, tasks, begun: false, expected_ms, doubt_ends_at }
+    }
+
+    /// Takes in what an earlier owner did. Tasks that it may have started stay in doubt for
+    /// `doubt_ms` at the most.
+    pub fn take_earlier(&mut self, earlier: &Earlier, now: Millis, doubt_ms: u64) {
+        match earlier {
+            Earlier::Nothing => return,
+            Earlier::Known(progress) => {
+                self.set_states(&progress.done, TaskState::Done);
+                self.set_states(&progress.placed, TaskState::InDoubt);
+            }
+            Earlier::Unknown => {
+                for task in &mut self.tasks {
+                    task.state = TaskState::InDoubt;
+                }
+            }
+        }
+        self.begun = true;
+        self.doubt_ends_at = now.plus(doubt_ms);
+    }
+
+    fn set_states(&mut self, places: &[u32], state: TaskState) {
+        for at in places {
+            if let Some(task) = self.tasks.get_mut(*at as usize) {
+                task.state = state;
+            }
+        }
+    }
+
+    /// Tells whether any task is in doubt.
+    pub fn is_in_doubt(&self) -> bool {
+        self.tasks.iter().any(|task| task.state == TaskState::InDoubt)
+    }
+
+    /// Gives what the next owner of the cell has to know.
+    pub fn progress(&self) -> Progress {
+        let places = |wanted: &[TaskState]| {
+            let of = self.tasks.iter().enumerate();
+            let of = of.filter(|(_, task)| wanted.contains(&task.state));
+            of.map(|(at, _)| at as u32).collect()
+        };
+        Progress {
+            done: places(&[TaskState::Done]),
+            placed: places(&[TaskState::Placed, TaskState::InDoubt]),
+        }
     }
 
     /// Gives the latency objective, in milliseconds.
     pub fn objective_ms(&self) -> u64 {
-        let work = self.spec.critical_path_ms() as f64 * self.terms.stretch;
+        let work = self.expected_ms as f64 * self.terms.stretch;
         work as u64 + self.terms.target_ms
     }
 
     /// Gives the latest time at which the job can begin and still meet its objective.
     pub fn latest_start(&self) -> Millis {
-        self.latest_start_for(self.objective_ms())
+        self.latest_start_for(self.objective_ms().min(self.limit_ms()))
     }
 
     /// Gives the latest time at which beginning it still helps the caller.
     pub fn hopeless_from(&self) -> Millis {
-        let limit_ms = self.ends_at.since(self.arrived_at);
-        self.latest_start_for((self.objective_ms() * LATE_FACTOR).min(limit_ms))
+        self.latest_start_for((self.objective_ms() * LATE_FACTOR).min(self.limit_ms()))
+    }
+
+    fn limit_ms(&self) -> u64 {
+        self.ends_at.since(self.arrived_at)
     }
 
     fn latest_start_for(&self, span_ms: u64) -> Millis {
-        self.arrived_at.plus(span_ms.saturating_sub(self.spec.critical_path_ms()))
+        self.arrived_at.plus(span_ms.saturating_sub(self.expected_ms))
     }
 
     /// Tells whether a step may run: all steps before it are done.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod call;
 pub mod catalogue;
 pub mod cells;
+pub mod estimate;
 pub mod job;
 pub mod placement;
 pub mod pool;
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -11,8 +11,8 @@
 use crate::job::Step;
 use crate::worker::Worker;
 
-/// The pace above which a worker is used only where no other has room.
-const SLOW_PACE: f64 = 2.0;
+/// How much longer than expected a run may take before it misses what its caller needs.
+const SAFETY: f64 = 1.2;
 
 /// What a task needs of its worker.
 #[derive(Clone, Copy, Debug)]
@@ -25,10 +25,14 @@
     pub step_number: u32,
     /// The step.
     pub step: &'a Step,
+    /// How long the job is expected to run on a worker of the usual pace, in milliseconds.
+    pub expected_ms: u64,
+    /// How long it may run, in milliseconds: its objective's and its caller's time left.
+    pub allowed_ms: u64,
 }
 
-/// Chooses the worker on which the least is left over; racks with the data and workers that are
-/// not slow go first.
+/// Chooses the worker on which the least is left over. Racks with the data go first, then workers
+/// that are fast enough for the time that is left.
 pub fn choose<'a>(
     workers: &'a BTreeMap<Rc<str>, Worker>,
     need: Need<'_>,
@@ -60,6 +64,7 @@
 fn rank(worker: &Worker, need: Need<'_>) -> (bool, bool, u64) {
     let rack = need.step.data_rack.as_ref();
     let is_far = rack.is_some_and(|rack| !worker.entry.labels.contains(rack));
+    let misses = need.expected_ms as f64 * worker.pace() * SAFETY > need.allowed_ms as f64;
     let left = worker.free().minus(need.step.each);
-    (is_far, worker.pace > SLOW_PACE, left.cpu_millicores)
+    (is_far, misses, left.cpu_millicores)
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -13,7 +13,8 @@
     End, LookCall, LookReply, Refusal, StartCall, StartReply, StopCall, StopReply, Target,
 };
 use crate::catalogue::{Terms, WorkerEntry};
-use crate::job::{Job, JobSpec, Outcome, Reason, TaskName, TaskState};
+use crate::estimate::Estimates;
+use crate::job::{Earlier, Job, JobSpec, Outcome, Progress, Reason, Step, TaskName, TaskState};
 use crate::placement::{self, Need};
 use crate::queue::{self, Backlog};
 use crate::worker::{Change, LEASE_BOUND_MS, LEASE_MS, LOOK_WAIT_MS, Run, RunState, Worker};
@@ -21,6 +22,9 @@
 /// How far a start's number jumps where the worker knows a higher one, such as of an earlier
 /// request with the same id.
 const RUN_NUMBER_JUMP: u32 = 16;
+/// How long a link between daemons may be silent before both sides take it for broken, in
+/// milliseconds: about a third of the time that callers of the users' kinds wait.
+pub const SILENCE_MS: u64 = 450;
 /// The pause before a look that follows a stop, in milliseconds.
 const LOOK_AFTER_STOP_MS: u64 = 30;
 /// The part of a task's declared time after which its end is looked for.
@@ -50,37 +54,35 @@
     pub age_ms: u64,
     /// How long the caller waits in all, in milliseconds.
     pub limit_ms: u64,
-    /// Whether an earlier owner of the cell may have runs of it.
-    pub resumed: bool,
+    /// What an earlier owner of the cell did.
+    pub earlier: Earlier,
 }
 
 /// The jobs and workers of one cell.
 #[derive(Debug)]
 pub struct Pool {
     token: u64,
-    began_at: Millis,
     fenced: bool,
     workers: BTreeMap<Rc<str>, Worker>,
     jobs: HashMap<u64, Job>,
     watchers: HashMap<u64, u64>,
     by_id: HashMap<Rc<str>, u64>,
-    held: Vec<u64>,
+    estimates: Estimates,
     actions: Vec<Action>,
     next: u64,
 }
 
 impl Pool {
     /// Builds the pool of a cell that was just taken over under a fencing token.
-    pub fn new(token: u64, now: Millis) -> Self {
+    pub fn new(token: u64) -> Self {
         Self {
             token,
-            began_at: now,
             fenced: false,
             workers: BTreeMap::new(),
             jobs: HashMap::new(),
             watchers: HashMap::new(),
             by_id: HashMap::new(),
-            held: Vec::new(),
+            estimates: Estimates::default(),
             actions: Vec::new(),
             next: 1,
         }
@@ -153,15 +155,20 @@
     pub fn submit(&mut self, now: Millis, submission: Submission) -> u64 {
         let number = self.next_number();
         if self.fenced {
-            self.actions.push(Action::Answer(number, Outcome::Moved));
+            let outcome = Outcome::Moved(Progress::default());
+            self.actions.push(Action::Answer(number, outcome));
             return number;
         }
-        let Submission { spec, terms, age_ms, limit_ms, resumed } = submission;
+        let Submission { spec, terms, age_ms, limit_ms, earlier } = submission;
         if let Some(known) = self.by_id.get(&spec.id) {
             self.watchers.insert(number, *known);
             return number;
         }
         let mut job = Job::new(spec, terms, now, age_ms, limit_ms);
+        let longest =
+            |step: &Step| self.estimates.longest_ms(&job.terms.route, step.estimate_ms, step.count);
+        job.expected_ms = job.spec.critical_path_ms(longest);
+        job.take_earlier(&earlier, now, doubt_ms(&earlier));
         self.claim(number, &mut job);
         if let Some(outcome) = self.refusal(&job, now) {
             self.actions.push(Action::Answer(number, outcome));
@@ -170,9 +177,6 @@
         self.by_id.insert(Rc::clone(&job.spec.id), number);
         self.watchers.insert(number, number);
         self.jobs.insert(number, job);
-        if resumed && !self.is_settled(now) {
-            self.held.push(number);
-        }
         self.finish_if_done(number);
         self.advance(now);
         number
@@ -200,7 +204,7 @@
                     run.state = RunState::Running;
                     run.since = now;
                 }
-                let first_look_ms = (run.estimate_ms as f64 * FIRST_LOOK_SHARE) as u64;
+                let first_look_ms = (run.expected_ms as f64 * FIRST_LOOK_SHARE) as u64;
                 worker.note_clock(clock_ms, now);
                 worker.look_no_later_than(now.plus(first_look_ms));
             }
@@ -259,7 +263,7 @@
         if self.fenced {
             return;
         }
-        self.release_held(now);
+        self.settle_doubts(now);
         self.end_overdue(now);
         self.place_waiting(now);
         self.send_looks(now);
@@ -268,11 +272,13 @@
     /// Gives up the cell: every job goes back to whoever submitted it.
     pub fn lose(&mut self) {
         self.fenced = true;
-        let mut numbers: Vec<u64> = self.watchers.drain().map(|(number, _)| number).collect();
-        numbers.sort_unstable();
-        let moved = numbers.into_iter().map(|number| Action::Answer(number, Outcome::Moved));
         self.actions.retain(|action| matches!(action, Action::Answer(..)));
-        self.actions.extend(moved);
+        let mut watchers: Vec<(u64, u64)> = self.watchers.drain().collect();
+        watchers.sort_unstable();
+        for (number, job) in watchers {
+            let progress = self.jobs.get(&job).map(Job::progress).unwrap_or_default();
+            self.actions.push(Action::Answer(number, Outcome::Moved(progress)));
+        }
         self.jobs.clear();
         self.by_id.clear();
     }
@@ -328,8 +334,9 @@
             let hopeless = job.hopeless_from().plus(1);
             if job.begun { job.ends_at } else { job.ends_at.min(hopeless) }
         });
-        let settled = (!self.held.is_empty()).then(|| self.began_at.plus(LEASE_BOUND_MS));
-        looks.chain(ends).chain(settled).map(|at| at.max(now)).min()
+        let doubtful = self.jobs.values().filter(|job| job.is_in_doubt());
+        let doubts = doubtful.map(|job| job.doubt_ends_at);
+        looks.chain(ends).chain(doubts).map(|at| at.max(now)).min()
     }
 
     fn next_number(&mut self) -> u64 {
@@ -339,7 +346,15 @@
 
     /// Takes over runs and ends of the job that an earlier owner ordered.
     fn claim(&mut self, number: u64, job: &mut Job) {
+        if self.workers.values().all(|worker| worker.unclaimed.is_empty()) {
+            return;
+        }
         for at in 0..job.tasks.len() {
+            let may_be_elsewhere =
+                matches!(job.tasks[at].state, TaskState::Pending | TaskState::InDoubt);
+            if !may_be_elsewhere {
+                continue;
+            }
             let name = job.name(at);
             let step = job.spec.steps[job.tasks[at].step as usize].clone();
             for worker in self.workers.values_mut() {
@@ -348,8 +363,11 @@
                 job.tasks[at].run = job.tasks[at].run.max(held.run);
                 match held.end {
                     Some(End::Done) => job.tasks[at].state = TaskState::Done,
-                    Some(End::Failed) => job.tasks[at].failures += 1,
-                    Some(End::Cut) => {}
+                    Some(End::Failed) => {
+                        job.tasks[at].failures += 1;
+                        job.tasks[at].state = TaskState::Pending;
+                    }
+                    Some(End::Cut) => job.tasks[at].state = TaskState::Pending,
                     None => {
                         job.tasks[at].state = TaskState::Placed;
                         let run = Run {
@@ -359,7 +377,7 @@
                             state: RunState::Running,
                             since: held.seen_at,
                             sent_at: held.seen_at,
-                            estimate_ms: step.estimate_ms,
+                            expected_ms: step.estimate_ms,
                         };
                         worker.place(name.clone(), run);
                     }
@@ -372,10 +390,7 @@
         if job.begun {
             return None;
         }
-        if !self.is_settled(now) && self.workers.values().all(|worker| !worker.is_known()) {
-            return None;
-        }
-        if !self.can_ever_run(job) {
+        if !self.can_ever_run(job, now) {
             let retry_after_ms = queue::retry_after_ms(&Backlog::default());
             return Some(Outcome::NotRun { reason: Reason::NoWorker, retry_after_ms });
         }
@@ -387,29 +402,29 @@
         Some(Outcome::NotRun { reason: Reason::Overload, retry_after_ms })
     }
 
-    fn can_ever_run(&self, job: &Job) -> bool {
+    fn can_ever_run(&self, job: &Job, now: Millis) -> bool {
         let possible = |(number, step)| {
-            let need = need_of(job, number, step);
+            let need = need_of(job, number, step, now);
             let suits = |worker: &&Worker| worker.may_take_work() && placement::suits(worker, need);
             self.workers.values().any(|worker| suits(&worker))
         };
         job.spec.steps.iter().enumerate().all(|(number, step)| possible((number as u32, step)))
     }
 
-    /// Tells whether no run of an earlier owner can be unknown here: every worker was looked at,
-    /// or every lease of that owner is over.
-    fn is_settled(&self, now: Millis) -> bool {
-        now.since(self.began_at) >= LEASE_BOUND_MS
-            || self.workers.values().all(|worker| worker.is_known())
-    }
-
-    fn release_held(&mut self, now: Millis) {
-        if self.held.is_empty() || !self.is_settled(now) {
-            return;
-        }
-        for number in std::mem::take(&mut self.held) {
+    /// Looks for runs of jobs in doubt, and ends the doubt where no run can be left.
+    fn settle_doubts(&mut self, now: Millis) {
+        let doubtful = self.jobs.iter().filter(|(_, job)| job.is_in_doubt());
+        let numbers: Vec<u64> = doubtful.map(|(number, _)| *number).collect();
+        for number in numbers {
             let Some(mut job) = self.jobs.remove(&number) else { continue };
             self.claim(number, &mut job);
+            if now >= job.doubt_ends_at {
+                for task in &mut job.tasks {
+                    if task.state == TaskState::InDoubt {
+                        task.state = TaskState::Pending;
+                    }
+                }
+            }
             self.jobs.insert(number, job);
             self.finish_if_done(number);
         }
@@ -441,7 +456,7 @@
         let mut waiting: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(number, job)| has_pending(job) && !self.held.contains(number))
+            .filter(|(_, job)| has_pending(job))
             .map(|(number, job)| (queue::order(job, now), *number))
             .collect();
         if waiting.is_empty() {
@@ -461,7 +476,7 @@
                 continue;
             }
             let step = &job.spec.steps[task.step as usize];
-            let need = need_of(job, task.step, step);
+            let need = need_of(job, task.step, step, now);
             let Some(id) = placement::choose(&self.workers, need, now).cloned() else { break };
             let Some(worker) = self.workers.get_mut(&id) else { break };
             let Some(clock_ms) = worker.clock_at(now) else { break };
@@ -473,7 +488,7 @@
                 state: RunState::Starting,
                 since: now,
                 sent_at: now,
-                estimate_ms: step.estimate_ms,
+                expected_ms: self.estimates.task_ms(&job.terms.route, step.estimate_ms) as u64,
             };
             let call = StartCall {
                 task: name.clone(),
@@ -535,7 +550,8 @@
     fn apply(&mut self, now: Millis, changes: Vec<Change>, id: Option<&str>) {
         for change in changes {
             match change {
-                Change::Ended { of: (number, at), end, .. } => {
+                Change::Ended { of: (number, at), end, usual_ms } => {
+                    self.learn(number, at, end, usual_ms);
                     self.task_ended(now, number, at, end);
                 }
                 Change::Stop { task, run } => {
@@ -547,6 +563,12 @@
         }
     }
 
+    fn learn(&mut self, number: u64, at: usize, end: End, usual_ms: f64) {
+        let Some(job) = self.jobs.get(&number).filter(|_| end == End::Done) else { return };
+        let declared_ms = job.spec.steps[job.tasks[at].step as usize].estimate_ms;
+        self.estimates.learn(&job.terms.route, declared_ms, usual_ms);
+    }
+
     fn task_ended(&mut self, now: Millis, number: u64, at: usize, end: End) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         match end {
@@ -589,7 +611,8 @@
             *watched != job
         });
         numbers.sort_unstable();
-        self.actions.extend(numbers.into_iter().map(|number| Action::Answer(number, outcome)));
+        let answers = numbers.into_iter().map(|number| Action::Answer(number, outcome.clone()));
+        self.actions.extend(answers);
     }
 
     fn forget(&mut self, number: u64) {
@@ -642,6 +665,24 @@
     job.tasks.iter().any(|task| task.state == TaskState::Pending)
 }
 
-fn need_of<'a>(job: &'a Job, step_number: u32, step: &'a crate::job::Step) -> Need<'a> {
-    Need { job: &job.spec.id, service: &job.terms.service, step_number, step }
+/// Gives how long runs of an earlier owner can go on unseen. An owner that fell silent learns of
+/// it only as long after as a link may be silent.
+const fn doubt_ms(earlier: &Earlier) -> u64 {
+    match earlier {
+        Earlier::Nothing => 0,
+        Earlier::Known(_) => LEASE_BOUND_MS,
+        Earlier::Unknown => LEASE_BOUND_MS + SILENCE_MS,
+    }
+}
+
+fn need_of<'a>(job: &'a Job, step_number: u32, step: &'a Step, now: Millis) -> Need<'a> {
+    let objective_at = job.arrived_at.plus(job.objective_ms());
+    Need {
+        job: &job.spec.id,
+        service: &job.terms.service,
+        step_number,
+        step,
+        expected_ms: job.expected_ms,
+        allowed_ms: objective_at.min(job.ends_at).since(now),
+    }
 }
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -14,7 +14,8 @@
 const PACKED_SHARE: f64 = 0.85;
 
 /// The load that an owner sees.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Backlog {
     /// Cores of all workers that take work, in thousandths.
     pub capacity_millicores: u64,
--- a/crates/pool/src/room.rs
+++ b/crates/pool/src/room.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// An amount of cores, memory and accelerators.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Room {
     /// Cores, in thousandths.
     pub cpu_millicores: u64,
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -33,7 +33,7 @@
 /// Failed runs in a row, of different jobs, after which a worker counts as unwell.
 const FAILURES_IN_A_ROW: u32 = 3;
 /// Weight of the newest run in a worker's pace.
-const PACE_WEIGHT: f64 = 0.1;
+const PACE_WEIGHT: f64 = 0.05;
 /// Bounds of what one run says of a worker's pace, so that a bad estimate does little.
 const PACE_RANGE: (f64, f64) = (0.3, 6.0);
 
@@ -65,8 +65,8 @@
     pub since: Millis,
     /// When the start was sent.
     pub sent_at: Millis,
-    /// The declared run time, in milliseconds.
-    pub estimate_ms: u64,
+    /// How long it is expected to run on a worker of the usual pace, in milliseconds.
+    pub expected_ms: u64,
 }
 
 /// A run or an end that an earlier owner of the worker ordered.
@@ -81,7 +81,7 @@
 }
 
 /// What a report changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Change {
     /// A run of a job ended.
     Ended {
@@ -89,8 +89,8 @@
         of: (u64, usize),
         /// How.
         end: End,
-        /// How long it ran, as far as this daemon saw, in milliseconds.
-        took_ms: u64,
+        /// How long it would have run on a worker of the usual pace, in milliseconds.
+        usual_ms: f64,
     },
     /// A run should be stopped, once more or for the first time.
     Stop {
@@ -118,8 +118,8 @@
     pub look_at: Option<Millis>,
     /// When the look in flight was sent.
     pub look_sent: Option<Millis>,
-    /// How long its runs take against their estimates.
-    pub pace: f64,
+    /// How long its runs take against their estimates, as a logarithm.
+    log_pace: f64,
     clock: Option<(u64, Millis)>,
     born_ms: Option<u64>,
     cursor: u64,
@@ -145,7 +145,7 @@
             lease_bound: now,
             look_at: Some(now),
             look_sent: None,
-            pace: 1.0,
+            log_pace: 0.0,
             clock: None,
             born_ms,
             cursor: 0,
@@ -160,6 +160,11 @@
         }
     }
 
+    /// Gives how long its runs take against their estimates.
+    pub fn pace(&self) -> f64 {
+        self.log_pace.exp()
+    }
+
     /// Tells whether the worker was looked at since this daemon owns it.
     pub const fn is_known(&self) -> bool {
         self.clock.is_some()
@@ -257,7 +262,7 @@
         }
         let lapsed = self.runs.values_mut().filter_map(|run| {
             let of = run.of.take()?;
-            Some(Change::Ended { of, end: End::Cut, took_ms: now.since(run.sent_at) })
+            Some(Change::Ended { of, end: End::Cut, usual_ms: 0.0 })
         });
         lapsed.collect()
     }
@@ -282,14 +287,14 @@
 
     /// Learns from an end. A job that can never be done fails everywhere, so that failures count
     /// against a worker only where different jobs fail in a row.
-    pub fn learn(&mut self, job: u64, end: End, took_ms: u64, estimate_ms: u64, now: Millis) {
+    pub fn learn(&mut self, job: u64, end: End, took_ms: u64, expected_ms: u64, now: Millis) {
         match end {
             End::Done => {
                 self.failures = 0;
                 self.pause_ms = FIRST_PAUSE_MS;
-                let ratio = took_ms as f64 / estimate_ms.max(1) as f64;
+                let ratio = took_ms as f64 / expected_ms.max(1) as f64;
                 let ratio = ratio.clamp(PACE_RANGE.0, PACE_RANGE.1);
-                self.pace += PACE_WEIGHT * (ratio - self.pace);
+                self.log_pace += PACE_WEIGHT * (ratio.ln() - self.log_pace);
             }
             End::Failed if self.last_failed_job != Some(job) => {
                 self.last_failed_job = Some(job);
@@ -316,7 +321,7 @@
         self.note_clock(report.clock_ms, now);
         self.acked = self.acking;
         let mut changes = self.take_ends(now, report);
-        changes.extend(self.take_missing(now, sent_at, report));
+        changes.extend(self.take_missing(sent_at, report));
         changes.extend(self.take_running(now, report));
         self.unclaimed.retain(|_, held| held.end.is_none() || now.since(held.seen_at) < CLAIM_MS);
         self.plan_look(now);
@@ -335,8 +340,9 @@
                 let Some(run) = self.remove(task) else { continue };
                 let Some(of) = run.of else { continue };
                 let took_ms = now.since(run.sent_at);
-                self.learn(of.0, ended.end, took_ms, run.estimate_ms, now);
-                changes.push(Change::Ended { of, end: ended.end, took_ms });
+                self.learn(of.0, ended.end, took_ms, run.expected_ms, now);
+                let usual_ms = took_ms as f64 / self.pace();
+                changes.push(Change::Ended { of, end: ended.end, usual_ms });
             } else {
                 let held = Unclaimed { run: ended.run, end: Some(ended.end), seen_at: now };
                 self.unclaimed.insert(task.clone(), held);
@@ -346,7 +352,7 @@
     }
 
     /// Finds runs that the worker does not have, though it had them before the look was sent.
-    fn take_missing(&mut self, now: Millis, sent_at: Millis, report: &Report) -> Vec<Change> {
+    fn take_missing(&mut self, sent_at: Millis, report: &Report) -> Vec<Change> {
         let listed =
             |name: &TaskName| report.running.iter().any(|row| row.task.as_ref() == Some(name));
         let missing = |(name, run): (&TaskName, &Run)| {
@@ -359,7 +365,7 @@
         for name in names {
             let Some(run) = self.remove(&name) else { continue };
             let Some(of) = run.of else { continue };
-            changes.push(Change::Ended { of, end: End::Cut, took_ms: now.since(run.sent_at) });
+            changes.push(Change::Ended { of, end: End::Cut, usual_ms: 0.0 });
         }
         changes
     }
@@ -411,9 +417,9 @@
         let runs = std::mem::take(&mut self.runs);
         *self = Self::new(entry, now);
         self.look_sent = look_sent;
-        let gone = runs.into_values().filter_map(|run| {
-            Some(Change::Ended { of: run.of?, end: End::Cut, took_ms: now.since(run.sent_at) })
-        });
+        let gone = runs
+            .into_values()
+            .filter_map(|run| Some(Change::Ended { of: run.of?, end: End::Cut, usual_ms: 0.0 }));
         gone.collect()
     }
 }
--- a/crates/standins/src/bin/standin-log.rs
+++ b/crates/standins/src/bin/standin-log.rs
@@ -8,7 +8,8 @@
 use standins::log::serve_log;
 
 /// The program's options.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Args {
     /// Prints this help.
     help: bool,
--- a/crates/standins/src/bin/standin-vms.rs
+++ b/crates/standins/src/bin/standin-vms.rs
@@ -8,7 +8,8 @@
 use standins::vms::{PutList, serve_vms};
 
 /// The program's options.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Args {
     /// Prints this help.
     help: bool,
--- a/crates/standins/src/bin/standin-worker.rs
+++ b/crates/standins/src/bin/standin-worker.rs
@@ -8,7 +8,8 @@
 use standins::worker::serve_worker;
 
 /// The program's options.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Args {
     /// Prints this help.
     help: bool,
--- a/crates/standins/src/coverage.rs
+++ b/crates/standins/src/coverage.rs
@@ -5,7 +5,8 @@
 const SAMPLE: &str = include_str!("../data/ferrandi.json");
 
 /// The committed sample of contracts and dish histories.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Sample {
     /// The dishes.
     pub dishes: Vec<Dish>,
@@ -14,7 +15,8 @@
 }
 
 /// One dish with its alignment history.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Dish {
     /// Its number.
     pub dish: String,
@@ -27,7 +29,8 @@
 }
 
 /// One month's alignment.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Alignment {
     /// The month.
     pub month: String,
@@ -36,7 +39,8 @@
 }
 
 /// One contract.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Contract {
     /// Its number.
     pub contract: String,
@@ -53,7 +57,8 @@
 }
 
 /// What a task asks.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Question {
     /// How long the work takes, in milliseconds.
     #[serde(default)]
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What happened to a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Deed {
     /// It began.
@@ -23,7 +24,8 @@
 }
 
 /// All that a worker recorded.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Ledger {
     /// Deeds by task, in their order.
     pub tasks: BTreeMap<String, Vec<Deed>>,
--- a/crates/standins/src/log.rs
+++ b/crates/standins/src/log.rs
@@ -18,7 +18,8 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
 /// Faults and limits of the log service.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogFaults {
     /// Nothing is answered.
@@ -65,7 +66,8 @@
 }
 
 /// The log service's counts.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct LogStats {
     /// Appends taken.
     pub appends: u64,
--- a/crates/standins/src/vms.rs
+++ b/crates/standins/src/vms.rs
@@ -15,7 +15,8 @@
 const LARGEST_BODY_BYTES: usize = 16 << 20;
 
 /// The whole list, as it is put in.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct PutList {
     /// The VMs.
     pub vms: Vec<Vm>,
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -24,7 +24,8 @@
 const MOST_OPEN_STARTS: usize = 64;
 
 /// Faults of a worker.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// The work takes so many times longer.
--- a/crates/upstreams/src/wire.rs
+++ b/crates/upstreams/src/wire.rs
@@ -14,7 +14,8 @@
 }
 
 /// A start; the reply comes when the task has ended or is refused.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct StartCall {
     /// The task's identity.
     pub task: String,
@@ -34,7 +35,8 @@
 }
 
 /// What became of a start, or of a task that is asked about.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "end", rename_all = "snake_case")]
 pub enum WorkerEnd {
     /// The task ran.
@@ -68,7 +70,8 @@
 }
 
 /// A worker's reply with what it tells of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkerReply {
     /// The end.
     #[serde(flatten)]
@@ -84,42 +87,48 @@
 }
 
 /// What a worker says of itself.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct AboutReply {
     /// The number that it drew at its start.
     pub boot: u64,
 }
 
 /// A question about a task in doubt.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct SettleCall {
     /// The task's identity.
     pub task: String,
 }
 
 /// A question about all tasks of jobs whose home is dead.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct RecallCall {
     /// The jobs' identities.
     pub jobs: Vec<String>,
 }
 
 /// What a worker ran of some jobs.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct RecallReply {
     /// Tasks by their identities, with what became of them.
     pub ends: Vec<(String, WorkerEnd)>,
 }
 
 /// Tasks to stop.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct StopCall {
     /// The tasks' identities.
     pub tasks: Vec<String>,
 }
 
 /// Leases to renew.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct RenewCall {
     /// The tasks' identities.
     pub tasks: Vec<String>,
@@ -128,7 +137,8 @@
 }
 
 /// A worker's word that it has done what it was told.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Done {
     /// How many tasks it concerned.
     pub count: usize,
