--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -116,7 +116,7 @@
             return self.refuse_job(id, route, &JobError::Unsupported("advice"));
         }
         let wait_ms = request.header(WAIT_HEADER).and_then(|text| text.parse().ok());
-        let limit_ms = wait_ms.unwrap_or(u64::MAX).min(route.terms.timeout_ms);
+        let limit_ms = wait_ms.unwrap_or(route.terms.timeout_ms);
         let mut flight = InFlight::new(self, &spec.id, arrived_at);
         let tasks = spec.task_count();
         let job = JobRequest { spec, terms: route.terms.clone(), arrived_at, limit_ms };
