Find and close ways to run a task twice at once

A virtual world over the decision code (two cells, owners that die, freeze, restart and lose the store, orders lost and carried out late, callers that send again) found the ways: a thawed owner went on with jobs that others had given up; runs of an earlier owner were kept by new starts and looks; the end of an earlier run passed for that of a later one; stops were lost with a fence. Change: an owner that stood still for 350 ms drops the jobs of others; a worker with unclaimed runs gets no start and no renewal, and such runs are stopped after 250 ms; the next owner is told worker and number of each run.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -19,6 +19,12 @@
 pub const MAX_BODY_BYTES: usize = 1 << 20;
 /// When a caller may ask again where the daemon has no configuration yet, in milliseconds.
 const NO_CONFIG_RETRY_MS: u64 = 1_000;
+/// How often a job's declared time has to fit into what is left of a draining daemon's time.
+const LAST_JOB_FACTOR: u64 = 3;
+/// What an answer takes to its caller, in milliseconds.
+const ANSWER_MS: u64 = 100;
+/// When a caller may ask another daemon after one that ends, in milliseconds.
+const LEAVING_RETRY_MS: u64 = 200;
 
 /// Counts a request for as long as it is served, and tells where its caller has left.
 struct InFlight {
@@ -117,6 +123,14 @@
         }
         let wait_ms = request.header(WAIT_HEADER).and_then(|text| text.parse().ok());
         let limit_ms = wait_ms.unwrap_or(route.terms.timeout_ms);
+        let left_ms = self.ends_at.get().map(|at| at.since(arrived_at));
+        let declared_ms = spec.critical_path_ms(|step| step.estimate_ms);
+        if left_ms.is_some_and(|left_ms| left_ms < declared_ms * LAST_JOB_FACTOR + ANSWER_MS) {
+            log::info!("part=callers event=refused job={id} status=503 why=leaving left_ms={left_ms:?}");
+            self.metrics.requests.with_label_values(&[&route.terms.route, "503", "leaving"]).inc();
+            return render_not_run(503, "this daemon ends", LEAVING_RETRY_MS);
+        }
+        let limit_ms = limit_ms.min(left_ms.map_or(u64::MAX, |left_ms| left_ms - ANSWER_MS));
         let mut flight = InFlight::new(self, &spec.id, arrived_at);
         let tasks = spec.task_count();
         let job = JobRequest { spec, terms: route.terms.clone(), arrived_at, limit_ms };
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -20,7 +20,9 @@
     /// nothing is in flight or the grace is over.
     pub async fn drain(self: &Rc<Self>) {
         let began = self.now();
+        let most_ms = self.settings.grace_ms.saturating_sub(RESERVE_MS);
         self.phase.set(Phase::Draining);
+        self.ends_at.set(Some(began.plus(most_ms)));
         log::info!("part=drain event=begin in_flight={}", self.in_flight.get());
         let cells: Vec<Cell> = self.owned.borrow().keys().cloned().collect();
         for cell in &cells {
@@ -28,7 +30,6 @@
         }
         self.leave().await;
         self.announce_change();
-        let most_ms = self.settings.grace_ms.saturating_sub(RESERVE_MS);
         loop {
             actix_rt::time::sleep(Duration::from_millis(PAUSE_MS)).await;
             let passed_ms = self.now().since(began);
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -14,7 +14,7 @@
 use crate::state::Entry;
 
 /// The longest pause between two turns of the loop.
-const LONGEST_PAUSE_MS: u64 = 250;
+const LONGEST_PAUSE_MS: u64 = 100;
 
 /// The ownership of a cell that a call belongs to.
 #[derive(Clone, Debug)]
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -43,7 +43,7 @@
         let note = |serial, number| {
             self.remote_jobs.borrow_mut().insert(key, (cell.clone(), serial, number));
         };
-        let submission = Submission { spec, terms, age_ms, limit_ms, earlier };
+        let submission = Submission { spec, terms, age_ms, limit_ms, earlier, is_remote: true };
         let ran = self.run_here(&cell, submission, note).await;
         ran.map_or(Tell::NotOwner, |(outcome, backlog)| Tell::Outcome(outcome, backlog))
     }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -9,9 +9,9 @@
 use pool::catalogue::Terms;
 use pool::cells::Cell;
 use pool::job::{Earlier, JobSpec, Outcome, Reason};
-use pool::pool::{SILENCE_MS, Submission};
+use pool::pool::Submission;
 use pool::queue::Backlog;
-use pool::worker::LEASE_BOUND_MS;
+use pool::resume::{Next, Tried, give_up, next};
 
 use crate::fleet::{Ask, RunAsk, Tell};
 use crate::state::{Entry, Load};
@@ -40,16 +40,6 @@
     pub limit_ms: u64,
 }
 
-/// What one try gave.
-enum Tried {
-    /// The owner answered.
-    Outcome(Outcome),
-    /// The owner cannot have begun the job.
-    NotBegun,
-    /// The owner may have begun the job.
-    Broken,
-}
-
 /// Where a job's last try went, and how many there were.
 #[derive(Clone, Debug, Default)]
 pub struct Trace {
@@ -86,32 +76,26 @@
     /// Runs a job at the best owner, or at the next ones where it is refused.
     pub async fn run_job(self: &Rc<Self>, request: &Request, trace: &mut Trace) -> Outcome {
         let mut asked: Vec<Cell> = Vec::new();
-        let no_owner =
+        let mut refusal =
             Outcome::NotRun { reason: Reason::NoOwner, retry_after_ms: NO_OWNER_RETRY_MS };
-        let mut refusal = no_owner;
         while asked.len() < MAX_TRIES {
             let Some(cell) = self.choose_cell(&asked) else { break };
             trace.cell = Some(cell.clone());
             trace.tries += 1;
-            match self.try_cell(&cell, request, Earlier::Nothing).await {
-                Tried::Outcome(outcome @ Outcome::NotRun { .. }) => refusal = outcome,
-                Tried::Outcome(Outcome::Moved(progress)) => {
-                    let earlier = Earlier::Known(progress);
+            let tried = self.try_cell(&cell, request, Earlier::Nothing).await;
+            match next(tried, &Earlier::Nothing) {
+                Next::Answer(outcome) => return outcome,
+                Next::SameCell(earlier) => {
                     return self.resume(&cell, request, earlier, trace).await;
                 }
-                Tried::Broken => {
-                    return self.resume(&cell, request, Earlier::Unknown, trace).await;
-                }
-                Tried::Outcome(outcome) => return outcome,
-                Tried::NotBegun => {}
+                Next::OtherCell(refused) => refusal = refused.unwrap_or(refusal),
             }
             asked.push(cell);
         }
         refusal
     }
 
-    /// Brings a job that may have been begun to the next owner of the same cell, which finds its
-    /// runs. No other cell may run it: nobody knows whether its tasks still run.
+    /// Brings a job that may have been begun to the next owner of the same cell.
     async fn resume(
         self: &Rc<Self>,
         cell: &Cell,
@@ -119,32 +103,24 @@
         mut earlier: Earlier,
         trace: &mut Trace,
     ) -> Outcome {
-        while self.can_resume(request, &earlier) {
+        let declared_ms = request.spec.critical_path_ms(|step| step.estimate_ms);
+        loop {
+            let age_ms = self.now().since(request.arrived_at);
+            if let Some(outcome) = give_up(&earlier, age_ms, declared_ms, request.limit_ms) {
+                return outcome;
+            }
             actix_rt::time::sleep(Duration::from_millis(NEXT_OWNER_PAUSE_MS)).await;
             if self.owner_of(cell).is_none() {
                 continue;
             }
             trace.tries += 1;
-            match self.try_cell(cell, request, earlier.clone()).await {
-                Tried::Outcome(Outcome::NotRun { reason, .. }) => return Outcome::GivenUp(reason),
-                Tried::Outcome(Outcome::Moved(progress)) => earlier = Earlier::Known(progress),
-                Tried::Broken => earlier = Earlier::Unknown,
-                Tried::NotBegun => {}
-                Tried::Outcome(outcome) => return outcome,
+            let tried = self.try_cell(cell, request, earlier.clone()).await;
+            match next(tried, &earlier) {
+                Next::Answer(outcome) => return outcome,
+                Next::SameCell(known) => earlier = known,
+                Next::OtherCell(_) => {}
             }
         }
-        Outcome::GivenUp(Reason::NoOwner)
-    }
-
-    /// Tells whether the next owner could still answer in the caller's time. After an owner that
-    /// fell silent it must first wait until no run can be left.
-    fn can_resume(&self, request: &Request, earlier: &Earlier) -> bool {
-        let declared_ms = request.spec.critical_path_ms(|step| step.estimate_ms);
-        let needed_ms = match earlier {
-            Earlier::Nothing | Earlier::Known(_) => 0,
-            Earlier::Unknown => LEASE_BOUND_MS + SILENCE_MS + declared_ms,
-        };
-        self.now().since(request.arrived_at) + needed_ms < request.limit_ms
     }
 
     async fn try_cell(self: &Rc<Self>, cell: &Cell, request: &Request, earlier: Earlier) -> Tried {
@@ -156,6 +132,7 @@
                 age_ms,
                 limit_ms: request.limit_ms,
                 earlier,
+                is_remote: false,
             };
             self.run_here(cell, submission, |_, _| {}).await
         } else {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -81,6 +81,8 @@
     pub fenced: RefCell<HashMap<Cell, u64>>,
     /// Where the daemon is in its life.
     pub phase: Value<Phase>,
+    /// When the process ends, once it drains.
+    pub ends_at: Value<Option<Millis>>,
     /// Callers' requests that are being served.
     pub in_flight: Value<usize>,
     /// Links to other daemons.
@@ -122,6 +124,7 @@
             silent_until: RefCell::default(),
             fenced: RefCell::default(),
             phase: Value::new(Phase::Serving),
+            ends_at: Value::new(None),
             in_flight: Value::new(0),
             links,
             workers: WorkerApi::new(caller.clone()),
--- a/crates/pool/src/call.rs
+++ b/crates/pool/src/call.rs
@@ -54,7 +54,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum End {
     /// It did its work.
     Done,
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -125,7 +125,19 @@
     /// Tasks that are done.
     pub done: Vec<u32>,
     /// Tasks that a worker has, or may have.
-    pub placed: Vec<u32>,
+    pub placed: Vec<Placed>,
+}
+
+/// A task's last start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Placed {
+    /// The task's place in the job.
+    pub at: u32,
+    /// The number of the start. It tells starts at one worker apart, not those at several.
+    pub run: u32,
+    /// The worker.
+    pub worker: Rc<str>,
 }
 
 /// What became of a job at the daemon that owns the workers.
@@ -175,7 +187,7 @@
 }
 
 /// One task of a job in progress.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Task {
     /// Its step.
     pub step: u32,
@@ -185,6 +197,8 @@
     pub state: TaskState,
     /// The number of its last start.
     pub run: u32,
+    /// The worker of its last start.
+    pub worker: Option<Rc<str>>,
     /// Runs that ended failed.
     pub failures: u32,
 }
@@ -224,6 +238,7 @@
                 index,
                 state: TaskState::Pending,
                 run: 0,
+                worker: None,
                 failures: 0,
             };
             tasks.extend((0..content.count).map(task));
@@ -241,8 +256,18 @@
         match earlier {
             Earlier::Nothing => return,
             Earlier::Known(progress) => {
-                self.set_states(&progress.done, TaskState::Done);
-                self.set_states(&progress.placed, TaskState::InDoubt);
+                for at in &progress.done {
+                    if let Some(task) = self.tasks.get_mut(*at as usize) {
+                        task.state = TaskState::Done;
+                    }
+                }
+                for placed in &progress.placed {
+                    if let Some(task) = self.tasks.get_mut(placed.at as usize) {
+                        task.state = TaskState::InDoubt;
+                        task.run = placed.run;
+                        task.worker = Some(Rc::clone(&placed.worker));
+                    }
+                }
             }
             Earlier::Unknown => {
                 for task in &mut self.tasks {
@@ -254,14 +279,6 @@
         self.doubt_ends_at = now.plus(doubt_ms);
     }
 
-    fn set_states(&mut self, places: &[u32], state: TaskState) {
-        for at in places {
-            if let Some(task) = self.tasks.get_mut(*at as usize) {
-                task.state = state;
-            }
-        }
-    }
-
     /// Tells whether any task is in doubt.
     pub fn is_in_doubt(&self) -> bool {
         self.tasks.iter().any(|task| task.state == TaskState::InDoubt)
@@ -269,15 +286,18 @@
 
     /// Gives what the next owner of the cell has to know.
     pub fn progress(&self) -> Progress {
-        let places = |wanted: &[TaskState]| {
-            let of = self.tasks.iter().enumerate();
-            let of = of.filter(|(_, task)| wanted.contains(&task.state));
-            of.map(|(at, _)| at as u32).collect()
-        };
-        Progress {
-            done: places(&[TaskState::Done]),
-            placed: places(&[TaskState::Placed, TaskState::InDoubt]),
+        let mut progress = Progress::default();
+        for (at, task) in self.tasks.iter().enumerate() {
+            match task.state {
+                TaskState::Done => progress.done.push(at as u32),
+                TaskState::Placed | TaskState::InDoubt => {
+                    let worker = task.worker.clone().unwrap_or_default();
+                    progress.placed.push(Placed { at: at as u32, run: task.run, worker });
+                }
+                TaskState::Pending => {}
+            }
         }
+        progress
     }
 
     /// Gives the latency objective, in milliseconds.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod placement;
 pub mod pool;
 pub mod queue;
+pub mod resume;
 pub mod room;
 pub mod worker;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -4,7 +4,7 @@
 //! higher one, and a refusal for it ends this pool: its jobs go back as [`Outcome::Moved`].
 //! See `docs/design/on-the-platform.md`.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
@@ -25,6 +25,9 @@
 /// How long a link between daemons may be silent before both sides take it for broken, in
 /// milliseconds: about a third of the time that callers of the users' kinds wait.
 pub const SILENCE_MS: u64 = 450;
+/// How long a daemon may stand still and keep the jobs of others, in milliseconds; under
+/// [`SILENCE_MS`]. It takes a turn every 100 ms at the least.
+pub const MAX_GAP_MS: u64 = 350;
 /// The pause before a look that follows a stop, in milliseconds.
 const LOOK_AFTER_STOP_MS: u64 = 30;
 /// The part of a task's declared time after which its end is looked for.
@@ -56,6 +59,8 @@
     pub limit_ms: u64,
     /// What an earlier owner of the cell did.
     pub earlier: Earlier,
+    /// Whether another daemon waits for the outcome, and gives this one up where it is silent.
+    pub is_remote: bool,
 }
 
 /// The jobs and workers of one cell.
@@ -67,6 +72,8 @@
     jobs: HashMap<u64, Job>,
     watchers: HashMap<u64, u64>,
     by_id: HashMap<Rc<str>, u64>,
+    remote: HashSet<u64>,
+    advanced_at: Option<Millis>,
     estimates: Estimates,
     actions: Vec<Action>,
     next: u64,
@@ -82,6 +89,8 @@
             jobs: HashMap::new(),
             watchers: HashMap::new(),
             by_id: HashMap::new(),
+            remote: HashSet::new(),
+            advanced_at: None,
             estimates: Estimates::default(),
             actions: Vec::new(),
             next: 1,
@@ -159,7 +168,10 @@
             self.actions.push(Action::Answer(number, outcome));
             return number;
         }
-        let Submission { spec, terms, age_ms, limit_ms, earlier } = submission;
+        let Submission { spec, terms, age_ms, limit_ms, earlier, is_remote } = submission;
+        if is_remote {
+            self.remote.insert(number);
+        }
         if let Some(known) = self.by_id.get(&spec.id) {
             self.watchers.insert(number, *known);
             return number;
@@ -184,6 +196,7 @@
 
     /// Ends what nobody waits for any more.
     pub fn cancel(&mut self, now: Millis, number: u64) {
+        self.remote.remove(&number);
         let Some(job) = self.watchers.remove(&number) else { return };
         if self.watchers.values().any(|watched| *watched == job) {
             return;
@@ -263,16 +276,36 @@
         if self.fenced {
             return;
         }
+        self.note_gap(now);
         self.settle_doubts(now);
         self.end_overdue(now);
         self.place_waiting(now);
         self.send_looks(now);
     }
 
+    /// Drops the jobs of other daemons where this one stood still for so long that they have given
+    /// it up: they may have been begun elsewhere meanwhile.
+    fn note_gap(&mut self, now: Millis) {
+        let gap_ms = self.advanced_at.map_or(0, |at| now.since(at));
+        self.advanced_at = Some(now);
+        if gap_ms < MAX_GAP_MS {
+            return;
+        }
+        let mut remote: Vec<u64> = self.remote.drain().collect();
+        remote.sort_unstable();
+        for number in remote {
+            let Some(job) = self.watchers.remove(&number) else { continue };
+            self.actions.push(Action::Answer(number, Outcome::GivenUp(Reason::NoOwner)));
+            if !self.watchers.values().any(|watched| *watched == job) {
+                self.drop_job(now, job);
+            }
+        }
+    }
+
     /// Gives up the cell: every job goes back to whoever submitted it.
     pub fn lose(&mut self) {
         self.fenced = true;
-        self.actions.retain(|action| matches!(action, Action::Answer(..)));
+        self.actions.retain(|action| !matches!(action, Action::Start(..)));
         let mut watchers: Vec<(u64, u64)> = self.watchers.drain().collect();
         watchers.sort_unstable();
         for (number, job) in watchers {
@@ -350,39 +383,49 @@
             return;
         }
         for at in 0..job.tasks.len() {
-            let may_be_elsewhere =
-                matches!(job.tasks[at].state, TaskState::Pending | TaskState::InDoubt);
-            if !may_be_elsewhere {
-                continue;
+            if matches!(job.tasks[at].state, TaskState::Pending | TaskState::InDoubt) {
+                self.claim_task(number, job, at);
             }
-            let name = job.name(at);
-            let step = job.spec.steps[job.tasks[at].step as usize].clone();
-            for worker in self.workers.values_mut() {
-                let Some(held) = worker.unclaimed.remove(&name) else { continue };
-                job.begun = true;
-                job.tasks[at].run = job.tasks[at].run.max(held.run);
-                match held.end {
-                    Some(End::Done) => job.tasks[at].state = TaskState::Done,
-                    Some(End::Failed) => {
-                        job.tasks[at].failures += 1;
-                        job.tasks[at].state = TaskState::Pending;
-                    }
-                    Some(End::Cut) => job.tasks[at].state = TaskState::Pending,
-                    None => {
-                        job.tasks[at].state = TaskState::Placed;
-                        let run = Run {
-                            of: Some((number, at)),
-                            run: held.run,
-                            room: step.each,
-                            state: RunState::Running,
-                            since: held.seen_at,
-                            sent_at: held.seen_at,
-                            expected_ms: step.estimate_ms,
-                        };
-                        worker.place(name.clone(), run);
-                    }
+        }
+    }
+
+    fn claim_task(&mut self, number: u64, job: &mut Job, at: usize) {
+        let name = job.name(at);
+        for (id, worker) in &mut self.workers {
+            let Some(held) = worker.unclaimed.get(&name).copied() else { continue };
+            let task = &mut job.tasks[at];
+            let is_last = task.state == TaskState::InDoubt
+                && task.run == held.run
+                && task.worker.as_ref() == Some(id);
+            match held.end {
+                None => {
+                    let step = &job.spec.steps[task.step as usize];
+                    let run = Run {
+                        of: Some((number, at)),
+                        run: held.run,
+                        room: step.each,
+                        state: RunState::Running,
+                        since: held.seen_at,
+                        sent_at: held.seen_at,
+                        expected_ms: step.estimate_ms,
+                    };
+                    worker.place(name.clone(), run);
+                    task.state = TaskState::Placed;
+                }
+                Some(End::Done) => task.state = TaskState::Done,
+                // Another run, started later, may still go on.
+                Some(End::Failed | End::Cut) if !is_last => continue,
+                Some(End::Failed) => {
+                    task.state = TaskState::Pending;
+                    task.failures += 1;
                 }
+                Some(End::Cut) => task.state = TaskState::Pending,
             }
+            task.run = task.run.max(held.run);
+            task.worker = Some(Rc::clone(id));
+            job.begun = true;
+            worker.unclaimed.remove(&name);
+            return;
         }
     }
 
@@ -471,7 +514,7 @@
     fn place_job(&mut self, now: Millis, number: u64) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         for at in 0..job.tasks.len() {
-            let task = job.tasks[at];
+            let task = job.tasks[at].clone();
             if task.state != TaskState::Pending || !job.step_is_due(task.step) {
                 continue;
             }
@@ -501,6 +544,7 @@
             worker.place(name, run);
             job.tasks[at].state = TaskState::Placed;
             job.tasks[at].run = task.run + 1;
+            job.tasks[at].worker = Some(id);
             job.begun = true;
         }
     }
@@ -611,6 +655,9 @@
             *watched != job
         });
         numbers.sort_unstable();
+        for number in &numbers {
+            self.remote.remove(number);
+        }
         let answers = numbers.into_iter().map(|number| Action::Answer(number, outcome.clone()));
         self.actions.extend(answers);
     }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -25,8 +25,9 @@
 const LOOK_RETRY_MS: u64 = 150;
 /// How long ends that need no look otherwise wait for their acknowledgement, in milliseconds.
 const ACK_DELAY_MS: u64 = 1_500;
-/// How long runs of an earlier owner are kept for the job's daemon to claim, in milliseconds.
-pub const CLAIM_MS: u64 = 500;
+/// How long runs of an earlier owner are kept for the job's daemon to claim, in milliseconds. The
+/// lease that such a run had left, this and a stop together end before a caller sends again.
+pub const CLAIM_MS: u64 = 250;
 /// The first span for which an unwell worker gets no work; it doubles up to the last.
 const FIRST_PAUSE_MS: u64 = 300;
 const LAST_PAUSE_MS: u64 = 5_000;
@@ -177,6 +178,12 @@
             && self.entry.state == WorkerState::Ready
             && self.unanswered == 0
             && now >= self.paused_until
+            && !self.has_unclaimed_runs()
+    }
+
+    /// Tells whether runs of an earlier owner go on. A start would prolong their lease.
+    fn has_unclaimed_runs(&self) -> bool {
+        self.unclaimed.values().any(|held| held.end.is_none())
     }
 
     /// Tells whether the worker will take new tasks once it is known and rested.
@@ -237,8 +244,7 @@
         self.look_sent = Some(now);
         self.look_at = None;
         self.acking = self.cursor;
-        let has_runs = !self.runs.is_empty() || !self.unclaimed.is_empty();
-        let renews = has_runs && self.unanswered == 0;
+        let renews = !self.runs.is_empty() && self.unanswered == 0;
         let until_ms = self.clock_at(now)? + LEASE_MS;
         if renews {
             self.lease_bound = self.lease_bound.max(now.plus(LEASE_BOUND_MS));
@@ -345,7 +351,10 @@
                 changes.push(Change::Ended { of, end: ended.end, usual_ms });
             } else {
                 let held = Unclaimed { run: ended.run, end: Some(ended.end), seen_at: now };
-                self.unclaimed.insert(task.clone(), held);
+                let known = self.unclaimed.entry(task.clone()).or_insert(held);
+                if known.run <= ended.run {
+                    *known = held;
+                }
             }
         }
         changes
@@ -388,6 +397,9 @@
             }
             let fresh = Unclaimed { run: row.run, end: None, seen_at: now };
             let held = self.unclaimed.entry(task.clone()).or_insert(fresh);
+            if held.end.is_some() {
+                *held = fresh;
+            }
             if now.since(held.seen_at) >= CLAIM_MS {
                 changes.push(Change::Stop { task: task.clone(), run: row.run });
             }
@@ -398,12 +410,17 @@
         changes
     }
 
+    fn first_unclaimed(&self) -> Option<Millis> {
+        let running = self.unclaimed.values().filter(|held| held.end.is_none());
+        running.map(|held| held.seen_at).min()
+    }
+
     /// Plans the next look: soon where runs may end, late where only ends are to be acknowledged.
     fn plan_look(&mut self, now: Millis) {
         self.look_at = if !self.runs.is_empty() {
             Some(now.plus(LOOK_GAP_MS))
-        } else if !self.unclaimed.is_empty() {
-            Some(now.plus(LOOK_RETRY_MS))
+        } else if let Some(seen_at) = self.first_unclaimed() {
+            Some(seen_at.plus(CLAIM_MS).max(now.plus(LOOK_GAP_MS)))
         } else if self.cursor > self.acked {
             Some(now.plus(ACK_DELAY_MS))
         } else {
