Check that no start begins once a worker knows a later owner

Change: the world also counts starts that begin though the worker knows a later owner, which must be none; a fifth planted fault, stops that do not bar, is added.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -126,7 +126,9 @@
         let left_ms = self.ends_at.get().map(|at| at.since(arrived_at));
         let declared_ms = spec.critical_path_ms(|step| step.estimate_ms);
         if left_ms.is_some_and(|left_ms| left_ms < declared_ms * LAST_JOB_FACTOR + ANSWER_MS) {
-            log::info!("part=callers event=refused job={id} status=503 why=leaving left_ms={left_ms:?}");
+            log::info!(
+                "part=callers event=refused job={id} status=503 why=leaving left_ms={left_ms:?}"
+            );
             self.metrics.requests.with_label_values(&[&route.terms.route, "503", "leaving"]).inc();
             return render_not_run(503, "this daemon ends", LEAVING_RETRY_MS);
         }
--- a/crates/pool/tests/one_run_at_a_time.rs
+++ b/crates/pool/tests/one_run_at_a_time.rs
@@ -28,6 +28,7 @@
     for seed in 0..120 {
         let world = play(seed, Planted::Nothing, Forgotten::Nothing);
         assert!(world.overlaps.is_empty(), "seed {seed}: {}", world.overlaps.join("; "));
+        assert_eq!(world.stale_starts, 0, "seed {seed}: an owner started after a later one");
         steps += world.steps;
         starts += world.starts;
         completed += world.completed;
@@ -42,11 +43,13 @@
     let cases = [
         (Planted::IgnoresFences, Forgotten::Nothing),
         (Planted::IgnoresLeases, Forgotten::Nothing),
+        (Planted::IgnoresBars, Forgotten::Nothing),
         (Planted::Nothing, Forgotten::Doubt),
         (Planted::Nothing, Forgotten::ResendPause),
     ];
     for (planted, forgotten) in cases {
-        let found = (0..120).any(|seed| !play(seed, planted, forgotten).overlaps.is_empty());
+        let is_found = |world: World| !world.overlaps.is_empty() || world.stale_starts > 0;
+        let found = (0..120).any(|seed| is_found(play(seed, planted, forgotten)));
         assert!(found, "{planted:?} with {forgotten:?} was not found");
     }
 }
--- a/crates/pool/tests/support/worker.rs
+++ b/crates/pool/tests/support/worker.rs
@@ -15,6 +15,8 @@
     Nothing,
     IgnoresFences,
     IgnoresLeases,
+    /// A stop does not keep its run from beginning later.
+    IgnoresBars,
 }
 
 /// One run on a worker.
@@ -102,10 +104,12 @@
     }
 
     fn is_fenced(&mut self, token: u64) -> bool {
-        if self.planted == Planted::IgnoresFences {
-            return false;
-        }
         self.token = self.token.max(token);
+        token < self.token && self.planted != Planted::IgnoresFences
+    }
+
+    /// Tells whether a later owner's call was seen.
+    pub fn knows_later(&self, token: u64) -> bool {
         token < self.token
     }
 
@@ -131,6 +135,7 @@
         }
         self.lease_ms = self.lease_ms.max(call.lease_until_ms);
         let known = self.barred.get(&call.task).copied().unwrap_or(0);
+        let known = if self.planted == Planted::IgnoresBars { 0 } else { known };
         if call.run <= known || self.live.contains_key(&call.task) {
             return refuse(Refusal::OldRun);
         }
--- a/crates/pool/tests/support/world.rs
+++ b/crates/pool/tests/support/world.rs
@@ -93,6 +93,8 @@
     /// What happened to each job, for the message of a failed test.
     story: HashMap<Rc<str>, Vec<String>>,
     pub overlaps: Vec<String>,
+    /// Starts that began though the worker knew a later owner.
+    pub stale_starts: usize,
     pub steps: u64,
     pub completed: usize,
     pub starts: usize,
@@ -131,6 +133,7 @@
             forgotten,
             story: HashMap::new(),
             overlaps: Vec::new(),
+            stale_starts: 0,
             steps: 0,
             completed: 0,
             starts: 0,
@@ -458,6 +461,7 @@
         self.tell(&call.task.job, line);
         if began {
             self.starts += 1;
+            self.stale_starts += usize::from(self.workers[worker].knows_later(call.token));
             self.check_overlap(worker, &call);
         }
         if silent {
