Learn owners from other daemons while the store is away; hand cells over directly

Change: a daemon that takes a cell over tells the others; one without the store asks another; an owner that ends without the store hands its cell to a daemon of its zone under the same token.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -24,9 +24,15 @@
         self.phase.set(Phase::Draining);
         self.ends_at.set(Some(began.plus(most_ms)));
         log::info!("part=drain event=begin in_flight={}", self.in_flight.get());
-        let cells: Vec<Cell> = self.owned.borrow().keys().cloned().collect();
-        for cell in &cells {
+        let owned: Vec<(Cell, u64)> = {
+            let owned = self.owned.borrow();
+            owned.iter().map(|(cell, owned)| (cell.clone(), owned.pool.token())).collect()
+        };
+        for (cell, token) in &owned {
             self.give_up(cell, "drain");
+            if !self.store_reached.get() {
+                self.hand_over(cell, *token).await;
+            }
         }
         self.leave().await;
         self.announce_change();
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -61,7 +61,9 @@
             config_version: self.catalogue.borrow().as_ref().map(|catalogue| catalogue.version),
             in_flight: self.in_flight.get(),
             cells: cells.collect(),
-            owners: owners.map(|(cell, addr)| (cell.to_string(), addr.to_string())).collect(),
+            owners: owners
+                .map(|(cell, owner)| (cell.to_string(), owner.addr.to_string()))
+                .collect(),
         }
     }
 }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -1,5 +1,6 @@
 //! What entry daemons say to each other.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use peers::wire::Protocol;
@@ -49,6 +50,23 @@
     Cancel(Rc<str>),
     /// The cells are being dealt anew: ask the store now.
     Rejoin,
+    /// This daemon owns a cell now.
+    Own(Ownership),
+    /// Take this cell over directly: its owner ends and does not reach the store.
+    Take(Cell, u64),
+    /// Tell who owns the cells: the store does not answer.
+    Owners,
+}
+
+/// Who owns a cell.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Ownership {
+    /// The cell.
+    pub cell: Cell,
+    /// Where its owner takes links.
+    pub addr: SocketAddr,
+    /// The fencing token.
+    pub token: u64,
 }
 
 /// What the other daemon replies.
@@ -59,4 +77,8 @@
     Outcome(Outcome, Backlog),
     /// The cell is not this daemon's.
     NotOwner,
+    /// The cell was taken over.
+    Taken,
+    /// Who owns the cells, as far as this daemon knows.
+    Owners(Vec<Ownership>),
 }
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -10,8 +10,8 @@
 use pool::cells::{Cell, cell_of, cells_of};
 use pool::pool::Pool;
 
-use crate::fleet::Ask;
-use crate::state::{Entry, Owned, Phase};
+use crate::fleet::{Ask, Ownership, Tell};
+use crate::state::{self, Entry, Owned, Phase};
 
 /// The group in which all daemons of an installation are members.
 const GROUP: &str = "entry";
@@ -21,6 +21,10 @@
 const RENEWALS_PER_SPAN: u64 = 4;
 /// The time between two looks at who owns what, in milliseconds.
 const OWNERS_EVERY_MS: u64 = 1_000;
+/// How long a daemon waits for another one that takes a cell over or tells its owners.
+const HAND_OVER_MS: u64 = 250;
+/// The most other daemons that are remembered; the letter's size has 48.
+const MAX_OTHERS: usize = 512;
 /// How long a zone must be without any daemon before daemons of other zones take its cells.
 /// A zone that is only cut off serves itself, and its workers' entries are gone by then.
 const EMPTY_ZONE_MS: u64 = 5_500;
@@ -47,6 +51,9 @@
             if due {
                 self.read_owners(&mut standing).await;
             }
+            if !self.store_reached.get() {
+                self.ask_others().await;
+            }
             let pause = actix_rt::time::sleep(pause);
             let woken = self.rejoin.notified();
             futures_util::future::select(std::pin::pin!(pause), std::pin::pin!(woken)).await;
@@ -90,6 +97,7 @@
     /// Tells the store's state once it changes.
     fn note_reached(&self, standing: &mut Standing, error: Option<&StoreError>) {
         let reached = error.is_none();
+        self.store_reached.set(reached);
         if standing.reached == Some(reached) {
             return;
         }
@@ -135,7 +143,11 @@
     fn take_dealt(self: &Rc<Self>, joined: &Joined) -> bool {
         let dealt = self.dealt_cells(&joined.held);
         let before: Vec<Cell> = self.owned.borrow().keys().cloned().collect();
-        let lost: Vec<Cell> = before.into_iter().filter(|cell| !dealt.contains(cell)).collect();
+        let now = self.now();
+        let is_handed =
+            |cell: &Cell| self.handed_until.borrow().get(cell).is_some_and(|until| now < *until);
+        let gone = |cell: &Cell| !dealt.contains(cell) && !is_handed(cell);
+        let lost: Vec<Cell> = before.into_iter().filter(gone).collect();
         for cell in &lost {
             self.give_up(cell, "dealt_away");
         }
@@ -176,11 +188,96 @@
         if fenced.is_some_and(|token| generation <= token) {
             return;
         }
-        let pool = Pool::new(generation);
-        log::info!("part=ownership event=cell_gained cell={cell} token={generation}");
+        self.begin_cell(cell, generation, "dealt");
+    }
+
+    fn begin_cell(self: &Rc<Self>, cell: Cell, token: u64, how: &str) {
+        let pool = Pool::new(token);
+        log::info!("part=ownership event=cell_gained cell={cell} token={token} how={how}");
         self.metrics.cells.with_label_values(&["gained"]).inc();
         self.owned.borrow_mut().insert(cell.clone(), Owned { serial: self.draw_serial(), pool });
         self.refresh_workers(&cell);
+        let addr = self.settings.peers;
+        self.tell_others(&Ask::Own(Ownership { cell, addr, token }));
+    }
+
+    /// Takes a cell over from a daemon that ends and does not reach the store. The token stays the
+    /// same: that daemon has sent its last order.
+    pub fn take_handed(self: &Rc<Self>, cell: Cell, token: u64) -> Tell {
+        let is_own_zone = *cell.zone == *self.settings.zone;
+        let overtaken = self.fenced.borrow().get(&cell).is_some_and(|fenced| token <= *fenced);
+        let serves = self.phase.get() == Phase::Serving;
+        if !serves || !is_own_zone || overtaken || self.owned.borrow().contains_key(&cell) {
+            return Tell::NotOwner;
+        }
+        let until = self.now().plus(2 * self.settings.ownership_ms);
+        self.handed_until.borrow_mut().insert(cell.clone(), until);
+        self.begin_cell(cell, token, "handed");
+        Tell::Taken
+    }
+
+    /// Hands a cell that was given up to another daemon of the zone.
+    pub async fn hand_over(self: &Rc<Self>, cell: &Cell, token: u64) {
+        let others = self.others.borrow().clone();
+        let own_zone = others.iter().filter(|(_, zone)| **zone == *cell.zone);
+        for (addr, _) in own_zone {
+            let ask = Ask::Take(cell.clone(), token);
+            match self.links.call(*addr, ask, HAND_OVER_MS).await {
+                Ok(Tell::Taken) => {
+                    log::info!("part=ownership event=cell_handed cell={cell} to={addr}");
+                    self.note_owner(&Ownership { cell: cell.clone(), addr: *addr, token });
+                    return;
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    log::info!("part=ownership event=hand_over_failed cell={cell} why=\"{error}\"")
+                }
+            }
+        }
+    }
+
+    /// Notes what another daemon says of a cell's owner.
+    pub fn note_owner(&self, ownership: &Ownership) {
+        let Ownership { cell, addr, token } = ownership;
+        let mut owners = self.owners.borrow_mut();
+        if owners.get(cell).is_none_or(|known| known.token <= *token) {
+            owners.insert(cell.clone(), state::Owner { addr: *addr, token: *token });
+            self.silent_until.borrow_mut().remove(addr);
+        }
+    }
+
+    /// Gives the owners of cells, as far as they are known here.
+    pub fn known_owners(&self) -> Vec<Ownership> {
+        let owned = self.owned.borrow();
+        let own = owned.iter().map(|(cell, owned)| Ownership {
+            cell: cell.clone(),
+            addr: self.settings.peers,
+            token: owned.pool.token(),
+        });
+        let owners = self.owners.borrow();
+        let told = owners.iter().filter(|(cell, owner)| {
+            owner.token > 0 && owner.addr != self.settings.peers && !owned.contains_key(*cell)
+        });
+        let told = told.map(|(cell, owner)| Ownership {
+            cell: cell.clone(),
+            addr: owner.addr,
+            token: owner.token,
+        });
+        own.chain(told).collect()
+    }
+
+    /// Asks another daemon who owns the cells, while the store does not answer.
+    async fn ask_others(self: &Rc<Self>) {
+        let others: Vec<SocketAddr> = self.others.borrow().keys().copied().collect();
+        if others.is_empty() {
+            return;
+        }
+        let addr = others[rand::random_range(0..others.len())];
+        if let Ok(Tell::Owners(owners)) = self.links.call(addr, Ask::Owners, HAND_OVER_MS).await {
+            for ownership in &owners {
+                self.note_owner(ownership);
+            }
+        }
     }
 
     /// Gives a cell up; its runs go on under their lease for the next owner to find.
@@ -260,12 +357,14 @@
 
     /// Lets the other daemons ask the store at once.
     pub fn announce_change(self: &Rc<Self>) {
-        let own = self.settings.peers;
-        let others: BTreeSet<SocketAddr> = self.owners.borrow().values().copied().collect();
-        for addr in others.into_iter().filter(|addr| *addr != own) {
-            let entry = Rc::clone(self);
+        self.tell_others(&Ask::Rejoin);
+    }
+
+    fn tell_others(self: &Rc<Self>, ask: &Ask) {
+        for addr in self.others.borrow().keys().copied() {
+            let (entry, ask) = (Rc::clone(self), ask.clone());
             actix_rt::spawn(async move {
-                if let Err(error) = entry.links.tell(addr, Ask::Rejoin).await {
+                if let Err(error) = entry.links.tell(addr, ask).await {
                     log::info!("part=ownership event=announce_failed why=\"{error}\"");
                 }
             });
@@ -283,12 +382,23 @@
         for row in &rows {
             let Some(zone) = row.topic.strip_prefix(TOPIC_PREFIX) else { continue };
             let Some(addr) = member_addr(&row.member) else { continue };
+            self.note_other(addr, &row.member);
             let cell = Cell { zone: Rc::from(zone), partition: row.partition };
-            owners.insert(cell, addr);
+            let told = self.owners.borrow().get(&cell).copied();
+            let token = told.filter(|told| told.addr == addr).map_or(0, |told| told.token);
+            owners.insert(cell, state::Owner { addr, token });
         }
         *self.owners.borrow_mut() = owners;
     }
 
+    fn note_other(&self, addr: SocketAddr, member: &str) {
+        let Some((_, zone)) = member.split_once('|') else { return };
+        let mut others = self.others.borrow_mut();
+        if addr != self.settings.peers && others.len() < MAX_OTHERS {
+            others.entry(addr).or_insert_with(|| zone.to_owned());
+        }
+    }
+
     fn note_empty_zones(&self, standing: &mut Standing, rows: &[Owner]) {
         let now = self.now();
         let staffed: BTreeSet<&str> = rows
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -33,6 +33,12 @@
                 self.rejoin.notify_one();
                 None
             }
+            Ask::Own(ownership) => {
+                self.note_owner(&ownership);
+                None
+            }
+            Ask::Take(cell, token) => Some(self.take_handed(cell, token)),
+            Ask::Owners => Some(Tell::Owners(self.known_owners())),
         }
     }
 
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -182,7 +182,7 @@
                 self.metrics.forwarded.with_label_values(&["answered"]).inc();
                 Ok(Some((outcome, backlog)))
             }
-            Tell::NotOwner => {
+            Tell::NotOwner | Tell::Taken | Tell::Owners(_) => {
                 self.metrics.forwarded.with_label_values(&["not_owner"]).inc();
                 Ok(None)
             }
@@ -201,7 +201,7 @@
         if self.owned.borrow().contains_key(cell) {
             return Some(self.settings.peers);
         }
-        let addr = self.owners.borrow().get(cell).copied()?;
+        let addr = self.owners.borrow().get(cell)?.addr;
         (addr != self.settings.peers && self.may_ask(addr)).then_some(addr)
     }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -42,7 +42,16 @@
     pub pool: Pool,
 }
 
-/// What is known of a cell's owner.
+/// The daemon that owns a cell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// Where it takes links.
+    pub addr: SocketAddr,
+    /// The fencing token that it told; zero where only the store named it.
+    pub token: u64,
+}
+
+/// What is known of a cell's load.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
     /// The load that it told last.
@@ -71,8 +80,14 @@
     pub directory: RefCell<Directory>,
     /// The cells that this daemon owns.
     pub owned: RefCell<BTreeMap<Cell, Owned>>,
-    /// The daemon that owns each cell, as far as the store told.
-    pub owners: RefCell<BTreeMap<Cell, SocketAddr>>,
+    /// The daemon that owns each cell, as far as the store or other daemons told.
+    pub owners: RefCell<BTreeMap<Cell, Owner>>,
+    /// Other daemons that were seen, with their zones.
+    pub others: RefCell<BTreeMap<SocketAddr, String>>,
+    /// Whether the last call to the store was answered.
+    pub store_reached: Value<bool>,
+    /// Until when cells that another daemon handed over are kept without the store.
+    pub handed_until: RefCell<HashMap<Cell, Millis>>,
     /// The load of each cell, as far as it was told.
     pub loads: RefCell<HashMap<Cell, Load>>,
     /// Until when a daemon that did not answer is not asked.
@@ -120,6 +135,9 @@
             directory: RefCell::default(),
             owned: RefCell::default(),
             owners: RefCell::default(),
+            others: RefCell::default(),
+            store_reached: Value::new(false),
+            handed_until: RefCell::default(),
             loads: RefCell::default(),
             silent_until: RefCell::default(),
             fenced: RefCell::default(),
