Stand-ins of the platform's store and of sized workers, through platform/

Change: platform/ also reads calls and renders replies, from the same types; standins gains a store with keyed topics and groups, and a worker with leases, fences and a size that serves in virtual time as well as behind a socket (the world of pool's tests uses it).

--- a/crates/pool/tests/one_run_at_a_time.rs
+++ b/crates/pool/tests/one_run_at_a_time.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use support::worker::Planted;
+use standins::sized::Planted;
 use support::world::{Faults, Forgotten, World};
 
 const ROUGH: Faults = Faults {
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -3,7 +3,6 @@
 
 #![allow(dead_code, reason = "each test file uses its own part of the world")]
 
-pub mod worker;
 pub mod world;
 
 use std::rc::Rc;
--- a/crates/pool/tests/support/world.rs
+++ b/crates/pool/tests/support/world.rs
@@ -12,7 +12,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
-use super::worker::{FakeWorker, Planted};
+use standins::sized::{Planted, SizedWorker, Work};
 use super::{cores, entry, job, terms};
 
 /// How long after a lost answer a caller sends its request again.
@@ -78,7 +78,7 @@
 pub struct World {
     pub now_ms: u64,
     rng: SmallRng,
-    pub workers: Vec<FakeWorker>,
+    pub workers: Vec<SizedWorker>,
     cut: HashMap<(usize, usize), u64>,
     daemons: Vec<Daemon>,
     owners: [Option<usize>; CELLS],
@@ -107,10 +107,10 @@
 impl World {
     pub fn new(seed: u64, faults: Faults, planted: Planted, forgotten: Forgotten) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut workers: Vec<FakeWorker> = (0..CELLS * CELL_WORKERS)
+        let mut workers: Vec<SizedWorker> = (0..CELLS * CELL_WORKERS)
             .map(|_| {
                 let offset_ms = rng.random_range(1_000..9_000_000);
-                FakeWorker::new(cores(64), cores(EACH), offset_ms, rng.random_range(0..=20))
+                SizedWorker::new(entry(0, 64).capacity, offset_ms, rng.random_range(0..=20))
             })
             .collect();
         for worker in &mut workers {
@@ -455,7 +455,8 @@
         let longest_ms = if self.roll(self.faults.long_runs) { 6_000 } else { 1_200 };
         let takes_ms = self.rng.random_range(40..longest_ms);
         let end = if self.roll(self.faults.failing_runs) { End::Failed } else { End::Done };
-        let (reply, began) = self.workers[worker].start(self.now_ms, &call, takes_ms, end);
+        let work = Work { room: cores(EACH), takes_ms, end };
+        let (reply, began) = self.workers[worker].start(self.now_ms, &call, work);
         let line =
             format!("start of {} run {} by {at} at {worker}: {reply:?}", call.task, call.run);
         self.tell(&call.task.job, line);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,8 @@
 pub mod coverage;
 pub mod ledger;
 pub mod log;
+pub mod metastore;
+pub mod sized;
+pub mod sized_server;
 pub mod vms;
 pub mod worker;
--- a/crates/pool/tests/support/worker.rs
+++ b/crates/standins/src/sized.rs
@@ -1,4 +1,5 @@
-//! A worker in virtual time, as the platform describes it.
+//! A worker with a size, leases and fences, as the platform describes it: a state machine that
+//! is told the time, so that it serves in virtual time as well as behind a socket.
 
 use std::collections::HashMap;
 
@@ -12,8 +13,11 @@
 /// What a worker leaves out, to show that a test finds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Planted {
+    /// It leaves out nothing.
     Nothing,
+    /// It carries out orders of earlier owners.
     IgnoresFences,
+    /// Its runs go on without a lease.
     IgnoresLeases,
     /// A stop does not keep its run from beginning later.
     IgnoresBars,
@@ -22,23 +26,44 @@
 /// One run on a worker.
 #[derive(Clone, Debug)]
 pub struct Live {
+    /// The number of the start.
     pub run: u32,
+    /// Its size.
+    pub room: Room,
+    /// When it began.
     pub began_ms: u64,
+    /// When its work is done.
     pub ends_ms: u64,
+    /// How it then ends.
     pub end: End,
+    /// When it is stopped, where a stop was ordered.
     pub stops_ms: Option<u64>,
 }
 
+/// The work of one start.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// Its size.
+    pub room: Room,
+    /// How long it takes, in milliseconds.
+    pub takes_ms: u64,
+    /// How it ends.
+    pub end: End,
+}
+
 /// A worker with its own clock.
 #[derive(Debug)]
-pub struct FakeWorker {
+pub struct SizedWorker {
+    /// What it has in all.
     pub capacity: Room,
-    pub each: Room,
+    /// What it leaves out.
     pub planted: Planted,
+    /// When its lifetime began.
     pub born_ms: u64,
     offset_ms: u64,
     /// How much slower its clock runs, in thousandths.
     slow_permille: u64,
+    /// The runs that go on.
     pub live: HashMap<TaskName, Live>,
     barred: HashMap<TaskName, u32>,
     ended: Vec<Ended>,
@@ -49,11 +74,11 @@
 
 const STOP_MS: u64 = 50;
 
-impl FakeWorker {
-    pub fn new(capacity: Room, each: Room, offset_ms: u64, slow_permille: u64) -> Self {
+impl SizedWorker {
+    /// Builds a worker whose clock is ahead by an offset and runs slower by so many thousandths.
+    pub fn new(capacity: Room, offset_ms: u64, slow_permille: u64) -> Self {
         Self {
             capacity,
-            each,
             planted: Planted::Nothing,
             born_ms: 1,
             offset_ms,
@@ -67,6 +92,7 @@
         }
     }
 
+    /// Gives its clock.
     pub fn clock(&self, now_ms: u64) -> u64 {
         self.offset_ms + now_ms - now_ms * self.slow_permille / 1_000
     }
@@ -118,8 +144,7 @@
         &mut self,
         now_ms: u64,
         call: &StartCall,
-        takes_ms: u64,
-        end: End,
+        work: Work,
     ) -> (StartReply, bool) {
         self.settle(now_ms);
         let refuse = |refusal| (StartReply::Refused(refusal), false);
@@ -139,21 +164,23 @@
         if call.run <= known || self.live.contains_key(&call.task) {
             return refuse(Refusal::OldRun);
         }
-        let used = self.each.cpu_millicores * self.live.len() as u64;
-        if used + self.each.cpu_millicores > self.capacity.cpu_millicores {
+        let used = self.live.values().fold(Room::default(), |used, live| used.plus(live.room));
+        if !self.capacity.minus(used).holds(work.room) {
             return refuse(Refusal::NoRoom);
         }
         let live = Live {
             run: call.run,
+            room: work.room,
             began_ms: now_ms,
-            ends_ms: now_ms + takes_ms,
-            end,
+            ends_ms: now_ms + work.takes_ms,
+            end: work.end,
             stops_ms: None,
         };
         self.live.insert(call.task.clone(), live);
         (StartReply::Started { clock_ms }, true)
     }
 
+    /// Carries out a stop.
     pub fn stop(&mut self, now_ms: u64, call: &StopCall) -> StopReply {
         self.settle(now_ms);
         if self.is_fenced(call.token) {
@@ -178,10 +205,12 @@
         None
     }
 
+    /// Tells whether ends were not acknowledged yet.
     pub fn has_ends(&self) -> bool {
         !self.ended.is_empty()
     }
 
+    /// Reports its runs.
     pub fn report(&mut self, now_ms: u64) -> LookReply {
         self.settle(now_ms);
         let percent = |live: &Live| {
