--- a/crates/pool/tests/support/world.rs
+++ b/crates/pool/tests/support/world.rs
@@ -12,8 +12,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
-use standins::sized::{Planted, SizedWorker, Work};
 use super::{cores, entry, job, terms};
+use standins::sized::{Planted, SizedWorker, Work};
 
 /// How long after a lost answer a caller sends its request again.
 pub const RESEND_MS: u64 = 1_300;
--- a/crates/standins/src/sized.rs
+++ b/crates/standins/src/sized.rs
@@ -140,12 +140,7 @@
     }
 
     /// Carries out a start. Tells whether a run began.
-    pub fn start(
-        &mut self,
-        now_ms: u64,
-        call: &StartCall,
-        work: Work,
-    ) -> (StartReply, bool) {
+    pub fn start(&mut self, now_ms: u64, call: &StartCall, work: Work) -> (StartReply, bool) {
         self.settle(now_ms);
         let refuse = |refusal| (StartReply::Refused(refusal), false);
         if self.is_fenced(call.token) {
