Begin whole jobs at once where there is room, before they wait in their own zone

Change: a job first asks its zone's cell, then the best other one, to begin all its tasks at once or refuse; only then does it wait. A cell that was busy 40 ms ago is not asked again.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -38,6 +38,8 @@
     pub limit_ms: u64,
     /// What an earlier owner of the cell did.
     pub earlier: Earlier,
+    /// Whether the job may wait for room.
+    pub may_wait: bool,
 }
 
 /// What one daemon asks of another.
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -16,10 +16,10 @@
 use crate::fleet::{Ask, RunAsk, Tell};
 use crate::state::{Entry, Load};
 
-/// The most owners that are asked for one job.
-const MAX_TRIES: usize = 3;
+/// The most owners that are asked for one job, first without and then with waiting.
+const MAX_TRIES: usize = 2;
 /// How long a refusal by an owner in another zone keeps further jobs from asking it.
-const REFUSAL_MEMORY_MS: u64 = 100;
+const REFUSAL_MEMORY_MS: u64 = 40;
 /// The pause between two looks for a cell's next owner, in milliseconds.
 const NEXT_OWNER_PAUSE_MS: u64 = 25;
 /// What a reply of another daemon may take beyond the caller's time, in milliseconds.
@@ -73,24 +73,27 @@
 }
 
 impl Entry {
-    /// Runs a job at the best owner, or at the next ones where it is refused.
+    /// Runs a job where all its tasks begin at once; where none of the best owners has the room,
+    /// it waits at one of them.
     pub async fn run_job(self: &Rc<Self>, request: &Request, trace: &mut Trace) -> Outcome {
-        let mut asked: Vec<Cell> = Vec::new();
         let mut refusal =
             Outcome::NotRun { reason: Reason::NoOwner, retry_after_ms: NO_OWNER_RETRY_MS };
-        while asked.len() < MAX_TRIES {
-            let Some(cell) = self.choose_cell(&asked) else { break };
-            trace.cell = Some(cell.clone());
-            trace.tries += 1;
-            let tried = self.try_cell(&cell, request, Earlier::Nothing).await;
-            match next(tried, &Earlier::Nothing) {
-                Next::Answer(outcome) => return outcome,
-                Next::SameCell(earlier) => {
-                    return self.resume(&cell, request, earlier, trace).await;
+        for may_wait in [false, true] {
+            let mut asked: Vec<Cell> = Vec::new();
+            while asked.len() < MAX_TRIES {
+                let Some(cell) = self.choose_cell(&asked, may_wait) else { break };
+                trace.cell = Some(cell.clone());
+                trace.tries += 1;
+                let tried = self.try_cell(&cell, request, Earlier::Nothing, may_wait).await;
+                match next(tried, &Earlier::Nothing) {
+                    Next::Answer(outcome) => return outcome,
+                    Next::SameCell(earlier) => {
+                        return self.resume(&cell, request, earlier, trace).await;
+                    }
+                    Next::OtherCell(refused) => refusal = refused.unwrap_or(refusal),
                 }
-                Next::OtherCell(refused) => refusal = refused.unwrap_or(refusal),
+                asked.push(cell);
             }
-            asked.push(cell);
         }
         refusal
     }
@@ -114,7 +117,7 @@
                 continue;
             }
             trace.tries += 1;
-            let tried = self.try_cell(cell, request, earlier.clone()).await;
+            let tried = self.try_cell(cell, request, earlier.clone(), true).await;
             match next(tried, &earlier) {
                 Next::Answer(outcome) => return outcome,
                 Next::SameCell(known) => earlier = known,
@@ -123,7 +126,13 @@
         }
     }
 
-    async fn try_cell(self: &Rc<Self>, cell: &Cell, request: &Request, earlier: Earlier) -> Tried {
+    async fn try_cell(
+        self: &Rc<Self>,
+        cell: &Cell,
+        request: &Request,
+        earlier: Earlier,
+        may_wait: bool,
+    ) -> Tried {
         let age_ms = self.now().since(request.arrived_at);
         let ran = if self.owned.borrow().contains_key(cell) {
             let submission = Submission {
@@ -132,6 +141,7 @@
                 age_ms,
                 limit_ms: request.limit_ms,
                 earlier,
+                may_wait,
                 is_remote: false,
             };
             self.run_here(cell, submission, |_, _| {}).await
@@ -144,6 +154,7 @@
                 age_ms,
                 limit_ms: request.limit_ms,
                 earlier,
+                may_wait,
             };
             match self.run_there(addr, ask).await {
                 Ok(ran) => ran,
@@ -191,9 +202,17 @@
 
     fn note_load(&self, cell: &Cell, outcome: &Outcome, backlog: Backlog) {
         let now = self.now();
-        let refused = matches!(outcome, Outcome::NotRun { .. });
-        let load = Load { backlog, at: now, refused_at: refused.then_some(now) };
-        self.loads.borrow_mut().insert(cell.clone(), load);
+        let mut loads = self.loads.borrow_mut();
+        let load = loads.entry(cell.clone()).or_default();
+        load.backlog = backlog;
+        match outcome {
+            Outcome::NotRun { reason: Reason::Busy, .. } => load.busy_at = Some(now),
+            Outcome::NotRun { .. } => {
+                load.busy_at = Some(now);
+                load.refused_at = Some(now);
+            }
+            _ => {}
+        }
     }
 
     /// Gives the address of a cell's owner, as far as it is known and answers.
@@ -207,21 +226,30 @@
 
     /// Chooses the cell with the shortest wait: one of the own zone, or else one elsewhere that
     /// has not refused just now.
-    fn choose_cell(&self, asked: &[Cell]) -> Option<Cell> {
+    fn choose_cell(&self, asked: &[Cell], may_wait: bool) -> Option<Cell> {
         let own = self.cells_in(&self.settings.zone);
-        self.best_of(own, asked, 0).or_else(|| {
+        self.best_of(own, asked, may_wait, 0).or_else(|| {
             let zones = self.settings.zones.iter().filter(|zone| **zone != self.settings.zone);
             let others = zones.flat_map(|zone| self.cells_in(zone)).collect();
-            self.best_of(others, asked, REFUSAL_MEMORY_MS)
+            self.best_of(others, asked, may_wait, REFUSAL_MEMORY_MS)
         })
     }
 
-    fn best_of(&self, cells: Vec<Cell>, asked: &[Cell], memory_ms: u64) -> Option<Cell> {
+    fn best_of(
+        &self,
+        cells: Vec<Cell>,
+        asked: &[Cell],
+        may_wait: bool,
+        memory_ms: u64,
+    ) -> Option<Cell> {
         let now = self.now();
         let loads = self.loads.borrow();
+        let refused_lately = |load: &Load| {
+            let refused_at = if may_wait { load.refused_at } else { load.busy_at };
+            refused_at.is_some_and(|at| now.since(at) < memory_ms)
+        };
         let usable = cells.into_iter().filter(|cell| {
-            let refused_at = loads.get(cell).and_then(|load| load.refused_at);
-            let refused = refused_at.is_some_and(|at| now.since(at) < memory_ms);
+            let refused = loads.get(cell).is_some_and(refused_lately);
             !refused && !asked.contains(cell) && self.owner_of(cell).is_some()
         });
         usable.min_by_key(|cell| {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -52,13 +52,13 @@
 }
 
 /// What is known of a cell's load.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Load {
     /// The load that it told last.
     pub backlog: Backlog,
-    /// When.
-    pub at: Millis,
-    /// When it last refused a job for want of room.
+    /// When it last had no room for a whole job at once.
+    pub busy_at: Option<Millis>,
+    /// When it last refused a job that would have waited.
     pub refused_at: Option<Millis>,
 }
 
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -93,6 +93,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub enum Reason {
+    /// Not all tasks can begin at once, and the job was not to wait here.
+    Busy,
     /// The work waiting ahead leaves too little time.
     Overload,
     /// No worker that is known could ever run a task of it.
@@ -109,6 +111,7 @@
     /// Gives the reason as it stands in logs.
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::Busy => "busy",
             Self::Overload => "overload",
             Self::NoWorker => "no_worker",
             Self::TimeOver => "time_over",
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -30,6 +30,8 @@
 pub const MAX_GAP_MS: u64 = 350;
 /// The pause before a look that follows a stop, in milliseconds.
 const LOOK_AFTER_STOP_MS: u64 = 30;
+/// The most tasks that are counted to fit on one worker; tasks of no size fit in any number.
+const MAX_FIT: u64 = 10_000;
 /// The part of a task's declared time after which its end is looked for.
 const FIRST_LOOK_SHARE: f64 = 0.4;
 
@@ -59,6 +61,8 @@
     pub limit_ms: u64,
     /// What an earlier owner of the cell did.
     pub earlier: Earlier,
+    /// Whether the job may wait for room; otherwise it is refused unless all tasks begin at once.
+    pub may_wait: bool,
     /// Whether another daemon waits for the outcome, and gives this one up where it is silent.
     pub is_remote: bool,
 }
@@ -168,7 +172,7 @@
             self.actions.push(Action::Answer(number, outcome));
             return number;
         }
-        let Submission { spec, terms, age_ms, limit_ms, earlier, is_remote } = submission;
+        let Submission { spec, terms, age_ms, limit_ms, earlier, may_wait, is_remote } = submission;
         if is_remote {
             self.remote.insert(number);
         }
@@ -182,7 +186,7 @@
         job.expected_ms = job.spec.critical_path_ms(longest);
         job.take_earlier(&earlier, now, doubt_ms(&earlier));
         self.claim(number, &mut job);
-        if let Some(outcome) = self.refusal(&job, now) {
+        if let Some(outcome) = self.refusal(&job, may_wait, now) {
             self.actions.push(Action::Answer(number, outcome));
             return number;
         }
@@ -429,7 +433,7 @@
         }
     }
 
-    fn refusal(&self, job: &Job, now: Millis) -> Option<Outcome> {
+    fn refusal(&self, job: &Job, may_wait: bool, now: Millis) -> Option<Outcome> {
         if job.begun {
             return None;
         }
@@ -437,6 +441,10 @@
             let retry_after_ms = queue::retry_after_ms(&Backlog::default());
             return Some(Outcome::NotRun { reason: Reason::NoWorker, retry_after_ms });
         }
+        if !may_wait && !self.can_begin_now(job, now) {
+            let retry_after_ms = queue::retry_after_ms(&Backlog::default());
+            return Some(Outcome::NotRun { reason: Reason::Busy, retry_after_ms });
+        }
         let ahead = self.backlog_ahead_of(now, Some(job.latest_start()));
         if queue::admits(job, &ahead, now) {
             return None;
@@ -445,6 +453,22 @@
         Some(Outcome::NotRun { reason: Reason::Overload, retry_after_ms })
     }
 
+    /// Tells whether all tasks that are due would begin at once: nothing waits, and they fit.
+    fn can_begin_now(&self, job: &Job, now: Millis) -> bool {
+        if self.jobs.values().any(has_pending) {
+            return false;
+        }
+        let due = job.spec.steps.iter().enumerate().filter(|(_, step)| step.after.is_empty());
+        due.into_iter().all(|(number, step)| {
+            let need = need_of(job, number as u32, step, now);
+            let usable = self.workers.values();
+            let usable = usable.filter(|worker| worker.takes_work(now));
+            let fits = usable.filter(|worker| placement::suits(worker, need));
+            let fits: u64 = fits.map(|worker| worker.free().fits(step.each).min(MAX_FIT)).sum();
+            fits >= u64::from(step.count)
+        })
+    }
+
     fn can_ever_run(&self, job: &Job, now: Millis) -> bool {
         let possible = |(number, step)| {
             let need = need_of(job, number, step, now);
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -20,7 +20,15 @@
 
 fn submission(spec: JobSpec, earlier: Earlier) -> Submission {
     let terms = terms("r", 300, 2);
-    Submission { spec, terms, age_ms: 0, limit_ms: 3_000, earlier, is_remote: false }
+    Submission {
+        spec,
+        terms,
+        age_ms: 0,
+        limit_ms: 3_000,
+        earlier,
+        may_wait: true,
+        is_remote: false,
+    }
 }
 
 fn report(running: &[(&str, u32)], ended: &[(u64, &str, u32, End)]) -> LookReply {
@@ -285,6 +293,26 @@
     }
 }
 
+#[test]
+fn a_job_that_is_not_to_wait_begins_whole_or_is_sent_on_at_once() {
+    // Load: a burst in one zone while others have room; 2 workers hold four tasks of 27 cores.
+    for (running, count, begins) in [(0, 4, true), (1, 4, false), (1, 3, true), (0, 5, false)] {
+        let mut pool = pool(2);
+        if running > 0 {
+            begin(&mut pool, "0000000000000001");
+        }
+        let spec = job("0000000000000002", count, 27, 200);
+        let submission = Submission { may_wait: false, ..submission(spec, Earlier::Nothing) };
+        pool.submit(at(20), submission);
+        let actions = pool.take_actions();
+        let started = starts(&actions).len();
+        assert_eq!(started, if begins { count as usize } else { 0 }, "{count} beside {running}");
+        let refused = answers(&actions);
+        let is_busy = matches!(refused[..], [Outcome::NotRun { reason: Reason::Busy, .. }]);
+        assert_eq!(is_busy, !begins, "{count} beside {running}");
+    }
+}
+
 #[test]
 fn draining_workers_and_jobs_that_fit_nowhere_get_nothing() {
     let mut draining = pool(1);
--- a/crates/pool/tests/support/world.rs
+++ b/crates/pool/tests/support/world.rs
@@ -522,6 +522,7 @@
             age_ms: self.now_ms - request.arrived_ms,
             limit_ms: LIMIT_MS,
             earlier,
+            may_wait: true,
             is_remote: true,
         };
         let now = Millis(self.now_ms);
