Look at a worker again after 4 ms instead of 12

Cause: with more work than room a worker's freed room stays unseen until the next look. Change: LOOK_GAP_MS 12 to 4; a look still waits at the worker for the next end.

--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -20,7 +20,7 @@
 /// How long a look may wait at the worker for an end, in milliseconds; under [`RENEW_AHEAD_MS`].
 pub const LOOK_WAIT_MS: u64 = 300;
 /// The shortest pause between two looks at a worker, so that one look brings several ends.
-pub const LOOK_GAP_MS: u64 = 12;
+pub const LOOK_GAP_MS: u64 = 4;
 /// The pause before an unanswered look is repeated, in milliseconds.
 const LOOK_RETRY_MS: u64 = 150;
 /// How long ends that need no look otherwise wait for their acknowledgement, in milliseconds.
