Admit by when running tasks end, told from their progress

Cause: work that waits was counted with declared times, a third below the true ones, and running tasks not at all, so that jobs were admitted that came late and made others late. Change: the wait is taken from the ends of running tasks, which their progress in percent tells; expected times take the place of declared ones. While little work waits late jobs are still taken.

--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -223,6 +223,8 @@
     pub begun: bool,
     /// How long the longest chain of steps is expected to run, in milliseconds.
     pub expected_ms: u64,
+    /// How long a task of each step is expected to run, in milliseconds.
+    pub task_ms: Vec<u64>,
     /// When the runs of an earlier owner that were not found are surely over.
     pub doubt_ends_at: Millis,
 }
@@ -249,8 +251,18 @@
         let arrived_at = Millis(now.0.saturating_sub(age_ms));
         let ends_at = arrived_at.plus(limit_ms);
         let expected_ms = spec.critical_path_ms(|step| step.estimate_ms);
-        let doubt_ends_at = now;
-        Self { spec, terms, arrived_at, ends_at, tasks, begun: false, expected_ms, doubt_ends_at }
+        let task_ms = spec.steps.iter().map(|step| step.estimate_ms).collect();
+        Self {
+            spec,
+            terms,
+            arrived_at,
+            ends_at,
+            tasks,
+            begun: false,
+            expected_ms,
+            task_ms,
+            doubt_ends_at: now,
+        }
     }
 
     /// Takes in what an earlier owner did. Tasks that it may have started stay in doubt for
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -184,6 +184,9 @@
         let longest =
             |step: &Step| self.estimates.longest_ms(&job.terms.route, step.estimate_ms, step.count);
         job.expected_ms = job.spec.critical_path_ms(longest);
+        let route = &job.terms.route;
+        let task_ms = |step: &Step| self.estimates.task_ms(route, step.estimate_ms) as u64;
+        job.task_ms = job.spec.steps.iter().map(task_ms).collect();
         job.take_earlier(&earlier, now, doubt_ms(&earlier));
         self.claim(number, &mut job);
         if let Some(outcome) = self.refusal(&job, may_wait, now) {
@@ -338,25 +341,36 @@
         self.actions.extend(looks);
     }
 
-    /// Gives the load, for daemons that choose between owners.
-    pub fn backlog(&self, now: Millis) -> Backlog {
-        self.backlog_ahead_of(now, None)
+    /// Estimates when the last task of a job can begin, in milliseconds from now.
+    fn wait_ms(&self, job: &Job, now: Millis) -> u64 {
+        let latest_start = job.latest_start();
+        let goes_first = |other: &&Job| other.begun || other.latest_start() <= latest_start;
+        let pending =
+            |job: &Job| job.tasks.iter().filter(|task| task.state == TaskState::Pending).count();
+        let mut ends_ms = Vec::new();
+        let mut free = 0;
+        let first = job.spec.steps.first().map(|step| step.each).unwrap_or_default();
+        for worker in self.workers.values().filter(|worker| worker.takes_work(now)) {
+            free += worker.free().fits(first).min(MAX_FIT) as usize;
+            ends_ms.extend(worker.runs.values().map(|run| run.left_ms(worker.pace(), now)));
+        }
+        let ahead: usize = self.jobs.values().filter(goes_first).map(pending).sum();
+        let needed = (ahead + job.spec.task_count()).saturating_sub(free);
+        queue::wait_for_room_ms(&mut ends_ms, needed, job.task_ms.iter().copied().max())
     }
 
-    /// Gives the load ahead of a job that can wait until `latest_start`.
-    fn backlog_ahead_of(&self, now: Millis, latest_start: Option<Millis>) -> Backlog {
+    /// Gives the load, for daemons that choose between owners.
+    pub fn backlog(&self, now: Millis) -> Backlog {
         let mut backlog = Backlog::default();
         for worker in self.workers.values().filter(|worker| worker.takes_work(now)) {
             backlog.capacity_millicores += worker.entry.capacity.cpu_millicores;
             backlog.free_millicores += worker.free().cpu_millicores;
         }
-        let ahead =
-            |job: &&Job| latest_start.is_none_or(|at| job.begun || job.latest_start() <= at);
-        for job in self.jobs.values().filter(ahead) {
+        for job in self.jobs.values() {
             let pending = job.tasks.iter().filter(|task| task.state == TaskState::Pending);
             let work = pending.map(|task| {
-                let step = &job.spec.steps[task.step as usize];
-                step.estimate_ms * step.each.cpu_millicores
+                let step = task.step as usize;
+                job.task_ms[step] * job.spec.steps[step].each.cpu_millicores
             });
             backlog.waiting_work += work.sum::<u64>();
         }
@@ -412,6 +426,7 @@
                         since: held.seen_at,
                         sent_at: held.seen_at,
                         expected_ms: step.estimate_ms,
+                        ends_at: None,
                     };
                     worker.place(name.clone(), run);
                     task.state = TaskState::Placed;
@@ -438,18 +453,18 @@
             return None;
         }
         if !self.can_ever_run(job, now) {
-            let retry_after_ms = queue::retry_after_ms(&Backlog::default());
+            let retry_after_ms = queue::retry_after_ms(0);
             return Some(Outcome::NotRun { reason: Reason::NoWorker, retry_after_ms });
         }
         if !may_wait && !self.can_begin_now(job, now) {
-            let retry_after_ms = queue::retry_after_ms(&Backlog::default());
+            let retry_after_ms = queue::retry_after_ms(0);
             return Some(Outcome::NotRun { reason: Reason::Busy, retry_after_ms });
         }
-        let ahead = self.backlog_ahead_of(now, Some(job.latest_start()));
-        if queue::admits(job, &ahead, now) {
+        let wait_ms = self.wait_ms(job, now);
+        if queue::admits(job, wait_ms, &self.backlog(now), now) {
             return None;
         }
-        let retry_after_ms = queue::retry_after_ms(&ahead);
+        let retry_after_ms = queue::retry_after_ms(wait_ms);
         Some(Outcome::NotRun { reason: Reason::Overload, retry_after_ms })
     }
 
@@ -508,7 +523,7 @@
         let mut overdue: Vec<(u64, bool)> = self.jobs.iter().filter_map(overdue).collect();
         overdue.sort_unstable();
         for (number, begun) in overdue {
-            let retry_after_ms = queue::retry_after_ms(&self.backlog(now));
+            let retry_after_ms = queue::retry_after_ms(self.backlog(now).wait_ms());
             let outcome = if begun {
                 Outcome::GivenUp(Reason::TimeOver)
             } else {
@@ -555,7 +570,8 @@
                 state: RunState::Starting,
                 since: now,
                 sent_at: now,
-                expected_ms: self.estimates.task_ms(&job.terms.route, step.estimate_ms) as u64,
+                expected_ms: job.task_ms[task.step as usize],
+                ends_at: None,
             };
             let call = StartCall {
                 task: name.clone(),
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -43,10 +43,32 @@
     (!job.begun, latest_start < now, latest_start)
 }
 
-/// Tells whether a job can be begun in time behind the work that waits ahead of it.
-pub fn admits(job: &Job, ahead: &Backlog, now: Millis) -> bool {
-    let wait_ms = ahead.wait_ms();
-    wait_ms != u64::MAX && now.plus(wait_ms) <= job.latest_start()
+/// Estimates when as many tasks as `needed` can begin, where running tasks end after `ends_ms` and
+/// each end makes room for one. More than there are wait for the next round.
+pub fn wait_for_room_ms(ends_ms: &mut [u64], needed: usize, task_ms: Option<u64>) -> u64 {
+    if needed == 0 {
+        return 0;
+    }
+    if ends_ms.is_empty() {
+        return u64::MAX;
+    }
+    ends_ms.sort_unstable();
+    let (rounds, at) = ((needed - 1) / ends_ms.len(), (needed - 1) % ends_ms.len());
+    ends_ms[at] + rounds as u64 * task_ms.unwrap_or(0)
+}
+
+/// The work that waits, as time of all cores, from which on load counts as more than the room.
+const OVERLOAD_MS: u64 = 25;
+
+/// Tells whether a job whose last task can begin after `wait_ms` is taken. While little work waits
+/// it may also come late; with more load than room a late job would make others late.
+pub fn admits(job: &Job, wait_ms: u64, load: &Backlog, now: Millis) -> bool {
+    if wait_ms == u64::MAX {
+        return false;
+    }
+    let is_overload = load.wait_ms() > OVERLOAD_MS;
+    let latest = if is_overload { job.latest_start() } else { job.hopeless_from() };
+    now.plus(wait_ms) <= latest
 }
 
 /// The shortest time after which a refused caller may ask again, in milliseconds.
@@ -55,6 +77,6 @@
 const RETRY_CEILING_MS: u64 = 5_000;
 
 /// Gives when asking again may help: when the work ahead is done.
-pub fn retry_after_ms(ahead: &Backlog) -> u64 {
-    ahead.wait_ms().clamp(RETRY_FLOOR_MS, RETRY_CEILING_MS)
+pub fn retry_after_ms(wait_ms: u64) -> u64 {
+    wait_ms.clamp(RETRY_FLOOR_MS, RETRY_CEILING_MS)
 }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -68,8 +68,33 @@
     pub sent_at: Millis,
     /// How long it is expected to run on a worker of the usual pace, in milliseconds.
     pub expected_ms: u64,
+    /// When it ends, as far as its progress tells.
+    pub ends_at: Option<Millis>,
 }
 
+/// The progress from which on a run's end can be told from it, in percent.
+const TELLING_PERCENT: u32 = 5;
+
+impl Run {
+    /// Takes in how much of the run is done.
+    fn note_progress(&mut self, percent: u32, now: Millis) {
+        if percent >= TELLING_PERCENT {
+            let whole_ms = now.since(self.sent_at) * 100 / u64::from(percent);
+            self.ends_at = Some(self.sent_at.plus(whole_ms));
+        }
+    }
+
+    /// Gives how long the run still takes at a worker of a pace, in milliseconds.
+    pub fn left_ms(&self, pace: f64, now: Millis) -> u64 {
+        let expected_ms = (self.expected_ms as f64 * pace) as u64;
+        let ends_at = self.ends_at.unwrap_or_else(|| self.sent_at.plus(expected_ms));
+        if ends_at > now { ends_at.since(now) } else { expected_ms / OVERDUE_SHARE }
+    }
+}
+
+/// A run that is overdue is taken to go on for this part of its expected time.
+const OVERDUE_SHARE: u64 = 4;
+
 /// A run or an end that an earlier owner of the worker ordered.
 #[derive(Clone, Copy, Debug)]
 pub struct Unclaimed {
@@ -384,6 +409,9 @@
         for row in &report.running {
             let Some(task) = &row.task else { continue };
             if let Some(run) = self.runs.get_mut(task) {
+                if run.run == row.run {
+                    run.note_progress(row.percent, now);
+                }
                 if run.state == RunState::Starting && run.run == row.run {
                     run.state = RunState::Running;
                     run.since = now;
