--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -355,8 +355,11 @@
             ends_ms.extend(worker.runs.values().map(|run| run.left_ms(worker.pace(), now)));
         }
         let ahead: usize = self.jobs.values().filter(goes_first).map(pending).sum();
-        let needed = (ahead + job.spec.task_count()).saturating_sub(free);
-        queue::wait_for_room_ms(&mut ends_ms, needed, job.task_ms.iter().copied().max())
+        let waiting = ahead + job.spec.task_count();
+        let task_ms = job.task_ms.iter().copied().max().unwrap_or(0);
+        // Tasks that begin now in what is free end as well.
+        ends_ms.extend(std::iter::repeat_n(task_ms, free.min(waiting)));
+        queue::wait_for_room_ms(&mut ends_ms, waiting.saturating_sub(free), task_ms)
     }
 
     /// Gives the load, for daemons that choose between owners.
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -45,7 +45,7 @@
 
 /// Estimates when as many tasks as `needed` can begin, where running tasks end after `ends_ms` and
 /// each end makes room for one. More than there are wait for the next round.
-pub fn wait_for_room_ms(ends_ms: &mut [u64], needed: usize, task_ms: Option<u64>) -> u64 {
+pub fn wait_for_room_ms(ends_ms: &mut [u64], needed: usize, task_ms: u64) -> u64 {
     if needed == 0 {
         return 0;
     }
@@ -54,7 +54,7 @@
     }
     ends_ms.sort_unstable();
     let (rounds, at) = ((needed - 1) / ends_ms.len(), (needed - 1) % ends_ms.len());
-    ends_ms[at] + rounds as u64 * task_ms.unwrap_or(0)
+    ends_ms[at] + rounds as u64 * task_ms
 }
 
 /// The work that waits, as time of all cores, from which on load counts as more than the room.
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -313,6 +313,15 @@
     }
 }
 
+#[test]
+fn a_job_wider_than_an_idle_cell_runs_in_rounds() {
+    let mut pool = pool(1);
+    pool.submit(at(10), submission(job("0000000000000001", 4, 27, 200), Earlier::Nothing));
+    let actions = pool.take_actions();
+    assert_eq!(starts(&actions).len(), 2);
+    assert!(answers(&actions).is_empty(), "the other two follow in time");
+}
+
 #[test]
 fn draining_workers_and_jobs_that_fit_nowhere_get_nothing() {
     let mut draining = pool(1);
--- a/crates/pool/tests/queue.rs
+++ b/crates/pool/tests/queue.rs
@@ -20,7 +20,7 @@
     ];
     for (ends_ms, needed, task_ms, expected_ms) in cases {
         let mut ends_ms = ends_ms.to_vec();
-        let wait_ms = wait_for_room_ms(&mut ends_ms, needed, Some(task_ms));
+        let wait_ms = wait_for_room_ms(&mut ends_ms, needed, task_ms);
         assert_eq!(wait_ms, expected_ms, "{needed} tasks");
     }
 }
