A fault soak over real daemons, and links that do not depend on the store's address

Cause: promises under overlapping faults were proved with single faults only. The key is made of the zones. A daemon can advertise an address other than the one it listens on. entry's tests use the soak's installation.

--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -124,7 +124,7 @@
     /// The name carries the address, so that the store's list of members finds the daemons. A
     /// process that restarts keeps its name, and with it its cells.
     fn member_name(&self) -> String {
-        format!("{}|{}", self.settings.peers, self.settings.zone)
+        format!("{}|{}", self.settings.advertised, self.settings.zone)
     }
 
     fn zones_to_serve(&self, standing: &mut Standing) -> BTreeSet<String> {
@@ -197,7 +197,7 @@
         self.metrics.cells.with_label_values(&["gained"]).inc();
         self.owned.borrow_mut().insert(cell.clone(), Owned { serial: self.draw_serial(), pool });
         self.refresh_workers(&cell);
-        let addr = self.settings.peers;
+        let addr = self.settings.advertised;
         self.tell_others(&Ask::Own(Ownership { cell, addr, token }));
     }
 
@@ -251,12 +251,12 @@
         let owned = self.owned.borrow();
         let own = owned.iter().map(|(cell, owned)| Ownership {
             cell: cell.clone(),
-            addr: self.settings.peers,
+            addr: self.settings.advertised,
             token: owned.pool.token(),
         });
         let owners = self.owners.borrow();
         let told = owners.iter().filter(|(cell, owner)| {
-            owner.token > 0 && owner.addr != self.settings.peers && !owned.contains_key(*cell)
+            owner.token > 0 && owner.addr != self.settings.advertised && !owned.contains_key(*cell)
         });
         let told = told.map(|(cell, owner)| Ownership {
             cell: cell.clone(),
@@ -394,7 +394,7 @@
     fn note_other(&self, addr: SocketAddr, member: &str) {
         let Some((_, zone)) = member.split_once('|') else { return };
         let mut others = self.others.borrow_mut();
-        if addr != self.settings.peers && others.len() < MAX_OTHERS {
+        if addr != self.settings.advertised && others.len() < MAX_OTHERS {
             others.entry(addr).or_insert_with(|| zone.to_owned());
         }
     }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -218,10 +218,10 @@
     /// Gives the address of a cell's owner, as far as it is known and answers.
     fn owner_of(&self, cell: &Cell) -> Option<SocketAddr> {
         if self.owned.borrow().contains_key(cell) {
-            return Some(self.settings.peers);
+            return Some(self.settings.advertised);
         }
         let addr = self.owners.borrow().get(cell)?.addr;
-        (addr != self.settings.peers && self.may_ask(addr)).then_some(addr)
+        (addr != self.settings.advertised && self.may_ask(addr)).then_some(addr)
     }
 
     /// Chooses the cell with the shortest wait: one of the own zone, or else one elsewhere that
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -59,6 +59,8 @@
     pub ready: SocketAddr,
     /// Where other daemons connect.
     pub peers: SocketAddr,
+    /// The address by which other daemons reach [`Settings::peers`].
+    pub advertised: SocketAddr,
     /// Where metrics and the dump of the state are served.
     pub metrics: SocketAddr,
     /// The platform's store.
@@ -105,13 +107,19 @@
     reader.check_orders()?;
     let min_ownership_ms = reader.number("platform", "min_ownership_ms", 0, 0..=60_000)?;
     let ownership_ms = reader.number("platform", "ownership_ms", DEFAULT_OWNERSHIP_MS, SPAN_MS)?;
+    let peers = reader.value("peers", "listen", ADDRESS)?;
+    let advertised = match reader.text("peers", "advertise") {
+        None => peers,
+        Some(_) => reader.value("peers", "advertise", ADDRESS)?,
+    };
     Ok(Settings {
         name: reader.needed("daemon", "name")?.to_owned(),
         zone: reader.needed("daemon", "zone")?.to_owned(),
         zones: reader.list("daemon", "zones"),
         callers: reader.value("callers", "listen", ADDRESS)?,
         ready: reader.value("ready", "listen", ADDRESS)?,
-        peers: reader.value("peers", "listen", ADDRESS)?,
+        peers,
+        advertised,
         metrics: reader.value("metrics", "listen", ADDRESS)?,
         store: reader.value("platform", "store", ADDRESS)?,
         partitions: reader.number("platform", "partitions", 32, PARTITIONS)? as u32,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -190,8 +190,10 @@
 const SILENT_MS: u64 = 400;
 
 /// Makes the key of links. The platform gives no secret, so that the key only keeps the daemons
-/// of different installations apart.
+/// of different installations apart. It is made of what all daemons of one are told alike.
 fn link_keys(settings: &Settings) -> Keyring {
-    let secret = blake3::derive_key("clementinedock links", settings.store.to_string().as_bytes());
+    let mut zones = settings.zones.clone();
+    zones.sort();
+    let secret = blake3::derive_key("clementinedock links", zones.join(",").as_bytes());
     Keyring::new(Key { id: 0, secret }, Vec::new())
 }
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -1,7 +1,6 @@
 //! The whole path with real daemons: callers, owners, workers and the store.
 
-mod support;
-
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use adapter::config::write_config;
@@ -9,9 +8,14 @@
 use futures_util::future::join_all;
 use pool::catalogue::WorkerState;
 use rustix::process::Signal;
+use soak::site::{HOST, Layout, PREFIX, Site, catalogue, job};
 use standins::metastore::StoreMood;
 use standins::sized_server::Mood;
-use support::{HOST, PREFIX, Site, catalogue, job};
+
+async fn start(zones: usize, daemons: usize, workers: usize) -> Site {
+    let program = Path::new(env!("CARGO_BIN_EXE_clementine-entry"));
+    Site::start(program, Layout { zones, daemons, workers }).await
+}
 
 async fn pause(pause_ms: u64) {
     actix_rt::time::sleep(Duration::from_millis(pause_ms)).await;
@@ -26,7 +30,7 @@
 
 #[actix_rt::test]
 async fn jobs_are_answered_once_and_whole_at_every_daemon() {
-    let site = Site::start(2, 2, 3).await;
+    let site = start(2, 2, 3).await;
     for at in 0..4 {
         let job = job(at as u64 + 1, 5, 40, "40");
         let answer = site.submit(at, &job).await.unwrap();
@@ -38,7 +42,7 @@
 
 #[actix_rt::test]
 async fn bad_requests_get_a_clear_answer_and_start_nothing() {
-    let site = Site::start(1, 1, 1).await;
+    let site = start(1, 1, 1).await;
     let addr = site.daemons[0].callers;
     let id = "00000000000000aa";
     let stored = br#"{"spec":"5","steps":[{"count":1,"cpu":1000,"estimatedMs":5}]}"#;
@@ -70,7 +74,7 @@
 
 #[actix_rt::test]
 async fn a_job_that_cannot_be_done_fails_after_its_attempts() {
-    let site = Site::start(1, 1, 2).await;
+    let site = start(1, 1, 2).await;
     let job = job(7, 1, 10, "10 fail");
     let answer = site.submit(0, &job).await.unwrap();
     assert_eq!((answer.0, answer.1.contains("failed")), (200, true), "{}", answer.1);
@@ -79,7 +83,7 @@
 
 #[actix_rt::test]
 async fn a_shutdown_of_the_owner_cuts_no_answer_off() {
-    let mut site = Site::start(1, 2, 4).await;
+    let mut site = start(1, 2, 4).await;
     let owner = site.owner(0).await;
     let jobs: Vec<_> = (1..=4).map(|id| job(id, 2, 600, "600")).collect();
     let signal = async {
@@ -98,7 +102,7 @@
 
 #[actix_rt::test]
 async fn the_next_daemon_takes_over_from_a_dead_owner() {
-    let site = Site::start(1, 2, 3).await;
+    let site = start(1, 2, 3).await;
     let owner = site.owner(0).await;
     site.daemons[owner].signal(Signal::KILL);
     let began = Instant::now();
@@ -113,7 +117,7 @@
 
 #[actix_rt::test]
 async fn service_goes_on_while_the_store_is_away() {
-    let site = Site::start(1, 2, 3).await;
+    let site = start(1, 2, 3).await;
     for mood in [StoreMood::Busy, StoreMood::Silent, StoreMood::LosesReplies] {
         site.store.mood.set(mood);
         pause(1_500).await;
@@ -128,7 +132,7 @@
 
 #[actix_rt::test]
 async fn cells_dealt_anew_and_lost_history_spoil_nothing() {
-    let site = Site::start(1, 2, 3).await;
+    let site = start(1, 2, 3).await;
     let long: Vec<_> = (1..=2).map(|id| job(id, 1, 900, "900")).collect();
     let trouble = async {
         pause(100).await;
@@ -145,7 +149,7 @@
 
 #[actix_rt::test]
 async fn the_runs_of_a_caller_that_leaves_are_stopped() {
-    let site = Site::start(1, 2, 2).await;
+    let site = start(1, 2, 2).await;
     let other = 1 - site.owner(0).await;
     for (id, at) in [(1, other), (2, 1 - other)] {
         let job = job(id, 2, 4_000, "4000");
@@ -162,7 +166,7 @@
 
 #[actix_rt::test]
 async fn a_draining_worker_gets_no_new_task_and_unwell_ones_are_left_out() {
-    let site = Site::start(1, 1, 3).await;
+    let site = start(1, 1, 3).await;
     site.publish(0, 0, WorkerState::Draining);
     site.workers[1].mood.set(Mood::Unwell);
     pause(800).await;
@@ -173,7 +177,7 @@
 
 #[actix_rt::test]
 async fn unreadable_records_change_nothing_and_versions_never_go_back() {
-    let site = Site::start(1, 1, 2).await;
+    let site = start(1, 1, 2).await;
     let garbage: [&[u8]; 4] = [b"{", b"null", b"{\"version\":\"x\"}", &[0xff, 0xfe]];
     for bytes in garbage {
         site.store.put(OPERATOR_TOPIC, CONFIG_KEY, Some(bytes.to_vec()));
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/soak/src/site.rs
@@ -1,12 +1,14 @@
-//! A small installation: real daemons as processes, and the platform's stand-ins in this process.
+//! A small installation: real daemons as processes, and the platform's stand-ins in this process,
+//! each behind a proxy.
 
 use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use adapter::callers::write_job;
+use adapter::callers::{WAIT_HEADER, write_job};
 use adapter::config::write_config;
 use adapter::entries::write_entry;
 use adapter::settings::{CONFIG_KEY, OPERATOR_TOPIC, READY_PATH, WORKER_TOPIC};
@@ -17,11 +19,26 @@
 use standins::metastore::MetaStore;
 use standins::sized_server::SizedServer;
 
-/// The host and prefix of the one route.
+use crate::proxy::Proxy;
+
+/// The host of the one route.
 pub const HOST: &str = "jobs.example";
+/// What the path of the one route begins with.
 pub const PREFIX: &str = "/checks/";
 const READY_WITHIN: Duration = Duration::from_secs(20);
 
+/// The size of an installation.
+#[derive(Clone, Copy, Debug)]
+pub struct Layout {
+    /// Zones.
+    pub zones: usize,
+    /// Daemons in each zone.
+    pub daemons: usize,
+    /// Workers in each zone.
+    pub workers: usize,
+}
+
+/// Gives room of so many cores.
 pub fn room(cores: u64) -> Room {
     Room { cpu_millicores: cores * 1_000, memory_mb: 64, accelerators: 0 }
 }
@@ -31,18 +48,31 @@
 }
 
 /// One daemon as a process.
+#[derive(Debug)]
 pub struct Daemon {
+    /// The process.
     pub child: Child,
+    /// Where it serves callers.
     pub callers: SocketAddr,
+    /// Where it says whether it is ready.
     pub ready: SocketAddr,
+    /// Where it serves metrics and the dump of its state.
     pub metrics: SocketAddr,
-    settings: std::path::PathBuf,
+    /// In front of its links.
+    pub peers_proxy: Proxy,
+    /// In front of the store, for this daemon only.
+    pub store_proxy: Proxy,
+    settings: PathBuf,
 }
 
 impl Daemon {
+    /// Sends a signal to the process.
+    ///
+    /// # Panics
+    /// Panics where the process is not there any more.
     pub fn signal(&self, signal: rustix::process::Signal) {
         let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, signal).unwrap();
+        rustix::process::kill_process(pid, signal).expect("the child was not waited for yet");
     }
 }
 
@@ -50,19 +80,40 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
     }
 }
 
 /// The installation.
+#[derive(Debug)]
 pub struct Site {
+    /// The platform's store.
     pub store: Rc<MetaStore>,
+    /// The workers.
     pub workers: Vec<Rc<SizedServer>>,
+    /// In front of each worker.
+    pub worker_proxies: Vec<Proxy>,
+    /// The daemons.
     pub daemons: Vec<Daemon>,
-    pub caller: Caller,
+    /// The folder of the daemons' logs.
+    pub logs: PathBuf,
+    /// Whether the folder stays.
+    pub keeps_logs: bool,
+    caller: Caller,
+    program: PathBuf,
     zones: usize,
 }
 
+impl Drop for Site {
+    fn drop(&mut self) {
+        if self.keeps_logs || std::thread::panicking() {
+            return;
+        }
+        if let Err(error) = std::fs::remove_dir_all(&self.logs) {
+            eprintln!("soak: {} stays: {error}", self.logs.display());
+        }
+    }
+}
+
 fn free_addr() -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     listener.local_addr().unwrap()
@@ -92,10 +143,25 @@
 
 impl Site {
     /// Starts an installation of so many zones, with daemons and workers in each.
-    pub async fn start(zones: usize, daemons: usize, workers: usize) -> Self {
+    ///
+    /// # Panics
+    /// Panics where loopback has no free ports or a daemon does not get ready.
+    pub async fn start(program: &Path, layout: Layout) -> Self {
+        let Layout { zones, daemons, workers } = layout;
         let store = MetaStore::begin(32).await.unwrap();
-        let mut site =
-            Self { store, workers: Vec::new(), daemons: Vec::new(), caller: Caller::new(), zones };
+        let logs = std::env::temp_dir().join(format!("soak-{:016x}", rand::random::<u64>()));
+        std::fs::create_dir(&logs).unwrap();
+        let mut site = Self {
+            store,
+            logs,
+            keeps_logs: false,
+            workers: Vec::new(),
+            worker_proxies: Vec::new(),
+            daemons: Vec::new(),
+            caller: Caller::new(),
+            program: program.to_owned(),
+            zones,
+        };
         site.store.put(OPERATOR_TOPIC, CONFIG_KEY, Some(write_config(&catalogue(3))));
         for zone in 0..zones {
             for _ in 0..workers {
@@ -104,7 +170,7 @@
         }
         for zone in 0..zones {
             for _ in 0..daemons {
-                let daemon = site.start_daemon(zone);
+                let daemon = site.start_daemon(zone).await;
                 site.daemons.push(daemon);
             }
         }
@@ -114,16 +180,22 @@
         site
     }
 
+    /// Adds a worker to a zone.
+    ///
+    /// # Panics
+    /// Panics where loopback has no free ports.
     pub async fn add_worker(&mut self, zone: usize) {
         let worker = SizedServer::begin(capacity(), room(27)).await.unwrap();
+        self.worker_proxies.push(Proxy::begin(worker.addr).await.unwrap());
         self.workers.push(worker);
         self.publish(self.workers.len() - 1, zone, WorkerState::Ready);
     }
 
+    /// Publishes the entry of a worker.
     pub fn publish(&self, number: usize, zone: usize, state: WorkerState) {
         let entry = WorkerEntry {
             service: Rc::from("svc"),
-            addr: self.workers[number].addr,
+            addr: self.worker_proxies[number].addr,
             zone: Rc::from(format!("z{zone}")),
             state,
             capacity: capacity(),
@@ -134,29 +206,51 @@
     }
 
     /// Starts a daemon of a zone as a process of its own.
-    pub fn start_daemon(&self, zone: usize) -> Daemon {
+    async fn start_daemon(&self, zone: usize) -> Daemon {
         let (callers, ready, peers, metrics) = (free_addr(), free_addr(), free_addr(), free_addr());
+        let peers_proxy = Proxy::begin(peers).await.unwrap();
+        let store_proxy = Proxy::begin(self.store.addr).await.unwrap();
         let zones: Vec<String> = (0..self.zones).map(|zone| format!("z{zone}")).collect();
         let text = format!(
             "[daemon]\nname = d-{callers}\nzone = z{zone}\nzones = {}\n\
-             [callers]\nlisten = {callers}\n[ready]\nlisten = {ready}\n[peers]\nlisten = {peers}\n\
+             [callers]\nlisten = {callers}\n[ready]\nlisten = {ready}\n\
+             [peers]\nlisten = {peers}\nadvertise = {}\n\
              [metrics]\nlisten = {metrics}\n[platform]\nstore = {}\npartitions = 32\n",
             zones.join(","),
-            self.store.addr,
+            peers_proxy.addr,
+            store_proxy.addr,
         );
-        let settings =
-            std::env::temp_dir().join(format!("entry-{:016x}.ini", rand::random::<u64>()));
+        let settings = self.logs.join(format!("daemon-{}.ini", self.daemons.len()));
         let mut file = std::fs::File::create(&settings).unwrap();
         file.write_all(text.as_bytes()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_clementine-entry"))
-            .arg("--settings")
-            .arg(&settings)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        Daemon { child, callers, ready, metrics, settings }
+        let child = self.spawn(&settings);
+        Daemon { child, callers, ready, metrics, peers_proxy, store_proxy, settings }
     }
 
+    fn spawn(&self, settings: &Path) -> Child {
+        let mut command = Command::new(&self.program);
+        let name = settings.with_extension("log");
+        let mut options = std::fs::OpenOptions::new();
+        let log = options.create(true).append(true).open(name).unwrap();
+        command.arg("--settings").arg(settings).stdout(Stdio::from(log));
+        command.spawn().expect("the daemon's program is there")
+    }
+
+    /// Ends what is left of a daemon's process and starts another with the same settings.
+    pub fn restart(&mut self, at: usize) {
+        let settings = self.daemons[at].settings.clone();
+        let daemon = &mut self.daemons[at];
+        if let Err(error) = daemon.child.kill() {
+            eprintln!("soak: daemon {at} had ended: {error}");
+        }
+        let _ = daemon.child.wait();
+        self.daemons[at].child = self.spawn(&settings);
+    }
+
+    /// Waits until a daemon is ready and the cells are dealt.
+    ///
+    /// # Panics
+    /// Panics where that takes too long.
     pub async fn await_ready(&self, at: usize) {
         let began = Instant::now();
         while self.get(self.daemons[at].ready, READY_PATH).await.map(|(status, _)| status)
@@ -169,10 +263,18 @@
         actix_rt::time::sleep(Duration::from_millis(700)).await;
     }
 
+    /// Gets a path of an address.
+    ///
+    /// # Errors
+    /// Fails where no whole reply came.
     pub async fn get(&self, addr: SocketAddr, path: &str) -> Result<(u16, Vec<u8>), CallError> {
         self.send(addr, "GET", path, Vec::new(), 2_000).await
     }
 
+    /// Sends a request as a caller.
+    ///
+    /// # Errors
+    /// Fails where no whole reply came.
     pub async fn send(
         &self,
         addr: SocketAddr,
@@ -187,6 +289,9 @@
     }
 
     /// Submits a job and gives its status and what it came to.
+    ///
+    /// # Errors
+    /// Fails where no whole reply came.
     pub async fn submit(&self, at: usize, job: &JobSpec) -> Result<(u16, String), CallError> {
         let path = format!("{PREFIX}{}", job.id);
         let addr = self.daemons[at].callers;
@@ -194,6 +299,34 @@
         Ok((status, String::from_utf8_lossy(&body).into_owned()))
     }
 
+    /// Gives the request of a caller on a connection of its own, which does not borrow the site.
+    pub fn request(
+        &self,
+        at: usize,
+        job: &JobSpec,
+        wait_ms: u64,
+    ) -> impl Future<Output = Result<u16, CallError>> + 'static {
+        let addr = self.daemons[at].callers;
+        let (path, body) = (format!("{PREFIX}{}", job.id), write_job(job));
+        let caller = self.caller.clone();
+        async move {
+            let headers = [
+                ("host", HOST.to_owned()),
+                ("content-type", "application/json".to_owned()),
+                (WAIT_HEADER, wait_ms.to_string()),
+            ];
+            let call = RawCall {
+                addr,
+                method: "POST",
+                path: &path,
+                headers: &headers,
+                body,
+                timeout_ms: wait_ms,
+            };
+            caller.raw(call).await.map(|(status, _)| status)
+        }
+    }
+
     /// Counts the starts of a job's tasks.
     pub fn starts_of(&self, job: &JobSpec) -> usize {
         let of = |server: &Rc<SizedServer>| {
@@ -203,6 +336,9 @@
     }
 
     /// Finds the daemon that owns a zone's only cell.
+    ///
+    /// # Panics
+    /// Panics where nobody owns it.
     pub async fn owner(&self, zone: usize) -> usize {
         for at in 0..self.daemons.len() {
             let Ok((_, dump)) = self.get(self.daemons[at].metrics, "/state").await else {
--- a/crates/standins/src/sized_server.rs
+++ b/crates/standins/src/sized_server.rs
@@ -9,9 +9,10 @@
 use adapter::orders::{Order, read_order, render_done, render_refusal, render_report};
 use httpedge::server::{Limits, Request, Response, serve};
 use pool::call::{End, LookReply, Refusal, StartCall, StartReply, StopReply};
+use pool::job::TaskName;
 use pool::room::Room;
 
-use crate::sized::{SizedWorker, Work};
+use crate::sized::{Planted, SizedWorker, Work};
 
 const MAX_BODY_BYTES: usize = 1 << 16;
 /// The pause between two looks at the runs while a caller waits for an end.
@@ -43,10 +44,21 @@
     /// How many reports were asked for.
     pub looks: Cell<u64>,
     worker: RefCell<SizedWorker>,
+    watcher: RefCell<Watcher>,
     room: Room,
     started: Instant,
 }
 
+/// Is told of each run that begins.
+#[derive(Default)]
+struct Watcher(Option<Box<dyn Fn(&TaskName)>>);
+
+impl std::fmt::Debug for Watcher {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Watcher")
+    }
+}
+
 /// Reads what a task does from the text that it was given: milliseconds, and `fail` where it fails.
 fn work_of(call: &StartCall, room: Room) -> Work {
     let mut words = call.spec.split_whitespace();
@@ -68,6 +80,7 @@
             begun: RefCell::default(),
             looks: Cell::new(0),
             worker: RefCell::new(SizedWorker::new(capacity, 50_000, 0)),
+            watcher: RefCell::default(),
             room,
             started: Instant::now(),
         });
@@ -77,6 +90,23 @@
         Ok(server)
     }
 
+    /// Tells `watcher` of each run that begins.
+    pub fn watch(&self, watcher: Box<dyn Fn(&TaskName)>) {
+        *self.watcher.borrow_mut() = Watcher(Some(watcher));
+    }
+
+    /// Makes the worker leave something out.
+    pub fn plant(&self, planted: Planted) {
+        self.worker.borrow_mut().planted = planted;
+    }
+
+    /// Tells whether a run of a task goes on.
+    pub fn runs(&self, task: &TaskName) -> bool {
+        let mut worker = self.worker.borrow_mut();
+        worker.settle(self.now_ms());
+        worker.live.contains_key(task)
+    }
+
     /// Counts the runs that go on.
     pub fn running(&self) -> usize {
         let mut worker = self.worker.borrow_mut();
@@ -111,6 +141,9 @@
                 let (reply, began) = self.worker.borrow_mut().start(now_ms, &call, work);
                 if began {
                     self.begun.borrow_mut().push((call.task.to_string(), call.run));
+                    if let Watcher(Some(watcher)) = &*self.watcher.borrow() {
+                        watcher(&call.task);
+                    }
                 }
                 match reply {
                     StartReply::Started { clock_ms } => render_done(clock_ms),
