--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -54,7 +54,7 @@
 
 impl Entry {
     /// Answers the platform's question whether callers should be sent here.
-    pub async fn serve_ready(self: Rc<Self>, request: Request) -> Response {
+    pub fn answer_ready(&self, request: &Request) -> Response {
         if request.path != adapter::settings::READY_PATH {
             return render_error(404, "no such path");
         }
@@ -93,7 +93,7 @@
             return render_error(410, "no such job is stored");
         }
         if request.method == Method::DELETE {
-            return self.cancel_job(rest);
+            return refuse_cancel(rest);
         }
         if request.method != Method::POST {
             return render_error(405, "use POST, GET or DELETE");
@@ -187,12 +187,13 @@
         render_error(status, &error.to_string())
     }
 
-    fn cancel_job(self: &Rc<Self>, id: &str) -> Response {
-        log::info!("part=callers event=cancel job={id} found=false");
-        render_error(410, "no such job is stored")
-    }
-
     fn pending_jobs(&self) -> usize {
         self.owned.borrow().values().map(|owned| owned.pool.pending_jobs()).sum()
     }
 }
+
+/// Answers a cancel: a best-effort job ends with its caller's connection and is stored nowhere.
+fn refuse_cancel(id: &str) -> Response {
+    log::info!("part=callers event=cancel job={id} found=false");
+    render_error(410, "no such job is stored")
+}
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -135,7 +135,7 @@
             catalogue.version,
             catalogue.routes.len(),
         );
-        self.metrics.catalogue_version.set(catalogue.version as i64);
+        self.metrics.catalogue_version.set(i64::try_from(catalogue.version).unwrap_or(i64::MAX));
         *current = Some(Rc::new(catalogue));
     }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -83,9 +83,8 @@
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::warn!("part=metrics event=render_failed why=\"{error}\"");
         }
-        let dropped = super::logging::dropped();
-        let mut text = String::from_utf8(text).unwrap_or_default();
-        text.push_str(&format!("entry_log_lines_dropped_total {dropped}\n"));
-        text
+        let text = String::from_utf8_lossy(&text);
+        let dropped = crate::logging::dropped();
+        format!("{text}entry_log_lines_dropped_total {dropped}\n")
     }
 }
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -230,7 +230,7 @@
                 }
                 Ok(_) => {}
                 Err(error) => {
-                    log::info!("part=ownership event=hand_over_failed cell={cell} why=\"{error}\"")
+                    log::info!("part=ownership event=hand_over_failed cell={cell} why=\"{error}\"");
                 }
             }
         }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -86,7 +86,7 @@
     let handler = move |request| Rc::clone(&shared).serve_caller(request);
     actix_rt::spawn(serve(callers, limits, handler));
     let shared = Rc::clone(entry);
-    let handler = move |request| Rc::clone(&shared).serve_ready(request);
+    let handler = move |request: Request| std::future::ready(shared.answer_ready(&request));
     actix_rt::spawn(serve(ready, Limits::of_body(SMALL_BODY_BYTES), handler));
 }
 
@@ -96,11 +96,11 @@
         Rc::new(move |from, ask| Box::pin(Rc::clone(&shared).serve_peer(from, ask)));
     actix_rt::spawn(entry.links.clone().serve(peers, handler));
     let shared = Rc::clone(entry);
-    let handler = move |request| serve_operator(Rc::clone(&shared), request);
+    let handler = move |request: Request| std::future::ready(answer_operator(&shared, &request));
     actix_rt::spawn(serve(metrics, Limits::of_body(SMALL_BODY_BYTES), handler));
 }
 
-async fn serve_operator(entry: Rc<Entry>, request: Request) -> Response {
+fn answer_operator(entry: &Entry, request: &Request) -> Response {
     match request.path.as_str() {
         "/metrics" => Response::text(200, entry.metrics.render()),
         "/state" => Response::json(200, &entry.dump()),
--- a/crates/pool/tests/support/world.rs
+++ b/crates/pool/tests/support/world.rs
@@ -200,11 +200,15 @@
             }
         }
         let faults = self.faults;
-        if faults.owner_change_every_ms > 0 && self.now_ms % faults.owner_change_every_ms == 0 {
+        if faults.owner_change_every_ms > 0
+            && self.now_ms.is_multiple_of(faults.owner_change_every_ms)
+        {
             let cell = self.rng.random_range(0..CELLS);
             self.change_owner(cell);
         }
-        if faults.worker_fault_every_ms > 0 && self.now_ms % faults.worker_fault_every_ms == 0 {
+        if faults.worker_fault_every_ms > 0
+            && self.now_ms.is_multiple_of(faults.worker_fault_every_ms)
+        {
             self.fault_worker();
         }
     }
@@ -400,14 +404,11 @@
             }
             Event::LookArrives(at, worker, call, sent_ms) => {
                 let refused = self.workers[worker].look_begins(self.now_ms, &call);
-                match refused {
-                    Some(reply) => {
-                        self.push(self.now_ms + 1, Event::LookReply(at, worker, sent_ms, reply))
-                    }
-                    None => {
-                        let until_ms = self.now_ms + call.wait_ms;
-                        self.push(self.now_ms, Event::LookEnds(at, worker, sent_ms, until_ms));
-                    }
+                let until_ms = self.now_ms + call.wait_ms;
+                if let Some(reply) = refused {
+                    self.push(self.now_ms + 1, Event::LookReply(at, worker, sent_ms, reply));
+                } else {
+                    self.push(self.now_ms, Event::LookEnds(at, worker, sent_ms, until_ms));
                 }
             }
             Event::LookEnds(at, worker, sent_ms, until_ms) => {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use adapter::callers::{WAIT_HEADER, write_job};
@@ -114,9 +115,22 @@
     }
 }
 
+/// The ports that daemons get. They lie below those that the system gives to outgoing connections,
+/// so that none is taken between its choice and its use, or while a daemon starts again.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// Gives an address that no daemon of this process had before.
 fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let begin = std::process::id().wrapping_mul(977);
+        let drawn = begin.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + (drawn % PORTS.len() as u32) as u16;
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// A configuration with one route.
@@ -300,6 +314,9 @@
     }
 
     /// Gives the request of a caller on a connection of its own, which does not borrow the site.
+    ///
+    /// # Errors
+    /// The future fails where no whole reply came.
     pub fn request(
         &self,
         at: usize,
--- a/crates/standins/src/sized_server.rs
+++ b/crates/standins/src/sized_server.rs
@@ -49,9 +49,12 @@
     started: Instant,
 }
 
+/// What is called with each run that begins.
+pub type OnBegin = Box<dyn Fn(&TaskName)>;
+
 /// Is told of each run that begins.
 #[derive(Default)]
-struct Watcher(Option<Box<dyn Fn(&TaskName)>>);
+struct Watcher(Option<OnBegin>);
 
 impl std::fmt::Debug for Watcher {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -91,7 +94,7 @@
     }
 
     /// Tells `watcher` of each run that begins.
-    pub fn watch(&self, watcher: Box<dyn Fn(&TaskName)>) {
+    pub fn watch(&self, watcher: OnBegin) {
         *self.watcher.borrow_mut() = Watcher(Some(watcher));
     }
 
