--- a/crates/clementinectl/src/catalogue.rs
+++ b/crates/clementinectl/src/catalogue.rs
@@ -232,7 +232,9 @@
     let wrong = |why: String| CtlError::File { file: file.to_owned(), why };
     let text = std::fs::read_to_string(file).map_err(|error| wrong(error.to_string()))?;
     serde_json::from_str(&text).map_err(|error| {
-        wrong(format!("{error}; write {{\"NAME\": {{\"kind\": {{...}}}}}} as in docs/OPERATORS.md"))
+        wrong(format!(
+            "{error}; write {{\"NAME\": {{\"kind\": {{...}}}}}} as in docs/OPERATIONS.md"
+        ))
     })
 }
 
--- a/crates/operators/src/parse.rs
+++ b/crates/operators/src/parse.rs
@@ -40,7 +40,7 @@
 #[derive(thiserror::Error)]
 pub enum CallProblem {
     /// The path or the method is not known.
-    #[error("no such call; see docs/OPERATORS.md")]
+    #[error("no such call; see docs/OPERATIONS.md")]
     NoSuchCall,
     /// The body cannot be read.
     #[error("the body cannot be read ({0}); send it with clementinectl")]
