--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -49,6 +49,8 @@
     pub addr: SocketAddr,
     /// The fencing token that it told; zero where only the store named it.
     pub token: u64,
+    /// When it was named last.
+    pub at: Millis,
 }
 
 /// What is known of a cell's load.
