--- a/crates/pool/src/catalogue.rs
+++ b/crates/pool/src/catalogue.rs
@@ -113,13 +113,6 @@
         }
     }
 
-    /// Keeps only the given workers, after a listing of all.
-    pub fn keep(&mut self, listed: &std::collections::BTreeSet<String>) -> bool {
-        let before = self.entries.len();
-        self.entries.retain(|id, _| listed.contains(&**id));
-        before != self.entries.len()
-    }
-
     /// Gives all entries in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (&Rc<str>, &WorkerEntry)> {
         self.entries.iter()
@@ -129,9 +122,4 @@
     pub fn count_in(&self, zone: &str) -> usize {
         self.entries.values().filter(|entry| &*entry.zone == zone).count()
     }
-
-    /// Tells whether any worker is known.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
 }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -294,6 +294,11 @@
         self.doubt_ends_at = now.plus(doubt_ms);
     }
 
+    /// Tells whether any task waits for a worker.
+    pub fn has_pending(&self) -> bool {
+        self.tasks.iter().any(|task| task.state == TaskState::Pending)
+    }
+
     /// Tells whether any task is in doubt.
     pub fn is_in_doubt(&self) -> bool {
         self.tasks.iter().any(|task| task.state == TaskState::InDoubt)
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -4,9 +4,11 @@
 //! opens a socket or reads a clock, so that a test can replay any order of events. See
 //! `docs/design/on-the-platform.md`.
 
+mod admission;
 pub mod call;
 pub mod catalogue;
 pub mod cells;
+mod claims;
 pub mod estimate;
 pub mod job;
 pub mod placement;
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -8,7 +8,7 @@
 
 use dispatch::clock::Millis;
 
-use crate::job::Step;
+use crate::job::{Job, Step};
 use crate::worker::Worker;
 
 /// How much longer than expected a run may take before it misses what its caller needs.
@@ -31,6 +31,21 @@
     pub allowed_ms: u64,
 }
 
+impl<'a> Need<'a> {
+    /// Gives what a task of a step needs now.
+    pub fn of(job: &'a Job, step_number: u32, step: &'a Step, now: Millis) -> Self {
+        let objective_at = job.arrived_at.plus(job.objective_ms());
+        Self {
+            job: &job.spec.id,
+            service: &job.terms.service,
+            step_number,
+            step,
+            expected_ms: job.expected_ms,
+            allowed_ms: objective_at.min(job.ends_at).since(now),
+        }
+    }
+}
+
 /// Chooses the worker on which the least is left over. Racks with the data go first, then workers
 /// that are fast enough for the time that is left.
 pub fn choose<'a>(
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -13,11 +13,12 @@
     End, LookCall, LookReply, Refusal, StartCall, StartReply, StopCall, StopReply, Target,
 };
 use crate::catalogue::{Terms, WorkerEntry};
+use crate::claims::doubt_ms;
 use crate::estimate::Estimates;
 use crate::job::{Earlier, Job, JobSpec, Outcome, Progress, Reason, Step, TaskName, TaskState};
 use crate::placement::{self, Need};
-use crate::queue::{self, Backlog};
-use crate::worker::{Change, LEASE_BOUND_MS, LEASE_MS, LOOK_WAIT_MS, Run, RunState, Worker};
+use crate::queue;
+use crate::worker::{Change, LEASE_MS, LOOK_WAIT_MS, Run, RunState, Worker};
 
 /// How far a start's number jumps where the worker knows a higher one, such as of an earlier
 /// request with the same id.
@@ -30,8 +31,6 @@
 pub const MAX_GAP_MS: u64 = 350;
 /// The pause before a look that follows a stop, in milliseconds.
 const LOOK_AFTER_STOP_MS: u64 = 30;
-/// The most tasks that are counted to fit on one worker; tasks of no size fit in any number.
-const MAX_FIT: u64 = 10_000;
 /// The part of a task's declared time after which its end is looked for.
 const FIRST_LOOK_SHARE: f64 = 0.4;
 
@@ -72,13 +71,13 @@
 pub struct Pool {
     token: u64,
     fenced: bool,
-    workers: BTreeMap<Rc<str>, Worker>,
-    jobs: HashMap<u64, Job>,
+    pub(crate) workers: BTreeMap<Rc<str>, Worker>,
+    pub(crate) jobs: HashMap<u64, Job>,
     watchers: HashMap<u64, u64>,
     by_id: HashMap<Rc<str>, u64>,
     remote: HashSet<u64>,
     advanced_at: Option<Millis>,
-    estimates: Estimates,
+    pub(crate) estimates: Estimates,
     actions: Vec<Action>,
     next: u64,
 }
@@ -341,45 +340,6 @@
         self.actions.extend(looks);
     }
 
-    /// Estimates when the last task of a job can begin, in milliseconds from now.
-    fn wait_ms(&self, job: &Job, now: Millis) -> u64 {
-        let latest_start = job.latest_start();
-        let goes_first = |other: &&Job| other.begun || other.latest_start() <= latest_start;
-        let pending =
-            |job: &Job| job.tasks.iter().filter(|task| task.state == TaskState::Pending).count();
-        let mut ends_ms = Vec::new();
-        let mut free = 0;
-        let first = job.spec.steps.first().map(|step| step.each).unwrap_or_default();
-        for worker in self.workers.values().filter(|worker| worker.takes_work(now)) {
-            free += worker.free().fits(first).min(MAX_FIT) as usize;
-            ends_ms.extend(worker.runs.values().map(|run| run.left_ms(worker.pace(), now)));
-        }
-        let ahead: usize = self.jobs.values().filter(goes_first).map(pending).sum();
-        let waiting = ahead + job.spec.task_count();
-        let task_ms = job.task_ms.iter().copied().max().unwrap_or(0);
-        // Tasks that begin now in what is free end as well.
-        ends_ms.extend(std::iter::repeat_n(task_ms, free.min(waiting)));
-        queue::wait_for_room_ms(&mut ends_ms, waiting.saturating_sub(free), task_ms)
-    }
-
-    /// Gives the load, for daemons that choose between owners.
-    pub fn backlog(&self, now: Millis) -> Backlog {
-        let mut backlog = Backlog::default();
-        for worker in self.workers.values().filter(|worker| worker.takes_work(now)) {
-            backlog.capacity_millicores += worker.entry.capacity.cpu_millicores;
-            backlog.free_millicores += worker.free().cpu_millicores;
-        }
-        for job in self.jobs.values() {
-            let pending = job.tasks.iter().filter(|task| task.state == TaskState::Pending);
-            let work = pending.map(|task| {
-                let step = task.step as usize;
-                job.task_ms[step] * job.spec.steps[step].each.cpu_millicores
-            });
-            backlog.waiting_work += work.sum::<u64>();
-        }
-        backlog
-    }
-
     /// Gives when something is due next.
     pub fn next_due(&self, now: Millis) -> Option<Millis> {
         let looks = self.workers.values().filter(|worker| worker.look_sent.is_none());
@@ -398,127 +358,6 @@
         self.next
     }
 
-    /// Takes over runs and ends of the job that an earlier owner ordered.
-    fn claim(&mut self, number: u64, job: &mut Job) {
-        if self.workers.values().all(|worker| worker.unclaimed.is_empty()) {
-            return;
-        }
-        for at in 0..job.tasks.len() {
-            if matches!(job.tasks[at].state, TaskState::Pending | TaskState::InDoubt) {
-                self.claim_task(number, job, at);
-            }
-        }
-    }
-
-    fn claim_task(&mut self, number: u64, job: &mut Job, at: usize) {
-        let name = job.name(at);
-        for (id, worker) in &mut self.workers {
-            let Some(held) = worker.unclaimed.get(&name).copied() else { continue };
-            let task = &mut job.tasks[at];
-            let is_last = task.state == TaskState::InDoubt
-                && task.run == held.run
-                && task.worker.as_ref() == Some(id);
-            match held.end {
-                None => {
-                    let step = &job.spec.steps[task.step as usize];
-                    let run = Run {
-                        of: Some((number, at)),
-                        run: held.run,
-                        room: step.each,
-                        state: RunState::Running,
-                        since: held.seen_at,
-                        sent_at: held.seen_at,
-                        expected_ms: step.estimate_ms,
-                        ends_at: None,
-                    };
-                    worker.place(name.clone(), run);
-                    task.state = TaskState::Placed;
-                }
-                Some(End::Done) => task.state = TaskState::Done,
-                // Another run, started later, may still go on.
-                Some(End::Failed | End::Cut) if !is_last => continue,
-                Some(End::Failed) => {
-                    task.state = TaskState::Pending;
-                    task.failures += 1;
-                }
-                Some(End::Cut) => task.state = TaskState::Pending,
-            }
-            task.run = task.run.max(held.run);
-            task.worker = Some(Rc::clone(id));
-            job.begun = true;
-            worker.unclaimed.remove(&name);
-            return;
-        }
-    }
-
-    fn refusal(&self, job: &Job, may_wait: bool, now: Millis) -> Option<Outcome> {
-        if job.begun {
-            return None;
-        }
-        if !self.can_ever_run(job, now) {
-            let retry_after_ms = queue::retry_after_ms(0);
-            return Some(Outcome::NotRun { reason: Reason::NoWorker, retry_after_ms });
-        }
-        // An estimate alone refuses nothing that free workers could do.
-        if self.can_begin_now(job, now) {
-            return None;
-        }
-        if !may_wait {
-            let retry_after_ms = queue::retry_after_ms(0);
-            return Some(Outcome::NotRun { reason: Reason::Busy, retry_after_ms });
-        }
-        let wait_ms = self.wait_ms(job, now);
-        if queue::admits(job, wait_ms, &self.backlog(now), now) {
-            return None;
-        }
-        let retry_after_ms = queue::retry_after_ms(wait_ms);
-        Some(Outcome::NotRun { reason: Reason::Overload, retry_after_ms })
-    }
-
-    /// Tells whether all tasks that are due would begin at once: nothing waits, and they fit.
-    fn can_begin_now(&self, job: &Job, now: Millis) -> bool {
-        if self.jobs.values().any(has_pending) {
-            return false;
-        }
-        let due = job.spec.steps.iter().enumerate().filter(|(_, step)| step.after.is_empty());
-        due.into_iter().all(|(number, step)| {
-            let need = need_of(job, number as u32, step, now);
-            let usable = self.workers.values();
-            let usable = usable.filter(|worker| worker.takes_work(now));
-            let fits = usable.filter(|worker| placement::suits(worker, need));
-            let fits: u64 = fits.map(|worker| worker.free().fits(step.each).min(MAX_FIT)).sum();
-            fits >= u64::from(step.count)
-        })
-    }
-
-    fn can_ever_run(&self, job: &Job, now: Millis) -> bool {
-        let possible = |(number, step)| {
-            let need = need_of(job, number, step, now);
-            let suits = |worker: &&Worker| worker.may_take_work() && placement::suits(worker, need);
-            self.workers.values().any(|worker| suits(&worker))
-        };
-        job.spec.steps.iter().enumerate().all(|(number, step)| possible((number as u32, step)))
-    }
-
-    /// Looks for runs of jobs in doubt, and ends the doubt where no run can be left.
-    fn settle_doubts(&mut self, now: Millis) {
-        let doubtful = self.jobs.iter().filter(|(_, job)| job.is_in_doubt());
-        let numbers: Vec<u64> = doubtful.map(|(number, _)| *number).collect();
-        for number in numbers {
-            let Some(mut job) = self.jobs.remove(&number) else { continue };
-            self.claim(number, &mut job);
-            if now >= job.doubt_ends_at {
-                for task in &mut job.tasks {
-                    if task.state == TaskState::InDoubt {
-                        task.state = TaskState::Pending;
-                    }
-                }
-            }
-            self.jobs.insert(number, job);
-            self.finish_if_done(number);
-        }
-    }
-
     /// Ends jobs whose time is over, and refuses those that can no longer help their caller.
     fn end_overdue(&mut self, now: Millis) {
         let overdue = |(number, job): (&u64, &Job)| {
@@ -545,7 +384,7 @@
         let mut waiting: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(_, job)| has_pending(job) && now < job.ends_at)
+            .filter(|(_, job)| job.has_pending() && now < job.ends_at)
             .map(|(number, job)| (queue::order(job, now), *number))
             .collect();
         if waiting.is_empty() {
@@ -565,7 +404,7 @@
                 continue;
             }
             let step = &job.spec.steps[task.step as usize];
-            let need = need_of(job, task.step, step, now);
+            let need = Need::of(job, task.step, step, now);
             let Some(id) = placement::choose(&self.workers, need, now).cloned() else { break };
             let Some(worker) = self.workers.get_mut(&id) else { break };
             let Some(clock_ms) = worker.clock_at(now) else { break };
@@ -685,7 +524,7 @@
         self.drop_job(now, number);
     }
 
-    fn finish_if_done(&mut self, number: u64) {
+    pub(crate) fn finish_if_done(&mut self, number: u64) {
         if !self.jobs.get(&number).is_some_and(Job::is_done) {
             return;
         }
@@ -754,29 +593,3 @@
     worker.listed = true;
     Vec::new()
 }
-
-fn has_pending(job: &Job) -> bool {
-    job.tasks.iter().any(|task| task.state == TaskState::Pending)
-}
-
-/// Gives how long runs of an earlier owner can go on unseen. An owner that fell silent learns of
-/// it only as long after as a link may be silent.
-const fn doubt_ms(earlier: &Earlier) -> u64 {
-    match earlier {
-        Earlier::Nothing => 0,
-        Earlier::Known(_) => LEASE_BOUND_MS,
-        Earlier::Unknown => LEASE_BOUND_MS + SILENCE_MS,
-    }
-}
-
-fn need_of<'a>(job: &'a Job, step_number: u32, step: &'a Step, now: Millis) -> Need<'a> {
-    let objective_at = job.arrived_at.plus(job.objective_ms());
-    Need {
-        job: &job.spec.id,
-        service: &job.terms.service,
-        step_number,
-        step,
-        expected_ms: job.expected_ms,
-        allowed_ms: objective_at.min(job.ends_at).since(now),
-    }
-}
