Send one submission to an owner, here or at another daemon

Cause: a job for an owner was written twice, field by field, as RunAsk and as Submission, and built twice in try_cell; two functions of the pool had no caller. Change: RunAsk carries the submission; the receiver marks it as another daemon's. No behaviour changes.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -4,10 +4,9 @@
 use std::rc::Rc;
 
 use peers::wire::Protocol;
-use pool::catalogue::Terms;
 use pool::cells::Cell;
-use pool::job::{Earlier, JobSpec, Outcome};
-use pool::pool::SILENCE_MS;
+use pool::job::Outcome;
+use pool::pool::{SILENCE_MS, Submission};
 use pool::queue::Backlog;
 use serde::{Deserialize, Serialize};
 
@@ -28,18 +27,8 @@
 pub struct RunAsk {
     /// The cell.
     pub cell: Cell,
-    /// The job.
-    pub spec: JobSpec,
-    /// What its route promises.
-    pub terms: Terms,
-    /// How old the request is, in milliseconds.
-    pub age_ms: u64,
-    /// How long the caller waits in all, in milliseconds.
-    pub limit_ms: u64,
-    /// What an earlier owner of the cell did.
-    pub earlier: Earlier,
-    /// Whether the job may wait for room.
-    pub may_wait: bool,
+    /// The job, and what is known of it.
+    pub submission: Submission,
 }
 
 /// What one daemon asks of another.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -47,14 +47,13 @@
     }
 
     async fn run_for(self: &Rc<Self>, from: Incarnation, ask: RunAsk) -> Tell {
-        let RunAsk { cell, spec, terms, age_ms, limit_ms, earlier, may_wait } = ask;
-        let key = (from, Rc::clone(&spec.id));
+        let RunAsk { cell, submission } = ask;
+        let key = (from, Rc::clone(&submission.spec.id));
         let _remote = RemoteEntry { entry: Rc::clone(self), key: key.clone() };
         let note = |serial, number| {
             self.remote_jobs.borrow_mut().insert(key, (cell.clone(), serial, number));
         };
-        let submission =
-            Submission { spec, terms, age_ms, limit_ms, earlier, may_wait, is_remote: true };
+        let submission = Submission { is_remote: true, ..submission };
         let ran = self.run_here(&cell, submission, note).await;
         ran.map_or(Tell::NotOwner, |(outcome, backlog)| Tell::Outcome(outcome, backlog))
     }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -149,29 +149,20 @@
         earlier: Earlier,
         may_wait: bool,
     ) -> Tried {
-        let age_ms = self.now().since(request.arrived_at);
+        let submission = Submission {
+            spec: request.spec.clone(),
+            terms: request.terms.clone(),
+            age_ms: self.now().since(request.arrived_at),
+            limit_ms: request.limit_ms,
+            earlier,
+            may_wait,
+            is_remote: false,
+        };
         let ran = if self.owned.borrow().contains_key(cell) {
-            let submission = Submission {
-                spec: request.spec.clone(),
-                terms: request.terms.clone(),
-                age_ms,
-                limit_ms: request.limit_ms,
-                earlier,
-                may_wait,
-                is_remote: false,
-            };
             self.run_here(cell, submission, |_, _| {}).await
         } else {
             let Some(addr) = self.owner_of(cell) else { return Tried::NotBegun };
-            let ask = RunAsk {
-                cell: cell.clone(),
-                spec: request.spec.clone(),
-                terms: request.terms.clone(),
-                age_ms,
-                limit_ms: request.limit_ms,
-                earlier,
-                may_wait,
-            };
+            let ask = RunAsk { cell: cell.clone(), submission };
             match self.run_there(addr, ask).await {
                 Ok(ran) => ran,
                 Err(LinkError::NoConnection(addr)) => {
@@ -199,8 +190,9 @@
         addr: SocketAddr,
         ask: RunAsk,
     ) -> Result<Option<(Outcome, Backlog)>, LinkError> {
-        let job = Rc::clone(&ask.spec.id);
-        let wait_ms = ask.limit_ms.saturating_sub(ask.age_ms) + REPLY_SLACK_MS;
+        let job = Rc::clone(&ask.submission.spec.id);
+        let left_ms = ask.submission.limit_ms.saturating_sub(ask.submission.age_ms);
+        let wait_ms = left_ms + REPLY_SLACK_MS;
         let mut forwarded = Forwarded { entry: Rc::clone(self), addr, job, ended: false };
         let told = self.links.call(addr, Ask::Run(Box::new(ask)), wait_ms).await;
         forwarded.ended = told.is_ok();
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
+use serde::{Deserialize, Serialize};
 
 use crate::call::{
     End, LookCall, LookReply, Refusal, StartCall, StartReply, StopCall, StopReply, Target,
@@ -47,8 +48,9 @@
     Answer(u64, Outcome),
 }
 
-/// What a submission says besides the job.
+/// A job, and what is known of it.
 #[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Submission {
     /// The job.
     pub spec: JobSpec,
@@ -110,21 +112,11 @@
         self.fenced
     }
 
-    /// Counts the workers.
-    pub fn worker_count(&self) -> usize {
-        self.workers.len()
-    }
-
     /// Gives the workers with their runs, for a dump of the state.
     pub fn workers(&self) -> impl Iterator<Item = (&Rc<str>, &Worker)> {
         self.workers.iter()
     }
 
-    /// Tells whether any worker can take work now.
-    pub fn is_usable(&self, now: Millis) -> bool {
-        !self.fenced && self.workers.values().any(|worker| worker.takes_work(now))
-    }
-
     /// Counts the jobs of which no task was begun.
     pub fn pending_jobs(&self) -> usize {
         self.jobs.values().filter(|job| !job.begun).count()
