Let a look wait only a little longer than the first end should take

Cause: a look waited 300 ms at its worker whatever ran there. Where its reply was lost, the ends of short tasks stayed unseen for that time, and the worker got no work for another 150 ms until the next look. Change: a look waits until 50 ms after the first end that is expected, 300 ms at the most; after one lost reply the next look goes out at once, after more 150 ms later each.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -19,7 +19,7 @@
 use crate::job::{Earlier, Job, JobSpec, Outcome, Progress, Reason, Step, TaskName, TaskState};
 use crate::placement::{self, Need};
 use crate::queue;
-use crate::worker::{Change, LEASE_MS, LOOK_WAIT_MS, Run, RunState, Worker};
+use crate::worker::{Change, LEASE_MS, Run, RunState, Worker};
 
 /// How far a start's number jumps where the worker knows a higher one, such as of an earlier
 /// request with the same id.
@@ -434,7 +434,7 @@
                 continue;
             }
             let lease_until_ms = worker.look_begins(now);
-            let wait_ms = if worker.runs.is_empty() { 0 } else { LOOK_WAIT_MS };
+            let wait_ms = worker.look_wait_ms(now);
             let call = LookCall {
                 token: self.token,
                 ack_cursor: worker.cursor(),
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -19,6 +19,9 @@
 pub const RENEW_AHEAD_MS: u64 = 500;
 /// How long a look may wait at the worker for an end, in milliseconds; under [`RENEW_AHEAD_MS`].
 pub const LOOK_WAIT_MS: u64 = 300;
+/// How long a look waits beyond the first end that is expected, in milliseconds. A look whose reply
+/// is lost hides the ends at its worker for as long as it may wait.
+const LOOK_WAIT_SLACK_MS: u64 = 50;
 /// The shortest pause between two looks at a worker, so that one look brings several ends.
 pub const LOOK_GAP_MS: u64 = 4;
 /// The pause before an unanswered look is repeated, in milliseconds.
@@ -277,11 +280,19 @@
         renews.then_some(until_ms)
     }
 
+    /// Gives how long a look may wait at the worker for an end, in milliseconds: a little longer than
+    /// the first one should take.
+    pub fn look_wait_ms(&self, now: Millis) -> u64 {
+        let pace = self.pace();
+        let first_end_ms = self.runs.values().map(|run| run.left_ms(pace, now)).min();
+        first_end_ms.map_or(0, |left_ms| (left_ms + LOOK_WAIT_SLACK_MS).min(LOOK_WAIT_MS))
+    }
+
     /// Notes that a look got no reply. Runs whose lease is surely over are given back.
     pub fn look_unanswered(&mut self, now: Millis) -> Vec<Change> {
         self.look_sent = None;
         self.unanswered += 1;
-        self.look_at = Some(now.plus(LOOK_RETRY_MS * u64::from(self.unanswered.min(8))));
+        self.look_at = Some(now.plus(LOOK_RETRY_MS * u64::from((self.unanswered - 1).min(8))));
         self.lapse(now)
     }
 
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
-use pool::call::{End, Ended, LookReply, Refusal, Report, Running, StartReply, StopReply};
+use pool::call::{
+    End, Ended, LookCall, LookReply, Refusal, Report, Running, StartReply, StopReply,
+};
 use pool::catalogue::{WorkerEntry, WorkerState};
 use pool::job::{Earlier, JobSpec, Outcome, Placed, Progress, Reason, TaskName};
 use pool::pool::{Action, MAX_GAP_MS, Pool, Submission};
@@ -160,6 +162,55 @@
     assert_eq!(starts(&pool.take_actions()).len(), 1);
 }
 
+/// Gives the look among actions, where there is one.
+fn look(actions: &[Action]) -> Option<LookCall> {
+    actions.iter().find_map(|action| match action {
+        Action::Look(_, call) => Some(*call),
+        _ => None,
+    })
+}
+
+/// Load pattern: one order in twenty gets no reply. A look that waits long for its reply hides the
+/// ends at its worker, and jobs of many short tasks wait for the last of them.
+#[test]
+fn a_look_waits_only_a_little_longer_than_the_first_end_should_take() {
+    // The run's declared time and how far it is, in percent, when it is looked at after 80 ms; the
+    // least and the longest wait of the next look.
+    let cases = [(200, 40, 120, 200), (200, 80, 20, 100), (900, 10, 300, 300)];
+    for (declared_ms, percent, least_ms, longest_ms) in cases {
+        let mut pool = pool(1);
+        let spec = job("0000000000000001", 1, 27, declared_ms);
+        pool.submit(at(0), submission(spec, Earlier::Nothing));
+        let actions = pool.take_actions();
+        let Some(Action::Start(target, call)) = actions.first().cloned() else {
+            panic!("the task starts, not {actions:?}");
+        };
+        pool.start_reply(at(1), &target.id, &call, StartReply::Started { clock_ms: 5_001 });
+        let task = Some(call.task.clone());
+        let running = vec![Running { task, run: 1, percent }];
+        let seen = Report { clock_ms: 5_080, born_ms: Some(1), running, ended: Vec::new() };
+        pool.look_reply(at(80), &target.id, at(79), &LookReply::Report(seen));
+        pool.advance(at(90));
+        let wait_ms = look(&pool.take_actions()).expect("a look is due").wait_ms;
+        assert!((least_ms..=longest_ms).contains(&wait_ms), "{declared_ms} ms: {wait_ms}");
+    }
+}
+
+#[test]
+fn a_look_without_a_reply_is_repeated_at_once_and_then_less_often() {
+    let mut pool = pool(1);
+    let (id, call) = begin(&mut pool, "0000000000000001");
+    pool.start_reply(at(11), &id, &call, StartReply::Started { clock_ms: 5_011 });
+    pool.advance(at(200));
+    assert!(look(&pool.take_actions()).is_some());
+    pool.look_reply(at(400), &id, at(200), &LookReply::Lost);
+    assert!(look(&pool.take_actions()).is_some(), "one lost reply says little of a worker");
+    pool.look_reply(at(600), &id, at(400), &LookReply::Lost);
+    assert!(look(&pool.take_actions()).is_none(), "two in a row do");
+    pool.advance(at(800));
+    assert!(look(&pool.take_actions()).is_some());
+}
+
 #[test]
 fn runs_of_a_silent_worker_start_elsewhere_once_their_lease_is_over() {
     let mut pool = pool(2);
