Choose the cells to ask in the pool package, apart from sockets

Cause: which owners a job asks, in which order and when it waits was decided between awaits in the daemon, so that no test could replay a load through it; and each choice counted the workers of every zone anew. Change: pool::spill decides; the daemon asks. Workers are counted by zone as their entries change.

--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -12,14 +12,11 @@
 use pool::pool::Submission;
 use pool::queue::Backlog;
 use pool::resume::{Next, Tried, give_up, next};
+use pool::spill::Search;
 
 use crate::fleet::{Ask, RunAsk, Tell};
-use crate::state::{Entry, Load};
+use crate::state::Entry;
 
-/// The most owners that are asked for one job, first without and then with waiting.
-const MAX_TRIES: usize = 2;
-/// How long a refusal by an owner in another zone keeps further jobs from asking it.
-const REFUSAL_MEMORY_MS: u64 = 40;
 /// The pause between two looks for a cell's next owner, in milliseconds.
 const NEXT_OWNER_PAUSE_MS: u64 = 25;
 /// How long a job waits for any cell to get an owner, in milliseconds: a little over the time
@@ -94,21 +91,17 @@
     async fn ask_owners(self: &Rc<Self>, request: &Request, trace: &mut Trace) -> Outcome {
         let mut refusal =
             Outcome::NotRun { reason: Reason::NoOwner, retry_after_ms: NO_OWNER_RETRY_MS };
-        for may_wait in [false, true] {
-            let mut asked: Vec<Cell> = Vec::new();
-            while asked.len() < MAX_TRIES {
-                let Some(cell) = self.choose_cell(&asked, may_wait) else { break };
-                trace.cell = Some(cell.clone());
-                trace.tries += 1;
-                let tried = self.try_cell(&cell, request, Earlier::Nothing, may_wait).await;
-                match next(tried, &Earlier::Nothing) {
-                    Next::Answer(outcome) => return outcome,
-                    Next::SameCell(earlier) => {
-                        return self.resume(&cell, request, earlier, trace).await;
-                    }
-                    Next::OtherCell(refused) => refusal = refused.unwrap_or(refusal),
+        let mut search = Search::default();
+        while let Some((cell, may_wait)) = self.next_cell(&mut search) {
+            trace.cell = Some(cell.clone());
+            trace.tries += 1;
+            let tried = self.try_cell(&cell, request, Earlier::Nothing, may_wait).await;
+            match next(tried, &Earlier::Nothing) {
+                Next::Answer(outcome) => return outcome,
+                Next::SameCell(earlier) => {
+                    return self.resume(&cell, request, earlier, trace).await;
                 }
-                asked.push(cell);
+                Next::OtherCell(refused) => refusal = refused.unwrap_or(refusal),
             }
         }
         refusal
@@ -181,7 +174,7 @@
             }
         };
         let Some((outcome, backlog)) = ran else { return Tried::NotBegun };
-        self.note_load(cell, &outcome, backlog);
+        self.loads.borrow_mut().note(cell, &outcome, backlog, self.now());
         Tried::Outcome(outcome)
     }
 
@@ -208,21 +201,6 @@
         }
     }
 
-    fn note_load(&self, cell: &Cell, outcome: &Outcome, backlog: Backlog) {
-        let now = self.now();
-        let mut loads = self.loads.borrow_mut();
-        let load = loads.entry(cell.clone()).or_default();
-        load.backlog = backlog;
-        match outcome {
-            Outcome::NotRun { reason: Reason::Busy, .. } => load.busy_at = Some(now),
-            Outcome::NotRun { .. } => {
-                load.busy_at = Some(now);
-                load.refused_at = Some(now);
-            }
-            _ => {}
-        }
-    }
-
     /// Gives the address of a cell's owner, as far as it is known and answers.
     fn owner_of(&self, cell: &Cell) -> Option<SocketAddr> {
         if self.owned.borrow().contains_key(cell) {
@@ -232,37 +210,19 @@
         (addr != self.settings.advertised && self.may_ask(addr)).then_some(addr)
     }
 
-    /// Chooses the cell with the shortest wait: one of the own zone, or else one elsewhere that
-    /// has not refused just now.
-    fn choose_cell(&self, asked: &[Cell], may_wait: bool) -> Option<Cell> {
-        let own = self.cells_in(&self.settings.zone);
-        self.best_of(own, asked, may_wait, 0).or_else(|| {
-            let zones = self.settings.zones.iter().filter(|zone| **zone != self.settings.zone);
-            let others = zones.flat_map(|zone| self.cells_in(zone)).collect();
-            self.best_of(others, asked, may_wait, REFUSAL_MEMORY_MS)
-        })
+    fn next_cell(&self, search: &mut Search) -> Option<(Cell, bool)> {
+        let own_zone = self.settings.zone.as_str();
+        let others = || {
+            let zones = self.settings.zones.iter().filter(|zone| **zone != own_zone);
+            zones.flat_map(|zone| self.reachable_cells(zone)).collect()
+        };
+        let own = self.reachable_cells(own_zone);
+        search.next(&self.loads.borrow(), &own, others, self.now())
     }
 
-    fn best_of(
-        &self,
-        cells: Vec<Cell>,
-        asked: &[Cell],
-        may_wait: bool,
-        memory_ms: u64,
-    ) -> Option<Cell> {
-        let now = self.now();
-        let loads = self.loads.borrow();
-        let refused_lately = |load: &Load| {
-            let refused_at = if may_wait { load.refused_at } else { load.busy_at };
-            refused_at.is_some_and(|at| now.since(at) < memory_ms)
-        };
-        let usable = cells.into_iter().filter(|cell| {
-            let refused = loads.get(cell).is_some_and(refused_lately);
-            !refused && !asked.contains(cell) && self.owner_of(cell).is_some()
-        });
-        usable.min_by_key(|cell| {
-            let backlog = loads.get(cell).map(|load| load.backlog).unwrap_or_default();
-            (backlog.waiting_work, std::cmp::Reverse(backlog.free_millicores))
-        })
+    /// Gives the cells of a zone that have an owner which may be asked.
+    fn reachable_cells(&self, zone: &str) -> Vec<Cell> {
+        let cells = self.cells_in(zone).into_iter();
+        cells.filter(|cell| self.owner_of(cell).is_some()).collect()
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,7 +15,7 @@
 use pool::cells::Cell;
 use pool::job::Outcome;
 use pool::pool::Pool;
-use pool::queue::Backlog;
+use pool::spill::Loads;
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::Clock;
@@ -53,17 +53,6 @@
     pub at: Millis,
 }
 
-/// What is known of a cell's load.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Load {
-    /// The load that it told last.
-    pub backlog: Backlog,
-    /// When it last had no room for a whole job at once.
-    pub busy_at: Option<Millis>,
-    /// When it last refused a job that would have waited.
-    pub refused_at: Option<Millis>,
-}
-
 /// Identifies a job that another daemon waits for.
 pub type RemoteJob = (Incarnation, Rc<str>);
 
@@ -91,7 +80,7 @@
     /// Until when cells that another daemon handed over are kept without the store.
     pub handed_until: RefCell<HashMap<Cell, Millis>>,
     /// The load of each cell, as far as it was told.
-    pub loads: RefCell<HashMap<Cell, Load>>,
+    pub loads: RefCell<Loads>,
     /// Until when a daemon that did not answer is not asked.
     pub silent_until: RefCell<HashMap<SocketAddr, Millis>>,
     /// Fencing tokens that a later owner has overtaken.
--- a/crates/pool/src/catalogue.rs
+++ b/crates/pool/src/catalogue.rs
@@ -1,6 +1,6 @@
 //! Routes and services that operators publish, and the entries that workers publish.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -98,18 +98,31 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<Rc<str>, WorkerEntry>,
+    /// Counted as entries come and go, since every request asks for it.
+    in_zones: HashMap<Rc<str>, usize>,
 }
 
 impl Directory {
     /// Takes an entry; none removes the worker. Tells whether anything that matters changed.
     pub fn apply(&mut self, id: &str, entry: Option<WorkerEntry>) -> bool {
-        match entry {
-            None => self.entries.remove(id).is_some(),
-            Some(entry) if self.entries.get(id) == Some(&entry) => false,
+        if entry.is_some() && self.entries.get(id) == entry.as_ref() {
+            return false;
+        }
+        let is_there = entry.is_some();
+        let before = match entry {
+            None => self.entries.remove(id),
             Some(entry) => {
-                self.entries.insert(Rc::from(id), entry);
-                true
+                *self.in_zones.entry(Rc::clone(&entry.zone)).or_default() += 1;
+                self.entries.insert(Rc::from(id), entry)
             }
+        };
+        self.leave_zone(before.as_ref());
+        is_there || before.is_some()
+    }
+
+    fn leave_zone(&mut self, entry: Option<&WorkerEntry>) {
+        if let Some(count) = entry.and_then(|entry| self.in_zones.get_mut(&entry.zone)) {
+            *count -= 1;
         }
     }
 
@@ -120,6 +133,6 @@
 
     /// Counts the workers of a zone.
     pub fn count_in(&self, zone: &str) -> usize {
-        self.entries.values().filter(|entry| &*entry.zone == zone).count()
+        self.in_zones.get(zone).copied().unwrap_or(0)
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod queue;
 pub mod resume;
 pub mod room;
+pub mod spill;
 pub mod worker;
