Take each estimated wait a quarter longer

The estimate of a wait leaves out what does not pack, also for the most urgent class. Change: a wait counts a quarter longer before it is compared with the time left. The test's limits of 420 ms become 336 for that reason.

--- a/crates/lab/tests/loads.rs
+++ b/crates/lab/tests/loads.rs
@@ -61,7 +61,6 @@
 
 /// Load pattern: above full load what cannot be in time is refused, so that the rest is.
 #[test]
-#[ignore = "KNOWN-RED.txt 4"]
 fn above_full_load_the_jobs_that_are_taken_are_answered_in_time() {
     let report = plays("over");
     assert!(taken_in_time(&report) >= TAKEN_IN_TIME, "{report}");
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -59,9 +59,10 @@
     ends_ms[at] + rounds as u64 * task_ms
 }
 
-/// How many more times the estimated wait of a job has to fit for each class below the most urgent
-/// one, and the most classes that count. From `clementinelab` (docs/design/lab.md).
-const CLASS_MARGIN: u64 = 1;
+/// How much longer than estimated a wait may become, since the estimate leaves out what does not
+/// pack. From `clementinelab` (docs/design/lab.md).
+const WAIT_MARGIN: f64 = 1.25;
+/// The classes below the most urgent one that count; for each, the wait has to fit once more.
 const MOST_CLASSES: u32 = 2;
 
 /// Tells whether a job whose last task can begin after `wait_ms` is taken. It may come late only
@@ -72,8 +73,8 @@
     }
     let others_wait = load.waiting_work > 0;
     let latest = if others_wait { job.latest_start() } else { job.hopeless_from() };
-    let classes_above = u64::from(job.terms.priority.min(MOST_CLASSES));
-    now.plus(wait_ms * (1 + CLASS_MARGIN * classes_above)) <= latest
+    let times = f64::from(1 + job.terms.priority.min(MOST_CLASSES));
+    now.plus((wait_ms as f64 * WAIT_MARGIN * times) as u64) <= latest
 }
 
 /// The shortest time after which a refused caller may ask again, in milliseconds.
--- a/crates/pool/tests/queue.rs
+++ b/crates/pool/tests/queue.rs
@@ -28,7 +28,8 @@
 
 #[test]
 fn late_jobs_are_taken_only_where_they_make_no_other_late() {
-    // A job of 200 ms with an objective of 620 ms can begin after 420 ms, and help until 1,660 ms.
+    // A job of 200 ms with an objective of 620 ms can begin after 420 ms, and help until 1,660 ms;
+    // an estimated wait may become a quarter longer.
     let spec = job("0000000000000001", 2, 27, 200);
     let job = Job::new(spec, terms("r", 300, 2), Millis(1_000), 0, 3_000);
     let load = |waiting_ms: u64| Backlog {
@@ -40,9 +41,9 @@
         (400, 0, true),
         (1_000, 0, true),
         (1_700, 0, false),
-        (400, 10, true),
-        (430, 10, false),
-        (400, 500, true),
+        (330, 10, true),
+        (340, 10, false),
+        (330, 500, true),
         (1_000, 500, false),
         (u64::MAX, 0, false),
     ];
@@ -56,7 +57,7 @@
 fn a_less_urgent_class_is_refused_at_a_shorter_wait() {
     // As above: 420 ms are left before the job has to begin.
     let load = Backlog { capacity_millicores: 64_000, free_millicores: 0, waiting_work: 1 };
-    let longest_ms = [(0, 420), (1, 210), (2, 140), (9, 140)];
+    let longest_ms = [(0, 336), (1, 168), (2, 112), (9, 112)];
     for (priority, longest_ms) in longest_ms {
         let terms = Terms { priority, ..terms("r", 300, 2) };
         let spec = job("0000000000000001", 2, 27, 200);
