Keep a cell's owner while the store names this daemon too early, or nobody

While partitions are dealt anew a read of the table names nobody, or a daemon that does not own the cell yet. A read that named this daemon replaced the true owner; and the time for which an owner is kept counted from its last naming, which lies up to a second before the first read without it. With three deals in a row the other daemon knew no owner for 366 ms, while the owner went on: why=no_owner tries=0 in its log, and completed jobs at the owner in between. Change: pool::owners decides, apart from the store's calls. A row that names this daemon for a cell that it does not own names nobody; an owner is kept for 1.5 s after it was first seen unnamed.

--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -11,7 +11,7 @@
 use pool::pool::Pool;
 
 use crate::fleet::{Ask, Ownership, Tell};
-use crate::state::{self, Entry, Owned, Phase};
+use crate::state::{Entry, Owned, Phase};
 
 /// The group in which all daemons of an installation are members.
 const GROUP: &str = "entry";
@@ -23,9 +23,6 @@
 const OWNERS_EVERY_MS: u64 = 1_000;
 /// How long a daemon waits for another one that takes a cell over or tells its owners.
 const HAND_OVER_MS: u64 = 250;
-/// How long an owner that the store no longer names is still asked, in milliseconds: a little over
-/// the time that an ownership lasts without renewal.
-const UNNAMED_OWNER_MS: u64 = 1_500;
 /// The most other daemons that are remembered; the letter's size has 48.
 const MAX_OTHERS: usize = 512;
 /// How long a zone must be without any daemon before daemons of other zones take its cells.
@@ -244,10 +241,7 @@
     /// Notes what another daemon says of a cell's owner.
     pub fn note_owner(&self, ownership: &Ownership) {
         let Ownership { cell, addr, token } = ownership;
-        let mut owners = self.owners.borrow_mut();
-        if owners.get(cell).is_none_or(|known| known.token <= *token) {
-            owners
-                .insert(cell.clone(), state::Owner { addr: *addr, token: *token, at: self.now() });
+        if self.owners.borrow_mut().note(cell, *addr, *token, self.now()) {
             self.silent_until.borrow_mut().remove(addr);
         }
     }
@@ -384,20 +378,22 @@
         self.count_store_call("owners", &rows, began);
         let Ok(rows) = rows else { return };
         self.note_empty_zones(standing, &rows);
-        let mut owners = BTreeMap::new();
+        let mut named = Vec::new();
         for row in &rows {
             let Some(zone) = row.topic.strip_prefix(TOPIC_PREFIX) else { continue };
             let Some(addr) = member_addr(&row.member) else { continue };
             if let Some((_, zone)) = row.member.split_once('|') {
                 self.note_other(addr, zone);
             }
-            let cell = Cell { zone: Rc::from(zone), partition: row.partition };
-            let told = self.owners.borrow().get(&cell).copied();
-            let token = told.filter(|told| told.addr == addr).map_or(0, |told| told.token);
-            owners.insert(cell, state::Owner { addr, token, at: began });
+            named.push((Cell { zone: Rc::from(zone), partition: row.partition }, addr));
+        }
+        let owns = |cell: &Cell| self.owned.borrow().contains_key(cell);
+        self.owners.borrow_mut().take_rows(named.into_iter(), owns, began);
+        let own_zone = self.cells_in(&self.settings.zone);
+        if !self.owners.borrow().are_named_since(&own_zone, began) {
+            // Partitions are being dealt anew: the store is asked again at the next turn.
+            standing.owners_at = None;
         }
-        self.keep_unnamed(&mut owners, began, standing);
-        *self.owners.borrow_mut() = owners;
         if !standing.is_introduced && !self.others.borrow().is_empty() {
             standing.is_introduced = true;
             let zone = self.settings.zone.clone();
@@ -405,26 +401,6 @@
         }
     }
 
-    /// Keeps owners that the store has just stopped naming: while partitions are dealt anew it names
-    /// nobody, and the owner goes on. Asks again soon where a cell of the own zone has no name.
-    fn keep_unnamed(
-        &self,
-        owners: &mut BTreeMap<Cell, state::Owner>,
-        now: Millis,
-        standing: &mut Standing,
-    ) {
-        for (cell, known) in self.owners.borrow().iter() {
-            if now.since(known.at) < UNNAMED_OWNER_MS {
-                owners.entry(cell.clone()).or_insert(*known);
-            }
-        }
-        let own = self.cells_in(&self.settings.zone);
-        let is_fresh = |cell: &Cell| owners.get(cell).is_some_and(|owner| owner.at >= now);
-        if !own.iter().all(is_fresh) {
-            standing.owners_at = None;
-        }
-    }
-
     /// Remembers another daemon.
     pub fn note_other(&self, addr: SocketAddr, zone: &str) {
         let mut others = self.others.borrow_mut();
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -206,8 +206,8 @@
         if self.owned.borrow().contains_key(cell) {
             return Some(self.settings.advertised);
         }
-        let addr = self.owners.borrow().get(cell)?.addr;
-        (addr != self.settings.advertised && self.may_ask(addr)).then_some(addr)
+        let addr = self.owners.borrow().other(cell)?;
+        self.may_ask(addr).then_some(addr)
     }
 
     fn next_cell(&self, search: &mut Search) -> Option<(Cell, bool)> {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,6 +14,7 @@
 use pool::catalogue::{Catalogue, Directory};
 use pool::cells::Cell;
 use pool::job::Outcome;
+use pool::owners::Owners;
 use pool::pool::Pool;
 use pool::spill::Loads;
 use tokio::sync::{Notify, oneshot};
@@ -42,17 +43,6 @@
     pub pool: Pool,
 }
 
-/// The daemon that owns a cell.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Owner {
-    /// Where it takes links.
-    pub addr: SocketAddr,
-    /// The fencing token that it told; zero where only the store named it.
-    pub token: u64,
-    /// When it was named last.
-    pub at: Millis,
-}
-
 /// Identifies a job that another daemon waits for.
 pub type RemoteJob = (Incarnation, Rc<str>);
 
@@ -72,7 +62,7 @@
     /// The cells that this daemon owns.
     pub owned: RefCell<BTreeMap<Cell, Owned>>,
     /// The daemon that owns each cell, as far as the store or other daemons told.
-    pub owners: RefCell<BTreeMap<Cell, Owner>>,
+    pub owners: RefCell<Owners>,
     /// Other daemons that were seen, with their zones.
     pub others: RefCell<BTreeMap<SocketAddr, String>>,
     /// Whether the last call to the store was answered.
@@ -125,7 +115,7 @@
             catalogue: RefCell::default(),
             directory: RefCell::default(),
             owned: RefCell::default(),
-            owners: RefCell::default(),
+            owners: RefCell::new(Owners::new(settings.advertised)),
             others: RefCell::default(),
             store_reached: Value::new(false),
             handed_until: RefCell::default(),
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -11,6 +11,7 @@
 mod claims;
 pub mod estimate;
 pub mod job;
+pub mod owners;
 pub mod placement;
 pub mod pool;
 pub mod queue;
--- /dev/null
+++ b/crates/pool/tests/owners.rs
@@ -0,0 +1,69 @@
+//! Who is taken for the owner of a cell, from rows of the store and what daemons say.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use dispatch::clock::Millis;
+use pool::cells::Cell;
+use pool::owners::Owners;
+
+fn cell(partition: u32) -> Cell {
+    Cell { zone: Rc::from("a"), partition }
+}
+
+fn addr(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 1).into()
+}
+
+const OWN: u8 = 1;
+
+fn owners() -> Owners {
+    Owners::new(addr(OWN))
+}
+
+/// Load pattern: partitions are dealt anew twice within a renewal. The store then names a daemon
+/// that does not own the cell and never will, while the earlier owner goes on.
+#[test]
+fn a_row_that_names_this_daemon_before_it_owns_the_cell_keeps_the_earlier_owner() {
+    let mut owners = owners();
+    assert!(owners.note(&cell(0), addr(2), 7, Millis(1_000)));
+    owners.take_rows([(cell(0), addr(OWN))].into_iter(), |_| false, Millis(1_200));
+    assert_eq!(owners.other(&cell(0)), Some(addr(2)));
+    assert!(!owners.are_named_since(&[cell(0)], Millis(1_200)), "the store is asked again");
+    owners.take_rows([(cell(0), addr(OWN))].into_iter(), |_| true, Millis(1_300));
+    assert_eq!(owners.other(&cell(0)), None);
+    assert!(owners.are_named_since(&[cell(0)], Millis(1_300)));
+}
+
+/// Load pattern: the table is read once a second, and partitions are dealt anew three times in a row.
+#[test]
+fn an_owner_is_kept_for_a_while_after_the_store_was_first_seen_not_to_name_it() {
+    let mut owners = owners();
+    owners.take_rows([(cell(0), addr(2))].into_iter(), |_| false, Millis(1_000));
+    for (at_ms, known) in [(2_000, true), (2_600, true), (3_400, true), (3_600, false)] {
+        owners.take_rows(std::iter::empty(), |_| false, Millis(at_ms));
+        assert_eq!(owners.other(&cell(0)).is_some(), known, "at {at_ms}");
+    }
+}
+
+#[test]
+fn the_later_owner_wins_and_a_row_of_the_store_wins_over_both() {
+    let mut owners = owners();
+    assert!(owners.note(&cell(0), addr(2), 7, Millis(1_000)));
+    assert!(!owners.note(&cell(0), addr(3), 6, Millis(1_001)));
+    assert_eq!(owners.other(&cell(0)), Some(addr(2)));
+    assert!(owners.note(&cell(0), addr(3), 8, Millis(1_002)));
+    assert_eq!(owners.other(&cell(0)), Some(addr(3)));
+    owners.take_rows([(cell(0), addr(4))].into_iter(), |_| false, Millis(1_003));
+    assert_eq!(owners.other(&cell(0)), Some(addr(4)));
+}
+
+#[test]
+fn a_token_that_was_told_stays_while_the_store_names_the_same_daemon() {
+    let mut owners = owners();
+    owners.note(&cell(0), addr(2), 7, Millis(1_000));
+    owners.take_rows([(cell(0), addr(2))].into_iter(), |_| false, Millis(1_100));
+    assert!(!owners.note(&cell(0), addr(3), 6, Millis(1_200)));
+    owners.remove(&cell(0));
+    assert!(owners.is_empty());
+}
