Cancel a best-effort job where its caller waits, from any daemon

Cause: DELETE of a job that was running got 410 and the job ran on: a caller who cancels was told that there was nothing to cancel. Change: a daemon keeps the jobs whose callers wait at it. DELETE ends the request, whose runs are stopped as when a caller leaves; where the job is not here the other daemons are asked, for 250 ms at the most. Both get 200 cancelled, and 410 only where no daemon has the job. GET tells running. Before: 410 and the runs went on.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,13 +4,12 @@
 
 use actix_http::Method;
 use adapter::callers::{
-    JobError, WAIT_HEADER, is_job_id, read_job, render_error, render_not_run, render_outcome,
-    render_pending,
+    JobError, WAIT_HEADER, is_job_id, read_job, render_cancelled, render_error, render_gone,
+    render_not_run, render_outcome, render_pending, render_running,
 };
 use dispatch::clock::Millis;
 use httpedge::server::{Request, Response};
 use pool::catalogue::Route;
-use pool::job::Outcome;
 
 use crate::route::{Request as JobRequest, Trace};
 use crate::state::{Entry, Phase};
@@ -90,10 +89,12 @@
             return render_error(404, "the path must end with a job's id");
         }
         if request.method == Method::GET {
-            return render_error(410, "no such job is stored");
+            let is_open = self.open_jobs.contains(rest);
+            return if is_open { render_running() } else { render_gone() };
         }
         if request.method == Method::DELETE {
-            return refuse_cancel(rest);
+            let found = self.cancel_job(rest).await;
+            return if found { render_cancelled() } else { render_gone() };
         }
         if request.method != Method::POST {
             return render_error(405, "use POST, GET or DELETE");
@@ -137,39 +138,36 @@
         let tasks = spec.task_count();
         let job = JobRequest { spec, terms: route.terms.clone(), arrived_at, limit_ms };
         let mut trace = Trace::default();
-        let outcome = self.run_job(&job, &mut trace).await;
+        let id = Rc::clone(&job.spec.id);
+        let outcome = self.open_jobs.run(&id, self.run_job(&job, &mut trace)).await;
         flight.answered = true;
-        let response = render_outcome(&outcome);
-        self.note_answer(&job, route, &outcome, &trace, (tasks, version, response.status));
+        let (response, why) = match &outcome {
+            None => (render_cancelled(), "cancelled"),
+            Some(outcome) => (render_outcome(outcome), outcome.as_str()),
+        };
+        self.note_answer(&job, why, &trace, (tasks, version, response.status));
         response
     }
 
     fn note_answer(
         &self,
         job: &JobRequest,
-        route: &Route,
-        outcome: &Outcome,
+        why: &str,
         trace: &Trace,
         (tasks, version, status): (usize, u64, u16),
     ) {
+        let route = &*job.terms.route;
         let took_ms = self.now().since(job.arrived_at);
-        let why = match outcome {
-            Outcome::Completed => "completed",
-            Outcome::Failed(reason) | Outcome::NotRun { reason, .. } | Outcome::GivenUp(reason) => {
-                reason.as_str()
-            }
-            Outcome::Moved(_) => "moved",
-        };
-        let labels = [&*route.terms.route, &status.to_string(), why];
+        let labels = [route, &status.to_string(), why];
         self.metrics.requests.with_label_values(&labels).inc();
         let seconds = took_ms as f64 / 1_000.0;
-        self.metrics.latency_s.with_label_values(&[&route.terms.route]).observe(seconds);
+        self.metrics.latency_s.with_label_values(&[route]).observe(seconds);
         let cell = trace.cell.as_ref().map(ToString::to_string).unwrap_or_default();
         log::info!(
-            "part=callers event=answer job={} route={} status={status} why={why} took_ms={took_ms} \
-             limit_ms={} longest_ms={} tasks={tasks} cell={cell} tries={} config={version}",
+            "part=callers event=answer job={} route={route} status={status} why={why} \
+             took_ms={took_ms} limit_ms={} longest_ms={} tasks={tasks} cell={cell} tries={} \
+             config={version}",
             job.spec.id,
-            route.terms.route,
             job.limit_ms,
             job.spec.critical_path_ms(|step| step.estimate_ms),
             trace.tries,
@@ -191,9 +189,3 @@
         self.owned.borrow().values().map(|owned| owned.pool.pending_jobs()).sum()
     }
 }
-
-/// Answers a cancel: a best-effort job ends with its caller's connection and is stored nowhere.
-fn refuse_cancel(id: &str) -> Response {
-    log::info!("part=callers event=cancel job={id} found=false");
-    render_error(410, "no such job is stored")
-}
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -37,7 +37,7 @@
 pub enum Ask {
     /// Run this job on a cell of yours, and tell what became of it.
     Run(Box<RunAsk>),
-    /// Nobody waits for this job any more.
+    /// This daemon no longer waits for the job that it asked you to run.
     Cancel(Rc<str>),
     /// The cells are being dealt anew: ask the store now.
     Rejoin,
@@ -49,6 +49,8 @@
     Owners,
     /// A daemon has started; this is where it takes links, and its zone.
     Hello(SocketAddr, String),
+    /// Cancel this job, if its caller waits at your daemon.
+    CancelOpen(Rc<str>),
 }
 
 /// Who owns a cell.
@@ -74,4 +76,8 @@
     Taken,
     /// Who owns the cells, as far as this daemon knows.
     Owners(Vec<Ownership>),
+    /// The job was cancelled.
+    Cancelled,
+    /// No caller waits here for the job.
+    NotOpen,
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/design/on-the-platform.md`.
 
 pub mod callers;
+pub mod cancel;
 pub mod cli;
 pub mod clock;
 pub mod drain;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -42,6 +42,10 @@
                 None
             }
             Ask::Take(cell, token) => Some(self.take_handed(cell, token)),
+            Ask::CancelOpen(job) => {
+                let found = self.open_jobs.cancel(&job);
+                Some(if found { Tell::Cancelled } else { Tell::NotOpen })
+            }
             Ask::Owners => Some(Tell::Owners(self.known_owners())),
         }
     }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -194,7 +194,7 @@
                 self.metrics.forwarded.with_label_values(&["answered"]).inc();
                 Ok(Some((outcome, backlog)))
             }
-            Tell::NotOwner | Tell::Taken | Tell::Owners(_) => {
+            Tell::NotOwner | Tell::Taken | Tell::Owners(_) | Tell::Cancelled | Tell::NotOpen => {
                 self.metrics.forwarded.with_label_values(&["not_owner"]).inc();
                 Ok(None)
             }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -19,6 +19,7 @@
 use pool::spill::Loads;
 use tokio::sync::{Notify, oneshot};
 
+use crate::cancel::OpenJobs;
 use crate::clock::Clock;
 use crate::error::EntryError;
 use crate::fleet::Fleet;
@@ -81,6 +82,8 @@
     pub ends_at: Value<Option<Millis>>,
     /// Callers' requests that are being served.
     pub in_flight: Value<usize>,
+    /// The jobs whose callers wait here.
+    pub open_jobs: OpenJobs,
     /// Links to other daemons.
     pub links: Links<Fleet>,
     /// Calls to workers.
@@ -125,6 +128,7 @@
             phase: Value::new(Phase::Serving),
             ends_at: Value::new(None),
             in_flight: Value::new(0),
+            open_jobs: OpenJobs::default(),
             links,
             workers: WorkerApi::new(caller.clone()),
             store: StoreApi::new(settings.store, caller),
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -72,6 +72,32 @@
     assert!(site.workers[0].begun.borrow().is_empty());
 }
 
+#[actix_rt::test]
+async fn a_cancel_at_any_daemon_ends_the_job_and_its_runs() {
+    let site = start(1, 2, 3).await;
+    for (number, cancelled_at) in [0, 1].into_iter().enumerate() {
+        let job = job(number as u64 + 1, 2, 1_500, "1500");
+        let path = format!("{PREFIX}{}", job.id);
+        let cancel = async {
+            pause(300).await;
+            let running = site.get(site.daemons[0].callers, &path).await.unwrap();
+            assert_eq!(running, (200, br#"{"state":"running"}"#.to_vec()));
+            let addr = site.daemons[cancelled_at].callers;
+            site.send(addr, "DELETE", &path, Vec::new(), 2_000).await.unwrap().0
+        };
+        let began = Instant::now();
+        let (answer, status) = futures_util::future::join(site.submit(0, &job), cancel).await;
+        let (answered, body) = answer.unwrap();
+        assert_eq!((answered, status), (200, 200), "{body}");
+        assert!(body.contains("cancelled"), "{body}");
+        assert!(began.elapsed() < Duration::from_millis(1_300), "it does not wait for the runs");
+        pause(200).await;
+        assert!(site.workers.iter().all(|worker| worker.running() == 0), "its runs are stopped");
+        let again = site.send(site.daemons[0].callers, "DELETE", &path, Vec::new(), 2_000).await;
+        assert_eq!(again.unwrap().0, 410);
+    }
+}
+
 #[actix_rt::test]
 async fn a_job_that_cannot_be_done_fails_after_its_attempts() {
     let site = start(1, 1, 2).await;
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -164,6 +164,19 @@
     Moved(Progress),
 }
 
+impl Outcome {
+    /// Gives the outcome as it stands in logs: a reason, where there is one.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Completed => "completed",
+            Self::Failed(reason) | Self::NotRun { reason, .. } | Self::GivenUp(reason) => {
+                reason.as_str()
+            }
+            Self::Moved(_) => "moved",
+        }
+    }
+}
+
 /// What is known of a job that was submitted to an earlier owner of the cell.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
