Successor instead of heir, plain terms in comments, one way to listen

Cause: names and comments of the older packages spoke in metaphors (heir, patience, a peer's word), and two daemons had the same error and function for an address that cannot be used. Change: renamed throughout, in the state that clementinectl shows as well; httpedge::server::listen with its error serves both daemons.

--- a/crates/clementinectl/src/state.rs
+++ b/crates/clementinectl/src/state.rs
@@ -54,11 +54,11 @@
         }
         println!("ticket of job {}", body["ticket_job"]);
         println!("home {} in zone {}", body["home"], body["home_zone"]);
-        if !body["heir"].is_null() {
-            println!("the home drained; its heir is {}", body["heir"]);
+        if !body["successor"].is_null() {
+            println!("the home drained; its successor is {}", body["successor"]);
         }
         if body["answered_here"] == false {
-            println!("this daemon does not answer for it; ask the home or the heir");
+            println!("this daemon does not answer for it; ask the home or the successor");
             return Ok(SUCCESS);
         }
         let here = &body["here"];
--- a/crates/clementined/src/callers.rs
+++ b/crates/clementined/src/callers.rs
@@ -133,8 +133,8 @@
             return Ticketed { ticket: text, answer };
         }
         let reason = if ready { Reason::Draining } else { Reason::NotReady };
-        let heirs = self.membership.borrow().heirs(self.now());
-        let (Some(peer), HomeCall::Submit { request, wait_ms }) = (heirs.first(), call) else {
+        let successors = self.membership.borrow().successors(self.now());
+        let (Some(peer), HomeCall::Submit { request, wait_ms }) = (successors.first(), call) else {
             return Ticketed { ticket: String::new(), answer: Answer::not_run(reason) };
         };
         let ask = Ask::Submit { ticket: None, request, wait_ms };
@@ -153,7 +153,7 @@
 
     /// Puts a call to the home of a ticket, wherever that is.
     pub async fn call_home(self: &Rc<Self>, ticket: &Ticket, text: &str, call: HomeCall) -> Answer {
-        let answer = match self.call_home_or_heir(ticket, text, call.clone()).await {
+        let answer = match self.call_home_or_successor(ticket, text, call.clone()).await {
             Some(answer) => answer,
             None => self.forward(ticket.home, text, call.clone()).await,
         };
@@ -188,8 +188,8 @@
         journalled.unwrap_or(lost)
     }
 
-    /// Answers as the home, or asks the known heir; none where neither is known.
-    pub async fn call_home_or_heir(
+    /// Answers as the home, or asks the known successor; none where neither is known.
+    pub async fn call_home_or_successor(
         self: &Rc<Self>,
         ticket: &Ticket,
         text: &str,
@@ -201,11 +201,11 @@
         }
         let mut waited_ms = 0;
         loop {
-            let heir = self.membership.borrow().heir_of(incarnation);
-            if let Some(heir) = heir
-                && heir.to != self.incarnation
+            let successor = self.membership.borrow().successor_of(incarnation);
+            if let Some(successor) = successor
+                && successor.to != self.incarnation
             {
-                return Some(self.forward(heir.to_addr, text, call).await);
+                return Some(self.forward(successor.to_addr, text, call).await);
             }
             let leaving = self.phase.get() == Phase::HandedOver;
             if !leaving || waited_ms >= HANDOVER_WAIT_MS {
--- a/crates/clementined/src/drain.rs
+++ b/crates/clementined/src/drain.rs
@@ -18,19 +18,19 @@
 /// Heartbeats of the farewell count above the ordinary ones of the same millisecond.
 const FAREWELL_COUNT: u64 = 900;
 
-/// What became of the order to an heir.
+/// What became of the order to a successor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Handed {
-    /// The heir answers from now on.
+    /// The successor answers from now on.
     Taken,
-    /// The heir does not and will not answer.
+    /// The successor does not and will not answer.
     Refused,
-    /// It is not known whether the heir answers.
+    /// It is not known whether the successor answers.
     Lost,
 }
 
 impl Daemon {
-    /// Finishes what is in flight, gives the tables to an heir and tells the others.
+    /// Finishes what is in flight, gives the tables to a successor and tells the others.
     pub async fn drain(self: &Rc<Self>) {
         log::info!("drain: Begins.");
         self.phase.set(Phase::Draining);
@@ -45,7 +45,7 @@
         }
         self.phase.set(Phase::HandedOver);
         let tables = self.engine.borrow_mut().hand_over(self.now());
-        if self.find_heir(&tables).await {
+        if self.find_successor(&tables).await {
             for beat in 0..FAREWELL_BEATS {
                 self.send_beat(FAREWELL_COUNT + beat, true).await;
                 actix_rt::time::sleep(FAREWELL_PAUSE).await;
@@ -57,39 +57,39 @@
         log::info!("drain: Ends.");
     }
 
-    async fn find_heir(self: &Rc<Self>, tables: &[HandedTable]) -> bool {
+    async fn find_successor(self: &Rc<Self>, tables: &[HandedTable]) -> bool {
         let until = self.now().plus(self.config.drain_limit_ms);
         loop {
-            let heirs = self.membership.borrow().heirs(self.now());
-            for heir in &heirs {
-                if !self.offer(heir, tables).await {
+            let successors = self.membership.borrow().successors(self.now());
+            for successor in &successors {
+                if !self.offer(successor, tables).await {
                     continue;
                 }
-                match self.hand_to(heir, tables).await {
+                match self.hand_to(successor, tables).await {
                     Handed::Taken => return true,
                     Handed::Refused => {}
                     Handed::Lost => return false,
                 }
             }
             if self.now() > until {
-                log::error!("drain: No heir; answers for these tickets become unknown.");
+                log::error!("drain: No successor; answers for these tickets become unknown.");
                 return false;
             }
             actix_rt::time::sleep(TAKE_OVER_PAUSE).await;
         }
     }
 
-    async fn offer(&self, heir: &Peer, tables: &[HandedTable]) -> bool {
+    async fn offer(&self, successor: &Peer, tables: &[HandedTable]) -> bool {
         let offer = Ask::OfferTables(tables.to_vec());
-        let told = self.links.call(heir.last.addr, offer, OFFER_WAIT_MS).await;
+        let told = self.links.call(successor.last.addr, offer, OFFER_WAIT_MS).await;
         matches!(told, Ok(Tell::Done))
     }
 
-    /// Orders the heir to answer from now on. Another may be asked only after its plain refusal:
+    /// Orders the successor to answer from now on. Another may be asked only after its plain refusal:
     /// without a word from it, it may answer already.
-    async fn hand_to(&self, heir: &Peer, tables: &[HandedTable]) -> Handed {
+    async fn hand_to(&self, successor: &Peer, tables: &[HandedTable]) -> Handed {
         for _ in 0..TAKE_OVER_TRIES {
-            let told = self.links.call(heir.last.addr, Ask::TakeOver, OFFER_WAIT_MS).await;
+            let told = self.links.call(successor.last.addr, Ask::TakeOver, OFFER_WAIT_MS).await;
             if matches!(told, Ok(Tell::Refused)) {
                 return Handed::Refused;
             }
@@ -98,17 +98,17 @@
                 for table in tables {
                     let inheritance = Inheritance {
                         from: table.incarnation,
-                        to: heir.last.incarnation,
-                        to_addr: heir.last.addr,
+                        to: successor.last.incarnation,
+                        to_addr: successor.last.addr,
                     };
                     self.membership.borrow_mut().inherits(inheritance, now);
                 }
-                log::info!("drain: {} answers from now on.", heir.last.incarnation);
+                log::info!("drain: {} answers from now on.", successor.last.incarnation);
                 return Handed::Taken;
             }
             actix_rt::time::sleep(TAKE_OVER_PAUSE).await;
         }
-        log::error!("drain: The heir {} is lost.", heir.last.incarnation);
+        log::error!("drain: The successor {} is lost.", successor.last.incarnation);
         Handed::Lost
     }
 }
--- a/crates/clementined/src/exit_codes.rs
+++ b/crates/clementined/src/exit_codes.rs
@@ -15,7 +15,7 @@
 pub const fn of(error: &DaemonError) -> u8 {
     match error {
         DaemonError::Config(_) => SETTINGS,
-        DaemonError::Listen { .. } => ADDRESS,
+        DaemonError::Listen(_) => ADDRESS,
         DaemonError::Logging(_) | DaemonError::Metrics(_) => FAILURE,
     }
 }
--- a/crates/clementined/src/operators.rs
+++ b/crates/clementined/src/operators.rs
@@ -56,7 +56,7 @@
     home: String,
     home_zone: String,
     answered_here: bool,
-    heir: Option<String>,
+    successor: Option<String>,
     here: Option<Explanation>,
 }
 
@@ -165,13 +165,14 @@
         };
         let incarnation = ticket.job.incarnation;
         let here = self.engine.borrow().answers_for(incarnation);
-        let heir = self.membership.borrow().heir_of(incarnation);
+        let successor = self.membership.borrow().successor_of(incarnation);
         let body = ExplainBody {
             ticket_job: ticket.job.to_string(),
             home: ticket.home.to_string(),
             home_zone: ticket.zone,
             answered_here: here,
-            heir: heir.map(|heir| format!("{} at {}", heir.to, heir.to_addr)),
+            successor: successor
+                .map(|successor| format!("{} at {}", successor.to, successor.to_addr)),
             here: here.then(|| self.engine.borrow().explain(ticket.job, self.now())),
         };
         Response::json(200, &body)
--- a/crates/clementined/src/peers.rs
+++ b/crates/clementined/src/peers.rs
@@ -49,7 +49,7 @@
         let Ok(ticket) = self.keys.check(&text) else {
             return Tell::Answer { ticket: text, answer: Answer::unknown(Reason::HomeGone) };
         };
-        let answer = self.call_home_or_heir(&ticket, &text, call).await;
+        let answer = self.call_home_or_successor(&ticket, &text, call).await;
         let answer = answer.unwrap_or_else(|| Answer::unknown(Reason::HomeGone));
         Tell::Answer { ticket: text, answer }
     }
--- a/crates/clementined/src/run.rs
+++ b/crates/clementined/src/run.rs
@@ -1,12 +1,11 @@
 //! Runs a daemon from its settings to its end.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_rt::net::{TcpListener, UdpSocket};
 use dispatch::engine::Event;
-use httpedge::server::{Limits, serve};
+use httpedge::server::{Limits, ListenError, listen, serve};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::cli::Args;
@@ -65,11 +64,8 @@
     let callers = listen(config.callers, "callers").await?;
     let operators = listen(config.operators, "operators").await?;
     let peers = listen(config.peers, "peers").await?;
-    let beats = UdpSocket::bind(config.peers).await.map_err(|why| DaemonError::Listen {
-        addr: config.peers,
-        part: "heartbeats",
-        why,
-    })?;
+    let (addr, part) = (config.peers, "heartbeats");
+    let beats = UdpSocket::bind(addr).await.map_err(|why| ListenError { addr, part, why })?;
     let daemon = Daemon::new(config, Sockets { beats })?;
     log::info!("daemon: {} serves callers on {}.", daemon.incarnation, daemon.config.callers);
     serve_all(&daemon, callers, operators, peers);
@@ -110,8 +106,3 @@
         daemon.drive(Event::Tick);
     }
 }
-
-async fn listen(addr: SocketAddr, part: &'static str) -> Result<TcpListener, DaemonError> {
-    let listening = TcpListener::bind(addr).await;
-    listening.map_err(|why| DaemonError::Listen { addr, part, why })
-}
--- a/crates/clementined/tests/path.rs
+++ b/crates/clementined/tests/path.rs
@@ -66,7 +66,7 @@
 }
 
 #[test]
-fn a_drain_cuts_off_nothing_and_the_heir_answers_for_its_tickets() {
+fn a_drain_cuts_off_nothing_and_the_successor_answers_for_its_tickets() {
     run(async {
         let mut env = TestEnv::start(&["bergamo"], 3, 3).await;
         let done = env.ticket(0).await;
@@ -91,7 +91,7 @@
             assert_eq!(answer.verdict, Verdict::Complete, "{:?}", answer.reason);
         }
         let answer = env.submit(2, &unused, &coverage_job("coverage-check", &[20], &[20], 3)).await;
-        assert_eq!(answer.verdict, Verdict::Complete, "an unused ticket runs at the heir");
+        assert_eq!(answer.verdict, Verdict::Complete, "an unused ticket runs at the successor");
         assert_eq!(env.starts().await, (1, 9));
     });
 }
--- a/crates/clementined/tests/support/mod.rs
+++ b/crates/clementined/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use measure::calls;
 use measure::fleet::{Fleet, sample_catalogue};
 
-const PATIENCE: Duration = Duration::from_secs(30);
+const END_TIMEOUT: Duration = Duration::from_secs(30);
 
 pub struct TestEnv {
     pub fleet: Fleet,
@@ -79,7 +79,7 @@
     /// Waits for a drained daemon's end and gives its exit status.
     pub async fn await_end(&mut self, place: usize) -> Option<i32> {
         let began = Instant::now();
-        while began.elapsed() < PATIENCE {
+        while began.elapsed() < END_TIMEOUT {
             let child = self.daemons[place].as_mut().unwrap();
             if let Some(status) = child.try_wait().unwrap() {
                 self.daemons[place] = None;
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -429,7 +429,7 @@
         self.jobs.len()
     }
 
-    /// Gives every home table away, for an heir; only lawful without open jobs.
+    /// Gives every home table away, for a successor; only lawful without open jobs.
     pub fn hand_over(&mut self, now: Millis) -> Vec<HandedTable> {
         self.home.hand_over(now)
     }
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Takes a worker's word on a start or on a task in doubt.
+    /// Takes in a worker's reply to a start, or to a question about a task in doubt.
     ///
     /// A reply to an earlier attempt must not be taken for one to the present attempt: a late
     /// "never will" would otherwise free a task that runs elsewhere.
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -9,7 +9,7 @@
 
 /// Blame at which a worker is set aside.
 const ASIDE_BLAME: f64 = 2.5;
-/// Blame that a peer's word of a bad worker adds: one own failure then suffices.
+/// Failures that a peer's report of a bad worker counts for: one own failure then suffices.
 const TOLD_BLAME: f64 = 1.75;
 const FIRST_ASIDE_MS: u64 = 2_000;
 const LONGEST_ASIDE_MS: u64 = 60_000;
@@ -107,7 +107,7 @@
         self.blame = 0.0;
     }
 
-    /// Takes a peer's word that the worker is bad.
+    /// Takes in a peer's report that the worker is bad.
     pub fn told_bad(&mut self) {
         if self.trust == Trust::Full {
             self.blame = self.blame.max(TOLD_BLAME);
--- a/crates/dispatch/src/home.rs
+++ b/crates/dispatch/src/home.rs
@@ -45,7 +45,7 @@
     until_ms: Millis,
 }
 
-/// One incarnation's table as it goes to an heir, with times as spans from the handover.
+/// One incarnation's table as it goes to a successor, with times as spans from the handover.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 pub struct HandedTable {
@@ -53,7 +53,7 @@
     pub incarnation: Incarnation,
     /// The used bits and the unused range.
     pub window: Window,
-    /// The giver's clock at the handover, by which the heir shifts all times.
+    /// The giver's clock at the handover, by which the successor shifts all times.
     pub given_at_ms: Millis,
     held: Vec<(u64, HeldAnswer)>,
 }
--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -25,7 +25,7 @@
     pub from: Incarnation,
     /// The incarnation that answers for it.
     pub to: Incarnation,
-    /// Where the heir is reached.
+    /// Where the successor is reached.
     pub to_addr: SocketAddr,
 }
 
@@ -166,7 +166,7 @@
     }
 
     /// Finds who answers for an incarnation that drained, also over several drains.
-    pub fn heir_of(&self, incarnation: Incarnation) -> Option<Inheritance> {
+    pub fn successor_of(&self, incarnation: Incarnation) -> Option<Inheritance> {
         let mut found = self.inheritances.get(&incarnation)?.0;
         for _ in 0..self.inheritances.len() {
             match self.inheritances.get(&found.to) {
@@ -215,7 +215,7 @@
     }
 
     /// Orders the peers that may inherit: the own zone first, then by address.
-    pub fn heirs(&self, now: Millis) -> Vec<Peer> {
+    pub fn successors(&self, now: Millis) -> Vec<Peer> {
         let mut open: Vec<Peer> = self.live(now).filter(|p| !p.last.draining).cloned().collect();
         open.sort_by_key(|peer| (peer.last.zone != self.zone, peer.last.addr));
         open
@@ -328,7 +328,7 @@
     }
 
     #[test]
-    fn an_heir_is_found_over_several_drains() {
+    fn an_successor_is_found_over_several_drains() {
         let mut view = Membership::new(Incarnation(1), addr(10), "bergamo", &[]);
         let hop = |from, to, port| Inheritance {
             from: Incarnation(from),
@@ -337,7 +337,7 @@
         };
         view.inherits(hop(5, 6, 60), Millis(0));
         view.inherits(hop(6, 7, 70), Millis(0));
-        let heir = view.heir_of(Incarnation(5)).map(|found| found.to);
-        assert_eq!(heir, Some(Incarnation(7)));
+        let successor = view.successor_of(Incarnation(5)).map(|found| found.to);
+        assert_eq!(successor, Some(Incarnation(7)));
     }
 }
--- a/crates/dispatch/src/shares.rs
+++ b/crates/dispatch/src/shares.rs
@@ -86,8 +86,8 @@
 const LONGEST_PAUSE_MS: u64 = 1_600;
 /// The shortest time between two asks of one daemon.
 const ASK_EVERY_MS: u64 = 5;
-/// The wait from which daemons of the own zone are asked.
-const PATIENCE_MS: u64 = 8;
+/// The wait from which daemons of the own zone are asked, in milliseconds.
+const ZONE_ASK_WAIT_MS: u64 = 8;
 /// How much longer the asker must have waited than the giver's own first task.
 const FAIR_MARGIN_MS: u64 = 40;
 /// The same as a part of the asker's wait.
@@ -131,7 +131,7 @@
     /// Decides whom to ask for slots.
     pub fn ask(&mut self, need: &Need, now: Millis) -> Option<(Incarnation, SlotAsk)> {
         let wait_ms = need.waited_ms + need.drain_ms;
-        if !self.may_ask(now) || wait_ms < PATIENCE_MS.min(self.spill_ms) {
+        if !self.may_ask(now) || wait_ms < ZONE_ASK_WAIT_MS.min(self.spill_ms) {
             return None;
         }
         let spills = wait_ms >= self.spill_ms;
@@ -155,7 +155,7 @@
         Some((peer, SlotAsk { want, waited_ms: need.waited_ms }))
     }
 
-    /// Takes a grant's word on its giver, which may be asked again.
+    /// Takes in a grant's note of how many slots its giver still has free; it may be asked again.
     pub fn granted(&mut self, from: Incarnation, idle_left: u32) {
         if idle_left > 0 {
             self.asked.remove(&from);
--- a/crates/dispatch/src/workers.rs
+++ b/crates/dispatch/src/workers.rs
@@ -122,7 +122,7 @@
 const CLAIM_HINTS: u32 = 4;
 /// A hint on free slots counts for this long.
 const FRESH_HINT_MS: u64 = 300;
-/// A worker of which no share is held is tried after this long without a word.
+/// A worker of which no share is held is tried after this long without a reply.
 const UNHEARD_MS: u64 = 2_000;
 /// Ready workers looked at for a task without needs, which nearly every worker fits.
 const PLAIN_SCAN: usize = 64;
@@ -350,7 +350,7 @@
         now_aside
     }
 
-    /// Takes a peer's word that a worker is bad.
+    /// Takes in a peer's report that a worker is bad.
     pub fn told_bad(&mut self, addr: SocketAddr) {
         if let Some(index) = self.by_addr.get(&addr) {
             self.list[*index as usize].health.told_bad();
--- a/crates/dispatch/tests/at_most_once.rs
+++ b/crates/dispatch/tests/at_most_once.rs
@@ -22,7 +22,7 @@
     Lose(usize),
     Pass(u64),
     Crash(usize),
-    Drain { home: usize, heir: usize },
+    Drain { home: usize, successor: usize },
     Restart,
     LogOut(bool),
     WorkerDies(usize),
@@ -41,7 +41,7 @@
         8 => prop_oneof![Just(1_u64), Just(50), Just(150), Just(3_000), Just(30_000)]
             .prop_map(Step::Pass),
         1 => (0..HOMES).prop_map(Step::Crash),
-        2 => (0..HOMES, 0..HOMES).prop_map(|(home, heir)| Step::Drain { home, heir }),
+        2 => (0..HOMES, 0..HOMES).prop_map(|(home, successor)| Step::Drain { home, successor }),
         1 => Just(Step::Restart),
         1 => any::<bool>().prop_map(Step::LogOut),
         1 => (0..WORKERS).prop_map(Step::WorkerDies),
@@ -64,7 +64,7 @@
         Step::Lose(place) => world.deliver(*place, true),
         Step::Pass(span_ms) => world.pass(*span_ms),
         Step::Crash(home) => world.crash(*home),
-        Step::Drain { home, heir } => world.drain(*home, *heir),
+        Step::Drain { home, successor } => world.drain(*home, *successor),
         Step::Restart => {
             world.add_home();
         }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -90,7 +90,7 @@
     pub now: Millis,
     pub homes: Vec<Option<Engine>>,
     pub incarnations: Vec<Incarnation>,
-    pub heirs: HashMap<Incarnation, Incarnation>,
+    pub successors: HashMap<Incarnation, Incarnation>,
     pub workers: BTreeMap<SocketAddr, FakeWorker>,
     pub parcels: Vec<Parcel>,
     pub starts: HashMap<TaskId, usize>,
@@ -136,7 +136,7 @@
             now: Millis(1_000_000),
             homes: Vec::new(),
             incarnations: Vec::new(),
-            heirs: HashMap::new(),
+            successors: HashMap::new(),
             workers: (0..workers).map(|w| (worker_addr(w), FakeWorker::default())).collect(),
             parcels: Vec::new(),
             starts: HashMap::new(),
@@ -203,7 +203,7 @@
         Some(self.asked.len() - 1)
     }
 
-    /// Submits a ticket's job again, wherever its home or heir is now.
+    /// Submits a ticket's job again, wherever its home or successor is now.
     pub fn resubmit(&mut self, place: usize) {
         let asked = self.asked[place].clone();
         let request = self.next_request(place);
@@ -281,8 +281,8 @@
     }
 
     /// Drains a home into another where it has no open jobs, as the daemon does.
-    pub fn drain(&mut self, home: usize, heir: usize) {
-        if home == heir || self.homes[home].is_none() || self.homes[heir].is_none() {
+    pub fn drain(&mut self, home: usize, successor: usize) {
+        if home == successor || self.homes[home].is_none() || self.homes[successor].is_none() {
             return;
         }
         let now = self.now;
@@ -293,13 +293,13 @@
             return;
         }
         let tables = engine.hand_over(now);
-        let to = self.incarnations[heir];
+        let to = self.incarnations[successor];
         for mut table in tables {
             if self.plant {
                 table.plant_forgotten_use();
             }
-            self.heirs.insert(table.incarnation, to);
-            if let Some(engine) = self.homes[heir].as_mut() {
+            self.successors.insert(table.incarnation, to);
+            if let Some(engine) = self.homes[successor].as_mut() {
                 engine.inherit(table, now);
             }
         }
@@ -358,8 +358,8 @@
 
     fn home_of(&self, job: JobId) -> Option<usize> {
         let mut incarnation = job.incarnation;
-        while let Some(heir) = self.heirs.get(&incarnation) {
-            incarnation = *heir;
+        while let Some(successor) = self.successors.get(&incarnation) {
+            incarnation = *successor;
         }
         let place = self.incarnations.iter().position(|own| *own == incarnation)?;
         self.homes[place].as_ref().map(|_| place)
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -1,6 +1,6 @@
 //! Why the daemon could not run.
 
-use std::net::SocketAddr;
+use httpedge::server::ListenError;
 
 use crate::settings::SettingsError;
 
@@ -12,15 +12,8 @@
     #[error(transparent)]
     Settings(#[from] SettingsError),
     /// An address could not be listened on.
-    #[error("cannot listen on {addr} for {part}: {why}; free the address or change the settings")]
-    Listen {
-        /// The address.
-        addr: SocketAddr,
-        /// What it was for.
-        part: &'static str,
-        /// The system's words.
-        why: std::io::Error,
-    },
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     /// Logging could not be set up.
     #[error("cannot set up logging: {0}; start one daemon in a process")]
     Logging(#[from] log::SetLoggerError),
@@ -44,7 +37,7 @@
     pub const fn exit_code(&self) -> u8 {
         match self {
             Self::Settings(_) => SETTINGS,
-            Self::Listen { .. } => ADDRESS,
+            Self::Listen(_) => ADDRESS,
             Self::Logging(_) | Self::Metrics(_) | Self::Signals(_) => FAILURE,
         }
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,11 +1,10 @@
 //! Runs a daemon from its settings to its end.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_rt::net::TcpListener;
-use httpedge::server::{Limits, Request, Response, serve};
+use httpedge::server::{Limits, Request, Response, listen, serve};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::callers::MAX_BODY_BYTES;
@@ -130,8 +129,3 @@
         current = fresh;
     }
 }
-
-async fn listen(addr: SocketAddr, part: &'static str) -> Result<TcpListener, EntryError> {
-    let listening = TcpListener::bind(addr).await;
-    listening.map_err(|why| EntryError::Listen { addr, part, why })
-}
--- a/crates/httpedge/src/server.rs
+++ b/crates/httpedge/src/server.rs
@@ -1,6 +1,7 @@
 //! The serving side: whole requests in, whole responses out, on the local thread.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,27 @@
 /// How long the server pauses after a failed accept, such as one for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// An address could not be listened on.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+#[error("cannot listen on {addr} for {part}: {why}; free the address or change the settings")]
+pub struct ListenError {
+    /// The address.
+    pub addr: SocketAddr,
+    /// What it was for.
+    pub part: &'static str,
+    /// What the system said.
+    pub why: std::io::Error,
+}
+
+/// Listens on an address for a part of a daemon.
+///
+/// # Errors
+/// Fails where the address cannot be used.
+pub async fn listen(addr: SocketAddr, part: &'static str) -> Result<TcpListener, ListenError> {
+    TcpListener::bind(addr).await.map_err(|why| ListenError { addr, part, why })
+}
+
 /// One whole request.
 #[derive(Clone, Debug)]
 pub struct Request {
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -12,7 +12,7 @@
     pub records: Vec<String>,
 }
 
-/// The log service's word that records stand in the log.
+/// The log service's acknowledgement of an append.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 pub struct Appended {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,7 @@
 //! Small stand-ins for the systems that clementinedock talks to.
 //!
 //! They keep their own ledgers, so that invariants are checked against what happened
-//! and never against the daemon's word. Faults are switched on over HTTP.
+//! and never against what the daemon says. Faults are switched on over HTTP.
 
 pub mod coverage;
 pub mod ledger;
--- a/crates/upstreams/src/wire.rs
+++ b/crates/upstreams/src/wire.rs
@@ -136,7 +136,7 @@
     pub lease_ms: u64,
 }
 
-/// A worker's word that it has done what it was told.
+/// A worker's confirmation of an order.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 pub struct Done {
