Part replies and runs from the pool and the worker

Change: pool::replies takes in replies and ends of runs, pool::run is one run. No line of a decision changed.

--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -1,6 +1,7 @@
 //! The dump of a daemon's state, for operators.
 
-use pool::worker::{RunState, Worker};
+use pool::run::RunState;
+use pool::worker::Worker;
 use serde::Serialize;
 
 use crate::state::Entry;
--- a/crates/pool/src/claims.rs
+++ b/crates/pool/src/claims.rs
@@ -10,7 +10,8 @@
 use crate::call::End;
 use crate::job::{Earlier, Job, TaskState};
 use crate::pool::{Pool, SILENCE_MS};
-use crate::worker::{LEASE_BOUND_MS, Run, RunState};
+use crate::run::{Run, RunState};
+use crate::worker::LEASE_BOUND_MS;
 
 /// Gives how long runs of an earlier owner can go on unseen. An owner that fell silent learns of
 /// it only as long after as a link may be silent.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -10,31 +10,22 @@
 use dispatch::clock::Millis;
 use serde::{Deserialize, Serialize};
 
-use crate::call::{
-    End, LookCall, LookReply, Refusal, StartCall, StartReply, StopCall, StopReply, Target,
-};
+use crate::call::{LookCall, StartCall, StopCall, Target};
 use crate::catalogue::{Terms, WorkerEntry};
 use crate::claims::doubt_ms;
 use crate::estimate::Estimates;
 use crate::job::{Earlier, Job, JobSpec, Outcome, Progress, Reason, Step, TaskName, TaskState};
 use crate::placement::{self, Need};
 use crate::queue;
-use crate::worker::{Change, LEASE_MS, Run, RunState, Worker};
+use crate::run::{Run, RunState};
+use crate::worker::{Change, LEASE_MS, Worker};
 
-/// How far a start's number jumps where the worker knows a higher one, such as of an earlier
-/// request with the same id.
-const RUN_NUMBER_JUMP: u32 = 16;
 /// How long a link between daemons may be silent before both sides take it for broken, in
 /// milliseconds: about a third of the time that callers of the users' kinds wait.
 pub const SILENCE_MS: u64 = 450;
 /// How long a daemon may stand still and keep the jobs of others, in milliseconds; under
 /// [`SILENCE_MS`]. It takes a turn every 100 ms at the least.
 pub const MAX_GAP_MS: u64 = 350;
-/// The pause before a look that follows a stop, in milliseconds.
-const LOOK_AFTER_STOP_MS: u64 = 30;
-/// The part of a task's declared time after which its end is looked for.
-const FIRST_LOOK_SHARE: f64 = 0.4;
-
 /// What the daemon is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -203,72 +194,6 @@
         self.advance(now);
     }
 
-    /// Takes the reply to a start.
-    pub fn start_reply(&mut self, now: Millis, id: &str, call: &StartCall, reply: StartReply) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(run) = worker.runs.get_mut(&call.task).filter(|run| run.run == call.run) else {
-            return;
-        };
-        match reply {
-            StartReply::Started { clock_ms } => {
-                if run.state == RunState::Starting {
-                    run.state = RunState::Running;
-                    run.since = now;
-                }
-                let first_look_ms = (run.expected_ms as f64 * FIRST_LOOK_SHARE) as u64;
-                worker.note_clock(clock_ms, now);
-                worker.look_no_later_than(now.plus(first_look_ms));
-            }
-            StartReply::Lost => {
-                run.state = RunState::InDoubt;
-                run.since = now;
-                self.send_stop(id, &call.task, call.run);
-            }
-            StartReply::Refused(refusal) => self.start_refused(now, id, call, refusal),
-        }
-        self.advance(now);
-    }
-
-    /// Takes the reply to a stop.
-    pub fn stop_reply(&mut self, now: Millis, id: &str, call: &StopCall, reply: StopReply) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        match reply {
-            StopReply::Stopped => {
-                if let Some(run) = worker.runs.get_mut(&call.task)
-                    && run.run == call.run
-                {
-                    run.state = RunState::Stopping;
-                    run.since = now;
-                }
-                worker.look_no_later_than(now.plus(LOOK_AFTER_STOP_MS));
-            }
-            StopReply::Refused(Refusal::Fenced) => self.lose(),
-            StopReply::Refused(_) | StopReply::Lost => {
-                worker.look_no_later_than(now.plus(LOOK_AFTER_STOP_MS));
-            }
-        }
-        self.advance(now);
-    }
-
-    /// Takes the reply to a look that was sent at `sent_at`.
-    pub fn look_reply(&mut self, now: Millis, id: &str, sent_at: Millis, reply: &LookReply) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let changes = match reply {
-            LookReply::Report(report) => worker.take_report(now, sent_at, report),
-            LookReply::Refused(Refusal::Fenced) => {
-                self.lose();
-                return;
-            }
-            LookReply::Refused(Refusal::OtherLifetime) => {
-                let entry = worker.entry.clone();
-                worker.restart(entry, now)
-            }
-            LookReply::Refused(_) | LookReply::Lost => worker.look_unanswered(now),
-        };
-        self.apply(now, changes, Some(id));
-        self.advance(now);
-    }
-
     /// Lets time pass: looks, refusals and ends that are due.
     pub fn advance(&mut self, now: Millis) {
         if self.fenced {
@@ -445,77 +370,6 @@
         }
     }
 
-    fn start_refused(&mut self, now: Millis, id: &str, call: &StartCall, refusal: Refusal) {
-        if refusal == Refusal::Fenced {
-            self.lose();
-            return;
-        }
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(run) = worker.remove(&call.task) else { return };
-        match refusal {
-            Refusal::NoRoom | Refusal::Late => worker.distrust_room(now),
-            Refusal::Unwell | Refusal::NotSent => worker.pause(now),
-            Refusal::OtherLifetime => worker.look_no_later_than(now),
-            Refusal::OldRun | Refusal::Unreadable | Refusal::Fenced => {}
-        }
-        let Some((number, at)) = run.of else { return };
-        let Some(job) = self.jobs.get_mut(&number) else { return };
-        job.tasks[at].state = TaskState::Pending;
-        if refusal == Refusal::OldRun {
-            job.tasks[at].run += RUN_NUMBER_JUMP;
-        }
-        if refusal == Refusal::Unreadable {
-            self.task_failed(now, number, at);
-        }
-    }
-
-    fn apply(&mut self, now: Millis, changes: Vec<Change>, id: Option<&str>) {
-        for change in changes {
-            match change {
-                Change::Ended { of: (number, at), end, usual_ms } => {
-                    self.learn(number, at, end, usual_ms);
-                    self.task_ended(now, number, at, end);
-                }
-                Change::Stop { task, run } => {
-                    if let Some(id) = id {
-                        self.send_stop(id, &task, run);
-                    }
-                }
-            }
-        }
-    }
-
-    fn learn(&mut self, number: u64, at: usize, end: End, usual_ms: f64) {
-        let Some(job) = self.jobs.get(&number).filter(|_| end == End::Done) else { return };
-        let declared_ms = job.spec.steps[job.tasks[at].step as usize].estimate_ms;
-        self.estimates.learn(&job.terms.route, declared_ms, usual_ms);
-    }
-
-    fn task_ended(&mut self, now: Millis, number: u64, at: usize, end: End) {
-        let Some(job) = self.jobs.get_mut(&number) else { return };
-        match end {
-            End::Done => {
-                job.tasks[at].state = TaskState::Done;
-                self.finish_if_done(number);
-            }
-            End::Cut => job.tasks[at].state = TaskState::Pending,
-            End::Failed => {
-                job.tasks[at].state = TaskState::Pending;
-                self.task_failed(now, number, at);
-            }
-        }
-    }
-
-    fn task_failed(&mut self, now: Millis, number: u64, at: usize) {
-        let Some(job) = self.jobs.get_mut(&number) else { return };
-        job.tasks[at].failures += 1;
-        if job.tasks[at].failures < job.terms.max_attempts.max(1) {
-            return;
-        }
-        self.answer(number, Outcome::Failed(Reason::TaskFailed));
-        self.drop_job(now, number);
-    }
-
     pub(crate) fn finish_if_done(&mut self, number: u64) {
         if !self.jobs.get(&number).is_some_and(Job::is_done) {
             return;
@@ -524,7 +378,7 @@
         self.forget(number);
     }
 
-    fn answer(&mut self, job: u64, outcome: Outcome) {
+    pub(crate) fn answer(&mut self, job: u64, outcome: Outcome) {
         let mut numbers: Vec<u64> = Vec::new();
         self.watchers.retain(|number, watched| {
             if *watched == job {
@@ -547,7 +401,7 @@
     }
 
     /// Stops every run of a job that nobody waits for.
-    fn drop_job(&mut self, now: Millis, number: u64) {
+    pub(crate) fn drop_job(&mut self, now: Millis, number: u64) {
         self.forget(number);
         let mut stops = Vec::new();
         for (id, worker) in &mut self.workers {
@@ -567,7 +421,7 @@
         }
     }
 
-    fn send_stop(&mut self, id: &str, task: &TaskName, run: u32) {
+    pub(crate) fn send_stop(&mut self, id: &str, task: &TaskName, run: u32) {
         let Some((id, worker)) = self.workers.get_key_value(id) else { return };
         let call = StopCall { task: task.clone(), run, token: self.token };
         self.actions.push(Action::Stop(worker.target(id), call));
