Read the workers' entries only where a daemon may own a cell

Cause: every daemon read the entry of every worker, which each worker writes anew every 1.5 s. Change: a daemon reads the entries while it holds a partition that may stand for a cell, and 5 s longer, since partitions come back when they are dealt anew. The others ask an owner once a second how many workers each zone has, which says how many cells there are. A daemon that does not know the workers does not take a cell handed over without the store. At 8 and 6 daemons all go on reading.

--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -14,6 +14,7 @@
     phase: String,
     config_version: Option<u64>,
     in_flight: usize,
+    knows_workers: bool,
     cells: Vec<CellDump>,
     owners: Vec<(String, String)>,
 }
@@ -61,6 +62,7 @@
             phase: format!("{:?}", self.phase.get()),
             config_version: self.catalogue.borrow().as_ref().map(|catalogue| catalogue.version),
             in_flight: self.in_flight.get(),
+            knows_workers: self.knows_workers.get(),
             cells: cells.collect(),
             owners: owners
                 .map(|(cell, owner)| (cell.to_string(), owner.addr.to_string()))
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -10,6 +10,8 @@
 use pool::queue::Backlog;
 use serde::{Deserialize, Serialize};
 
+use crate::counts::ZoneCount;
+
 /// The questions between entry daemons.
 #[derive(Clone, Copy, Debug)]
 pub enum Fleet {}
@@ -51,6 +53,8 @@
     Hello(SocketAddr, String),
     /// Cancel this job, if its caller waits at your daemon.
     CancelOpen(Rc<str>),
+    /// Tell how many workers each zone has.
+    WorkerCounts,
 }
 
 /// Who owns a cell.
@@ -80,4 +84,6 @@
     Cancelled,
     /// No caller waits here for the job.
     NotOpen,
+    /// How many workers each zone has.
+    WorkerCounts(Vec<ZoneCount>),
 }
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -45,19 +45,26 @@
         Some(offset)
     }
 
-    /// Follows the workers' entries for good.
+    /// Follows the workers' entries, while this daemon is to.
     pub async fn follow_workers(self: Rc<Self>) {
         let mut dropped = HashMap::new();
         loop {
+            self.await_workers_wanted().await;
             let Some((records, mut offset)) = self.list(WORKER_TOPIC).await else { continue };
             let listed: BTreeSet<String> =
                 records.iter().map(|record| record.key.clone()).collect();
             self.drop_unlisted(&listed, &mut dropped);
             self.apply_workers(&records, &mut dropped);
-            while let Some(records) = self.read_on(WORKER_TOPIC, &mut offset).await {
+            self.knows_workers.set(true);
+            while self.wants_workers.get() {
+                let Some(records) = self.read_on(WORKER_TOPIC, &mut offset).await else { break };
                 self.apply_workers(&records, &mut dropped);
                 pause(WORKERS_PAUSE_MS).await;
             }
+            // After a gap in the history the entries that were read are still the best that is known.
+            if !self.wants_workers.get() {
+                self.leave_workers();
+            }
         }
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cancel;
 pub mod cli;
 pub mod clock;
+pub mod counts;
 pub mod drain;
 pub mod dump;
 pub mod error;
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -7,7 +7,7 @@
 
 use adapter::store::{Held, Joined, Membership, Owner, StoreError};
 use dispatch::clock::Millis;
-use pool::cells::{Cell, cell_of, cells_of};
+use pool::cells::{Cell, cell_of, cells_of, may_stand_for_cell};
 use pool::pool::Pool;
 
 use crate::fleet::{Ask, Ownership, Tell};
@@ -133,7 +133,7 @@
         let now = self.now();
         let mut zones = BTreeSet::from([self.settings.zone.clone()]);
         for (zone, since) in &standing.empty_since {
-            let has_workers = self.directory.borrow().count_in(zone) > 0;
+            let has_workers = self.workers_in(zone) > 0;
             if has_workers && now.since(*since) >= EMPTY_ZONE_MS {
                 zones.insert(zone.clone());
             }
@@ -143,6 +143,9 @@
 
     /// Takes over new cells and gives lost ones up. Tells whether any was lost.
     fn take_dealt(self: &Rc<Self>, joined: &Joined) -> bool {
+        let partitions = self.settings.partitions;
+        let may_own = |held: &Held| may_stand_for_cell(held.partition, partitions);
+        self.note_may_own(joined.held.iter().any(may_own) || !self.owned.borrow().is_empty());
         let dealt = self.dealt_cells(&joined.held);
         let before: Vec<Cell> = self.owned.borrow().keys().cloned().collect();
         let now = self.now();
@@ -178,8 +181,7 @@
 
     /// Gives the cells of a zone.
     pub fn cells_in(&self, zone: &str) -> Vec<Cell> {
-        let workers = self.directory.borrow().count_in(zone);
-        cells_of(zone, workers, self.settings.partitions)
+        cells_of(zone, self.workers_in(zone), self.settings.partitions)
     }
 
     fn take_over(self: &Rc<Self>, cell: Cell, generation: u64) {
@@ -208,7 +210,8 @@
     pub fn take_handed(self: &Rc<Self>, cell: Cell, token: u64) -> Tell {
         let is_own_zone = *cell.zone == *self.settings.zone;
         let overtaken = self.fenced.borrow().get(&cell).is_some_and(|fenced| token <= *fenced);
-        let serves = self.phase.get() == Phase::Serving;
+        // A daemon that does not know the workers cannot learn of them without the store.
+        let serves = self.phase.get() == Phase::Serving && self.knows_workers.get();
         if !serves || !is_own_zone || overtaken || self.owned.borrow().contains_key(&cell) {
             return Tell::NotOwner;
         }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -194,7 +194,12 @@
                 self.metrics.forwarded.with_label_values(&["answered"]).inc();
                 Ok(Some((outcome, backlog)))
             }
-            Tell::NotOwner | Tell::Taken | Tell::Owners(_) | Tell::Cancelled | Tell::NotOpen => {
+            Tell::NotOwner
+            | Tell::Taken
+            | Tell::Owners(_)
+            | Tell::WorkerCounts(_)
+            | Tell::Cancelled
+            | Tell::NotOpen => {
                 self.metrics.forwarded.with_label_values(&["not_owner"]).inc();
                 Ok(None)
             }
@@ -202,7 +207,7 @@
     }
 
     /// Gives the address of a cell's owner, as far as it is known and answers.
-    fn owner_of(&self, cell: &Cell) -> Option<SocketAddr> {
+    pub fn owner_of(&self, cell: &Cell) -> Option<SocketAddr> {
         if self.owned.borrow().contains_key(cell) {
             return Some(self.settings.advertised);
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -21,6 +21,7 @@
 
 use crate::cancel::OpenJobs;
 use crate::clock::Clock;
+use crate::counts::ZoneCount;
 use crate::error::EntryError;
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
@@ -60,6 +61,16 @@
     pub catalogue: RefCell<Option<Rc<Catalogue>>>,
     /// The workers' entries.
     pub directory: RefCell<Directory>,
+    /// Whether this daemon is to read the workers' entries, and whether it has read them.
+    pub wants_workers: Value<bool>,
+    /// See [`Entry::wants_workers`].
+    pub knows_workers: Value<bool>,
+    /// Until when this daemon reads the workers' entries without owning a cell.
+    pub may_own_until: Value<Millis>,
+    /// Wakes the loop that reads the workers' entries.
+    pub workers_wanted: Notify,
+    /// How many workers each zone has, where another daemon told it.
+    pub told_counts: RefCell<Vec<ZoneCount>>,
     /// The cells that this daemon owns.
     pub owned: RefCell<BTreeMap<Cell, Owned>>,
     /// The daemon that owns each cell, as far as the store or other daemons told.
@@ -117,6 +128,11 @@
             incarnation,
             catalogue: RefCell::default(),
             directory: RefCell::default(),
+            wants_workers: Value::new(false),
+            knows_workers: Value::new(false),
+            may_own_until: Value::default(),
+            workers_wanted: Notify::new(),
+            told_counts: RefCell::default(),
             owned: RefCell::default(),
             owners: RefCell::new(Owners::new(settings.advertised)),
             others: RefCell::default(),
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -126,6 +126,32 @@
     assert!(ended.success());
 }
 
+/// Load pattern: reading the workers' entries costs workers times readers; with hundreds of daemons the
+/// store had no room left for reads of the configuration.
+#[actix_rt::test]
+async fn daemons_that_can_own_no_cell_serve_without_reading_the_workers() {
+    // The store deals 32 partitions in turn, of which 8 may stand for cells: two of ten get none.
+    let site = start(1, 10, 4).await;
+    for at in 0..site.daemons.len() {
+        assert_eq!(count_complete(&site, at, 100 * (at as u64 + 1), 2).await, 2, "at {at}");
+    }
+    let count_readers = async || {
+        let mut readers = 0;
+        for daemon in &site.daemons {
+            let dump = site.get(daemon.metrics, "/state").await.unwrap().1;
+            let dump = String::from_utf8_lossy(&dump).into_owned();
+            readers += usize::from(dump.contains("\"knows_workers\":true"));
+        }
+        readers
+    };
+    // A daemon that was dealt a cell while the others started ends its last read first.
+    let began = Instant::now();
+    while count_readers().await != 8 {
+        assert!(began.elapsed() < Duration::from_secs(15), "eight daemons read");
+        pause(50).await;
+    }
+}
+
 #[actix_rt::test]
 async fn the_next_daemon_takes_over_from_a_dead_owner() {
     let site = start(1, 2, 3).await;
--- a/crates/pool/src/cells.rs
+++ b/crates/pool/src/cells.rs
@@ -53,6 +53,11 @@
     (cell * PARTITION_STEP) % partitions
 }
 
+/// Tells whether a partition stands for a cell of a zone with enough workers.
+pub fn may_stand_for_cell(partition: u32, partitions: u32) -> bool {
+    (0..MAX_CELLS).any(|cell| partition_of(cell, partitions) == partition)
+}
+
 /// Gives the cell of a worker, the same at every daemon that knows the same workers.
 pub fn cell_of(worker_id: &str, cells: u32) -> u32 {
     (fnv(worker_id) % u64::from(cells.max(1))) as u32
