--- a/crates/entry/src/cancel.rs
+++ b/crates/entry/src/cancel.rs
@@ -79,10 +79,18 @@
     async fn cancel_elsewhere(&self, job: &str) -> bool {
         let job: Rc<str> = Rc::from(job);
         let others: Vec<SocketAddr> = self.others.borrow().keys().copied().collect();
-        let asked = others.into_iter().map(|addr| {
-            let ask = Ask::CancelOpen(Rc::clone(&job));
-            async move { matches!(self.links.call(addr, ask, ASK_MS).await, Ok(Tell::Cancelled)) }
-        });
+        let asked = others.into_iter().map(|addr| self.cancel_at(addr, &job));
         join_all(asked).await.contains(&true)
     }
+
+    async fn cancel_at(&self, addr: SocketAddr, job: &Rc<str>) -> bool {
+        match self.links.call(addr, Ask::CancelOpen(Rc::clone(job)), ASK_MS).await {
+            Ok(told) => matches!(told, Tell::Cancelled),
+            Err(error) => {
+                let job = job.as_ref();
+                log::info!("part=callers event=cancel_unasked job={job} why=\"{error}\"");
+                false
+            }
+        }
+    }
 }
