Give a cell its workers only once all entries are known

A daemon that had just started took cell 0 over before it had read the workers; the entries were used before they were marked as known, so that it counted one cell instead of four and looked at all workers of the zone with a newer token. The other owners were fenced out (why=fenced, gained again 8 ms later). Change: cells get no workers before the entries are known, and get them when they become known. Before: 66 workers owned in a zone of 44 in the new path test, which fails. After: 44; it passes.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -54,8 +54,12 @@
             let listed: BTreeSet<String> =
                 records.iter().map(|record| record.key.clone()).collect();
             self.drop_unlisted(&listed, &mut dropped);
+            let was_known = self.knows_workers.replace(true);
             self.apply_workers(&records, &mut dropped);
-            self.knows_workers.set(true);
+            if !was_known {
+                // Cells that were taken over meanwhile have no workers yet.
+                self.refresh_all_workers();
+            }
             while self.wants_workers.get() {
                 let Some(records) = self.read_on(WORKER_TOPIC, &mut offset).await else { break };
                 self.apply_workers(&records, &mut dropped);
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -325,8 +325,12 @@
         self.owners.borrow_mut().remove(cell);
     }
 
-    /// Hands the workers of a cell to its pool, as the directory has them now.
+    /// Hands the workers of a cell to its pool, as the directory has them now. Before they are all
+    /// known, too few cells would be counted, and workers of other cells taken for this one's.
     pub fn refresh_workers(self: &Rc<Self>, cell: &Cell) {
+        if !self.knows_workers.get() {
+            return;
+        }
         let now = self.now();
         let cells = self.cells_in(&cell.zone);
         {
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -152,6 +152,26 @@
     }
 }
 
+/// Load pattern: a zone with more workers than one cell takes, in which a daemon starts anew. A daemon
+/// that does not know yet how many cells there are must not take the others' workers for its own.
+#[actix_rt::test]
+async fn a_daemon_that_starts_leaves_the_workers_of_other_cells_alone() {
+    const WORKERS: usize = 44;
+    let mut site = start(1, 2, WORKERS).await;
+    for restarted in 0..2 {
+        // It gets its cells back with its first call to the store, before it has read the workers.
+        site.daemons[restarted].signal(Signal::KILL);
+        site.restart(restarted);
+        pause(1_500).await;
+        let mut owned = 0;
+        for daemon in &site.daemons {
+            let dump = site.get(daemon.metrics, "/state").await.unwrap().1;
+            owned += String::from_utf8_lossy(&dump).matches("takes_work").count();
+        }
+        assert_eq!(owned, WORKERS, "each worker has one owner after daemon {restarted} started");
+    }
+}
+
 #[actix_rt::test]
 async fn the_next_daemon_takes_over_from_a_dead_owner() {
     let site = start(1, 2, 3).await;
