--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -12,6 +12,9 @@
 use standins::metastore::StoreMood;
 use standins::sized_server::Mood;
 
+/// How long a shutdown may take: the users' `graceS`.
+const GRACE: Duration = Duration::from_secs(6);
+
 async fn start(zones: usize, daemons: usize, workers: usize) -> Site {
     let program = Path::new(env!("CARGO_BIN_EXE_clementine-entry"));
     Site::start(program, Layout { zones, daemons, workers }).await
@@ -172,6 +175,27 @@
     }
 }
 
+/// Load pattern: a zone is cut off from the store while its daemons are stopped in turn.
+#[actix_rt::test]
+async fn a_shutdown_without_the_store_and_with_silent_peers_ends_in_its_grace() {
+    let mut site = start(1, 21, 2).await;
+    let owner = site.owner(0).await;
+    site.store.mood.set(StoreMood::Silent);
+    pause(2_000).await;
+    for at in (0..site.daemons.len()).filter(|at| *at != owner) {
+        site.daemons[at].signal(Signal::STOP);
+    }
+    site.daemons[owner].signal(Signal::TERM);
+    let began = Instant::now();
+    while site.daemons[owner].child.try_wait().unwrap().is_none() {
+        assert!(began.elapsed() < GRACE, "it is still there at the end of its grace");
+        pause(50).await;
+    }
+    for at in (0..site.daemons.len()).filter(|at| *at != owner) {
+        site.daemons[at].signal(Signal::CONT);
+    }
+}
+
 #[actix_rt::test]
 async fn the_next_daemon_takes_over_from_a_dead_owner() {
     let site = start(1, 2, 3).await;
