One late factor, one stop time and one sum of counts in the lab

Change: it uses pool::job::LATE_FACTOR, standins::sized::STOP_MS and Counts::add. No daemon code changed.

--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -14,7 +14,7 @@
 use pool::spill::{Loads, Search};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
-use standins::sized::{SizedWorker, Work};
+use standins::sized::{STOP_MS, SizedWorker, Work};
 
 use crate::description::Description;
 use crate::draw::{CALLER_WAIT_MS, DrawnJob};
@@ -28,8 +28,6 @@
 const LEAD_MS: u64 = 1_000;
 /// How long the play goes on after the last arrival, in milliseconds.
 const TAIL_MS: u64 = 5_000;
-/// How long a stopped run takes to end, in milliseconds.
-const STOP_MS: u64 = 50;
 const WORKER_MEMORY_MB: u64 = 65_536;
 
 /// A call on its way to a worker.
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -2,12 +2,11 @@
 
 use std::fmt;
 
+use pool::job::LATE_FACTOR;
+
 use crate::description::Description;
 use crate::draw::DrawnJob;
 
-/// The multiple of the objective up to which an answer counts as late, and not as lost.
-const LATE_FACTOR: u64 = 3;
-
 /// What became of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fate {
@@ -36,6 +35,13 @@
 }
 
 impl Counts {
+    fn add(&mut self, more: &Self) {
+        self.asked += more.asked;
+        self.in_time += more.in_time;
+        self.late += more.late;
+        self.refused += more.refused;
+    }
+
     /// Gives the share of jobs answered within their objective.
     pub fn in_time_share(&self) -> f64 {
         self.in_time as f64 / self.asked.max(1) as f64
@@ -78,23 +84,18 @@
     /// Adds the counts of another play of the same description.
     pub fn add(&mut self, other: &Self) {
         for ((_, counts), (_, more)) in self.kinds.iter_mut().zip(&other.kinds) {
-            counts.asked += more.asked;
-            counts.in_time += more.in_time;
-            counts.late += more.late;
-            counts.refused += more.refused;
+            counts.add(more);
         }
         self.calls += other.calls;
     }
 
     /// Counts all kinds together.
     pub fn all(&self) -> Counts {
-        let add = |sum: Counts, counts: &Counts| Counts {
-            asked: sum.asked + counts.asked,
-            in_time: sum.in_time + counts.in_time,
-            late: sum.late + counts.late,
-            refused: sum.refused + counts.refused,
-        };
-        self.kinds.iter().fold(Counts::default(), |sum, (_, counts)| add(sum, counts))
+        let mut all = Counts::default();
+        for (_, counts) in &self.kinds {
+            all.add(counts);
+        }
+        all
     }
 
     /// Gives the mean over the kinds of the share answered in time.
--- a/crates/standins/src/sized.rs
+++ b/crates/standins/src/sized.rs
@@ -72,7 +72,8 @@
     lease_ms: u64,
 }
 
-const STOP_MS: u64 = 50;
+/// How long a stopped run takes to end, in milliseconds.
+pub const STOP_MS: u64 = 50;
 
 impl SizedWorker {
     /// Builds a worker whose clock is ahead by an offset and runs slower by so many thousandths.
