Keep cells while lapsed memberships are renewed; queue jobs at new owners

Its memberships have lapsed at the store, so the first daemon to rejoin is assigned all eight cells, fences the owners that served them all the time, and loses the cells again as the next daemons join: 17 changes of owner in 0.4 s, the last ones to daemons that know no worker yet.

Load: the other five zones serve all of theirs in the same seconds. Links inside the zone: they work throughout the cut.

(1) pool::resettle: a daemon whose membership lapsed while it ran keeps its cells for 2.5 s; a daemon asks the announced owner before it takes a cell. A stall, a refusal by fence and a later assignment end that, as before. (2) pool::warm_up: a new owner queues jobs until its workers have replied, then admission decides on them. (3) A job waits for an owner as long as an answer is of use, at most 1.5 s, before it was 350 ms.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -7,7 +7,7 @@
 use pool::call::{PollCall, PollReply, StartCall, StartReply, StopCall, StopReply, Target};
 use pool::cells::Cell;
 use pool::job::{Outcome, Progress};
-use pool::pool::{Action, Pool, Submission};
+use pool::pool::{Action, MAX_STALL_MS, Pool, Submission};
 use pool::queue::Backlog;
 use tokio::sync::oneshot;
 
@@ -199,8 +199,14 @@
 
     /// Runs the loop that advances the pools of the owned cells whenever something is due.
     pub async fn drive_pools(self: Rc<Self>) {
+        let mut last_at = self.now();
         loop {
             let now = self.now();
+            if now.since(last_at) >= MAX_STALL_MS {
+                log::warn!("part=owner event=stalled for_ms={}", now.since(last_at));
+                self.resettlement.borrow_mut().record_stall(now);
+            }
+            last_at = now;
             let cells: Vec<Cell> = self.owned.borrow().keys().cloned().collect();
             for cell in &cells {
                 if let Some(owned) = self.owned.borrow_mut().get_mut(cell) {
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -10,8 +10,9 @@
 use dispatch::clock::Millis;
 use pool::cells::{Cell, cell_of_worker, cells_of_zone, is_cell_partition};
 use pool::pool::Pool;
+use pool::resettle::ReleaseDecision;
 
-use crate::protocol::{Ownership, Reply, Request};
+use crate::protocol::{Ownership, ReleaseRequest, Reply, Request};
 use crate::state::{Entry, OwnedCell, Phase};
 
 /// Store group whose members are all daemons of an installation.
@@ -20,10 +21,16 @@
 const TOPIC_PREFIX: &str = "cells.";
 /// Number of membership renewals within the lifetime of an ownership.
 const RENEWALS_PER_TTL: u64 = 4;
+/// Pause between two renewals while the assignment changes, in milliseconds. The store reassigns a
+/// partition only after its previous holder has joined with the new generation.
+const UNSETTLED_RENEWAL_INTERVAL_MS: u64 = 75;
 /// Interval between two reads of the owners from the store, in milliseconds.
 const OWNERS_READ_INTERVAL_MS: u64 = 1_000;
 /// Time-out for a reply of another daemon to a handover or a query for owners, in milliseconds.
 const PEER_TIMEOUT_MS: u64 = 250;
+/// Time-out for the last known owner's reply to a request to release a cell, in milliseconds. The
+/// cell has no owner meanwhile if that daemon is gone.
+const RELEASE_TIMEOUT_MS: u64 = 100;
 /// Maximum number of other daemons that are tracked. An installation is specified for 48.
 const MAX_PEERS: usize = 512;
 /// How long a zone must be without any daemon before daemons of other zones acquire its cells, in
@@ -35,6 +42,8 @@
 #[derive(Debug, Default)]
 struct GroupState {
     generation: u64,
+    /// Whether the last renewal changed the generation.
+    is_changing: bool,
     is_reachable: Option<bool>,
     owners_read_at: Option<Millis>,
     /// Whether this daemon has announced itself to the other daemons.
@@ -47,7 +56,8 @@
     /// assignment of partitions, and keeps the table of owners up to date.
     pub async fn maintain_membership(self: Rc<Self>) {
         let mut group_state = GroupState::default();
-        let pause = Duration::from_millis(self.settings.ownership_ms / RENEWALS_PER_TTL);
+        let regular_pause = Duration::from_millis(self.settings.ownership_ms / RENEWALS_PER_TTL);
+        let short_pause = Duration::from_millis(UNSETTLED_RENEWAL_INTERVAL_MS).min(regular_pause);
         loop {
             if self.phase.get() == Phase::Serving {
                 self.renew_membership(&mut group_state).await;
@@ -61,6 +71,7 @@
             if !self.is_store_reachable.get() {
                 self.query_peer_for_owners().await;
             }
+            let pause = if group_state.is_changing { short_pause } else { regular_pause };
             let pause = actix_rt::time::sleep(pause);
             let woken = self.rejoin.notified();
             futures_util::future::select(std::pin::pin!(pause), std::pin::pin!(woken)).await;
@@ -68,9 +79,15 @@
     }
 
     async fn renew_membership(self: &Rc<Self>, group_state: &mut GroupState) {
+        let sent_at = self.now();
         let joined = self.join(group_state).await;
-        let Some(joined) = joined.filter(|_| self.phase.get() == Phase::Serving) else { return };
+        let Some(joined) = joined.filter(|_| self.phase.get() == Phase::Serving) else {
+            group_state.is_changing = false;
+            return;
+        };
+        self.keep_cells_after_lapse(sent_at);
         let changed = joined.generation != group_state.generation;
+        group_state.is_changing = changed;
         group_state.generation = joined.generation;
         let lost = self.apply_assignment(&joined);
         if lost {
@@ -160,6 +177,7 @@
         let may_own = |held: &HeldPartition| is_cell_partition(held.partition, partitions);
         self.set_may_own(joined.held.iter().any(may_own) || !self.owned.borrow().is_empty());
         let assigned = self.assigned_cells(&joined.held);
+        self.assignment.replace((joined.generation, assigned.clone()));
         let before: Vec<Cell> = self.owned.borrow().keys().cloned().collect();
         let now = self.now();
         let is_handed_over =
@@ -205,7 +223,82 @@
         if fenced.is_some_and(|token| generation <= token) {
             return;
         }
-        self.start_ownership(cell, generation, "dealt");
+        let announced = self.owners.borrow().announced_owner(&cell);
+        match announced.filter(|addr| self.is_responsive(*addr)) {
+            None => self.start_ownership(cell, generation, "dealt"),
+            Some(owner) => {
+                if self.requested_cells.borrow_mut().insert(cell.clone()) {
+                    actix_rt::spawn(Rc::clone(self).request_cell(cell, owner, generation));
+                }
+            }
+        }
+    }
+
+    /// Acquires a cell after its last known owner has released it, or does not reply. A cell that
+    /// its owner keeps is requested again at the next renewal.
+    async fn request_cell(self: Rc<Self>, cell: Cell, owner: SocketAddr, generation: u64) {
+        let is_settling = self.resettlement.borrow().is_settling(self.now());
+        let request = ReleaseRequest { cell: cell.clone(), generation, is_settling };
+        let request = Request::ReleaseCell(request);
+        let reply = self.links.call(owner, request, RELEASE_TIMEOUT_MS).await;
+        self.requested_cells.borrow_mut().remove(&cell);
+        let is_assigned = self.assignment.borrow().1.contains(&cell);
+        if self.phase.get() != Phase::Serving || !is_assigned {
+            return;
+        }
+        let how = match reply {
+            Ok(Reply::KeepsCell) => {
+                log::info!("part=ownership event=cell_kept cell={cell} owner={owner}");
+                return;
+            }
+            Ok(_) => "released",
+            Err(_) => "no_reply",
+        };
+        let fenced = self.fenced.borrow().get(&cell).is_some_and(|token| generation <= *token);
+        if !fenced && !self.owned.borrow().contains_key(&cell) {
+            self.start_ownership(cell, generation, how);
+        }
+    }
+
+    /// Replies to a daemon to which the store has assigned a cell that this daemon may still own.
+    pub fn release_on_request(self: &Rc<Self>, request: &ReleaseRequest) -> Reply {
+        let cell = &request.cell;
+        let token = self.owned.borrow().get(cell).map(|owned| owned.pool.token());
+        let Some(token) = token else { return Reply::NotOwner };
+        let confirmed = {
+            let assignment = self.assignment.borrow();
+            assignment.1.contains(cell).then_some(assignment.0)
+        };
+        let is_settling = request.is_settling || self.resettlement.borrow().is_settling(self.now());
+        let decision =
+            ReleaseDecision { generation: request.generation, token, confirmed, is_settling };
+        if !decision.is_granted() {
+            return Reply::KeepsCell;
+        }
+        self.release_cell(cell, "requested");
+        Reply::NotOwner
+    }
+
+    /// Keeps the owned cells for a while if the membership had lapsed before this renewal.
+    fn keep_cells_after_lapse(&self, sent_at: Millis) {
+        let now = self.now();
+        let Some(until) = self.resettlement.borrow_mut().record_renewal(sent_at, now) else {
+            return;
+        };
+        let cells: Vec<Cell> = self.owned.borrow().keys().cloned().collect();
+        let kept_ms = until.since(now);
+        log::info!("part=ownership event=cells_kept cells={} for_ms={kept_ms}", cells.len());
+        self.handover_until.borrow_mut().extend(cells.into_iter().map(|cell| (cell, until)));
+    }
+
+    /// Returns the owner of a cell that the store lists at `listed`. While the assignment settles,
+    /// an announced owner keeps its cell although the store lists another daemon.
+    fn settled_owner(&self, cell: &Cell, listed: SocketAddr) -> SocketAddr {
+        if !self.resettlement.borrow().is_settling(self.now()) {
+            return listed;
+        }
+        let announced = self.owners.borrow().announced_owner(cell);
+        announced.filter(|addr| self.is_responsive(*addr)).unwrap_or(listed)
     }
 
     fn start_ownership(self: &Rc<Self>, cell: Cell, token: u64, how: &str) {
@@ -384,13 +477,20 @@
         }
     }
 
-    /// Requests all other daemons to rejoin the group at once.
+    /// Requests the other daemons of this zone, one of which gets a released partition, to rejoin
+    /// the group at once.
     pub fn broadcast_rejoin(self: &Rc<Self>) {
-        self.broadcast(&Request::Rejoin);
+        self.broadcast_to(&Request::Rejoin, |zone| zone == self.settings.zone);
     }
 
     fn broadcast(self: &Rc<Self>, request: &Request) {
-        for addr in self.peers.borrow().keys().copied() {
+        self.broadcast_to(request, |_| true);
+    }
+
+    fn broadcast_to(self: &Rc<Self>, request: &Request, has_zone: impl Fn(&str) -> bool) {
+        let peers = self.peers.borrow();
+        for (addr, _) in peers.iter().filter(|(_, zone)| has_zone(zone.as_str())) {
+            let addr = *addr;
             let (entry, request) = (Rc::clone(self), request.clone());
             actix_rt::spawn(async move {
                 if let Err(error) = entry.links.notify(addr, request).await {
@@ -414,7 +514,9 @@
             if let Some((_, zone)) = row.member.split_once('|') {
                 self.add_peer(addr, zone);
             }
-            listed_owners.push((Cell { zone: Rc::from(zone), partition: row.partition }, addr));
+            let cell = Cell { zone: Rc::from(zone), partition: row.partition };
+            let addr = self.settled_owner(&cell, addr);
+            listed_owners.push((cell, addr));
         }
         let owns = |cell: &Cell| self.owned.borrow().contains_key(cell);
         self.owners.borrow_mut().apply_store_rows(listed_owners.into_iter(), owns, started_at);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -45,6 +45,7 @@
                 self.record_owner(&ownership);
                 None
             }
+            Request::ReleaseCell(request) => Some(self.release_on_request(&request)),
             Request::TakeOver(cell, token) => Some(self.accept_handover(cell, token)),
             Request::CancelJob(job) => {
                 let found = self.open_jobs.cancel(&job);
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -58,6 +58,20 @@
     CancelJob(Rc<str>),
     /// Return the number of workers in each zone.
     WorkerCounts,
+    /// Release a cell that the store has assigned to the sender, if the receiver still owns it.
+    ReleaseCell(ReleaseRequest),
+}
+
+/// Request to release a cell that the store has assigned to the sender.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub struct ReleaseRequest {
+    /// The cell to release.
+    pub cell: Cell,
+    /// Generation of the assignment.
+    pub generation: u64,
+    /// Whether the sender's membership lapsed lately, so that the assignment is likely to change.
+    pub is_settling: bool,
 }
 
 /// Owner of a cell.
@@ -90,4 +104,6 @@
     JobNotFound,
     /// Number of workers in each zone.
     WorkerCounts(Vec<ZoneCount>),
+    /// The sender owns the cell and keeps it for now.
+    KeepsCell,
 }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -19,9 +19,9 @@
 
 /// Pause between two checks for a cell's next owner, in milliseconds.
 const OWNER_RETRY_INTERVAL_MS: u64 = 25;
-/// Maximum time that a job waits for any cell to get an owner, in milliseconds. Slightly longer
-/// than the interval between two renewals of the ownership.
-const MAX_OWNER_WAIT_MS: u64 = 350;
+/// Maximum time that a job waits for any cell to get an owner, in milliseconds. All daemons of a
+/// zone that lost power are back and own its cells within about this time.
+const MAX_OWNER_WAIT_MS: u64 = 1_500;
 /// Time added to the caller's time limit when waiting for the reply of another daemon, in
 /// milliseconds.
 const REPLY_MARGIN_MS: u64 = 100;
@@ -75,14 +75,24 @@
     }
 }
 
+impl JobRequest {
+    /// Returns how long the job may wait for an owner, counted from its arrival, in milliseconds:
+    /// as long as an answer can still be of use to its caller.
+    fn owner_wait_ms(&self) -> u64 {
+        let declared_ms = self.spec.critical_path_ms(|step| step.estimate_ms);
+        let useful_ms = self.terms.useful_ms(declared_ms).min(self.limit_ms);
+        useful_ms.saturating_sub(declared_ms).min(MAX_OWNER_WAIT_MS)
+    }
+}
+
 impl Entry {
     /// Runs a job at the owner of the best cell. If no cell has an owner, for example during a
-    /// rebalance, retries for up to [`MAX_OWNER_WAIT_MS`].
+    /// rebalance, retries while the job can still be of use to its caller.
     pub async fn run_job(self: &Rc<Self>, request: &JobRequest, trace: &mut Trace) -> Outcome {
         loop {
             let outcome = self.try_owners(request, trace).await;
             let has_no_owner = matches!(outcome, Outcome::NotRun { reason: Reason::NoOwner, .. });
-            if !has_no_owner || self.now().since(request.arrived_at) >= MAX_OWNER_WAIT_MS {
+            if !has_no_owner || self.now().since(request.arrived_at) >= request.owner_wait_ms() {
                 return outcome;
             }
             actix_rt::time::sleep(Duration::from_millis(OWNER_RETRY_INTERVAL_MS)).await;
@@ -203,6 +213,7 @@
             | Reply::TakenOver
             | Reply::Owners(_)
             | Reply::WorkerCounts(_)
+            | Reply::KeepsCell
             | Reply::Cancelled
             | Reply::JobNotFound => {
                 self.metrics.forwarded.with_label_values(&["not_owner"]).inc();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,7 +1,7 @@
 //! State that is shared by all parts of an entry daemon.
 
 use std::cell::{Cell as Value, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -16,6 +16,7 @@
 use pool::job::Outcome;
 use pool::owners::Owners;
 use pool::pool::Pool;
+use pool::resettle::Resettlement;
 use pool::spill::CellLoads;
 use tokio::sync::{Notify, oneshot};
 
@@ -81,9 +82,15 @@
     pub peers: RefCell<BTreeMap<SocketAddr, String>>,
     /// Whether the last attempt to join the group at the store succeeded.
     pub is_store_reachable: Value<bool>,
-    /// Until when cells that another daemon handed over are kept although the store does not assign
-    /// them to this daemon.
+    /// Until when cells are kept although the store does not assign them to this daemon: cells that
+    /// another daemon handed over, and those owned when the store became reachable again.
     pub handover_until: RefCell<HashMap<Cell, Millis>>,
+    /// Whether this daemon's membership lapsed lately, so that its cells are kept for a while.
+    pub resettlement: RefCell<Resettlement>,
+    /// Generation and cells of the latest assignment by the store.
+    pub assignment: RefCell<(u64, BTreeSet<Cell>)>,
+    /// Cells that this daemon has asked another daemon to release and has no reply for yet.
+    pub requested_cells: RefCell<BTreeSet<Cell>>,
     /// Last known load of each cell, from the outcomes of jobs.
     pub loads: RefCell<CellLoads>,
     /// Until when an unresponsive daemon gets no requests.
@@ -144,6 +151,9 @@
             peers: RefCell::default(),
             is_store_reachable: Value::new(false),
             handover_until: RefCell::default(),
+            resettlement: RefCell::new(Resettlement::new(settings.ownership_ms)),
+            assignment: RefCell::default(),
+            requested_cells: RefCell::default(),
             loads: RefCell::default(),
             unresponsive_until: RefCell::default(),
             fenced: RefCell::default(),
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -61,6 +61,8 @@
             if !was_known {
                 // Cells acquired before the entries were read have no workers yet.
                 self.refresh_all_workers();
+                // Further cells of the zone may be assigned already.
+                self.rejoin.notify_one();
             }
             while self.should_read_workers.get() {
                 let Some(records) = self.read_next(WORKER_TOPIC, &mut offset).await else { break };
--- a/crates/entry/src/worker_counts.rs
+++ b/crates/entry/src/worker_counts.rs
@@ -36,12 +36,20 @@
 impl Entry {
     /// Returns the number of workers in a zone, from the workers' entries or from the counts that
     /// another daemon sent; 0 if neither is known.
+    ///
+    /// While the assignment settles after the store was out of reach, its entries may lack workers,
+    /// so the higher number counts.
     pub fn worker_count(&self, zone: &str) -> usize {
-        if self.knows_workers.get() {
-            return self.directory.borrow().count_in(zone);
+        let reported = || {
+            let counts = self.reported_counts.borrow();
+            counts.iter().find(|count| count.zone == zone).map_or(0, |count| count.workers)
+        };
+        if !self.knows_workers.get() {
+            return reported();
         }
-        let counts = self.reported_counts.borrow();
-        counts.iter().find(|count| count.zone == zone).map_or(0, |count| count.workers)
+        let listed = self.directory.borrow().count_in(zone);
+        let is_settling = self.resettlement.borrow().is_settling(self.now());
+        if is_settling { listed.max(reported()) } else { listed }
     }
 
     /// Records whether this daemon may own a cell now, which decides whether it reads the workers'
@@ -102,7 +110,13 @@
     async fn request_counts(&self) {
         let Some(addr) = self.first_cell_owner() else { return };
         match self.links.call(addr, Request::WorkerCounts, REQUEST_TIMEOUT_MS).await {
-            Ok(Reply::WorkerCounts(counts)) => *self.reported_counts.borrow_mut() = counts,
+            Ok(Reply::WorkerCounts(counts)) => {
+                let is_first = self.reported_counts.replace(counts).is_empty();
+                if is_first {
+                    // Cells that the counts add are assigned already, and are acquired at a renewal.
+                    self.rejoin.notify_one();
+                }
+            }
             Ok(_) => log::info!("part=follow event=counts_unknown daemon={addr}"),
             Err(error) => {
                 log::info!("part=follow event=counts_lost daemon={addr} why=\"{error}\"");
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -17,6 +17,12 @@
         if job.started {
             return None;
         }
+        if self.is_warming_up() {
+            // Whether the job can run, and when, is not known yet.
+            let is_refused = !may_wait && !self.can_start_now(job, now);
+            let retry_after_ms = queue::retry_after_ms(0);
+            return is_refused.then_some(Outcome::NotRun { reason: Reason::Busy, retry_after_ms });
+        }
         if !self.can_ever_run(job, now) {
             let retry_after_ms = queue::retry_after_ms(0);
             return Some(Outcome::NotRun { reason: Reason::NoWorker, retry_after_ms });
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -247,9 +247,6 @@
     pub in_doubt_until: Millis,
 }
 
-/// Multiple of the latency objective up to which an answer counts as late rather than as lost.
-pub const LATE_FACTOR: u64 = 3;
-
 impl Job {
     /// Creates a job whose request arrived `age_ms` ago. The expected run times are set to the
     /// declared ones; [`Pool::submit`](crate::pool::Pool::submit) replaces them by estimates.
@@ -350,8 +347,7 @@
 
     /// Returns the latency objective, counted from the arrival of the request, in milliseconds.
     pub fn objective_ms(&self) -> u64 {
-        let work = self.expected_ms as f64 * self.terms.stretch;
-        work as u64 + self.terms.target_ms
+        self.terms.objective_ms(self.expected_ms)
     }
 
     /// Returns the latest time at which the job can start and still meet its latency objective.
@@ -360,10 +356,9 @@
     }
 
     /// Returns the latest time at which starting the job still gives the caller a useful answer.
-    /// An answer counts as lost after [`LATE_FACTOR`] times the objective or when the caller
-    /// stops waiting.
+    /// An answer is of no use after [`Terms::useful_ms`] or when the caller stops waiting.
     pub fn latest_useful_start(&self) -> Millis {
-        self.latest_start_for((self.objective_ms() * LATE_FACTOR).min(self.limit_ms()))
+        self.latest_start_for(self.terms.useful_ms(self.expected_ms).min(self.limit_ms()))
     }
 
     fn limit_ms(&self) -> u64 {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -21,6 +21,7 @@
 use crate::placement::{self, TaskRequirements};
 use crate::queue;
 use crate::run::{Run, RunState};
+use crate::warm_up::WarmUp;
 use crate::worker::{LEASE_MS, RunUpdate, Worker};
 
 /// Time without traffic after which both daemons treat the link between them as broken, in
@@ -80,6 +81,9 @@
     remote_submissions: HashSet<u64>,
     last_advance_at: Option<Millis>,
     pub(crate) estimates: Estimates,
+    pub(crate) warm_up: WarmUp,
+    // Whether `set_workers` has been called.
+    pub(crate) has_worker_list: bool,
     actions: Vec<Action>,
     last_number: u64,
 }
@@ -97,6 +101,8 @@
             remote_submissions: HashSet::new(),
             last_advance_at: None,
             estimates: Estimates::default(),
+            warm_up: WarmUp::NotBegun,
+            has_worker_list: false,
             actions: Vec::new(),
             last_number: 1,
         }
@@ -140,6 +146,7 @@
         now: Millis,
         entries: impl Iterator<Item = (&'a Rc<str>, &'a WorkerEntry)>,
     ) {
+        self.has_worker_list = true;
         for worker in self.workers.values_mut() {
             worker.listed = false;
         }
@@ -216,6 +223,7 @@
         }
         self.drop_remote_jobs_after_stall(now);
         self.resolve_in_doubt(now);
+        self.update_warm_up(now);
         self.place_queued_jobs(now);
         self.end_expired_jobs(now);
         self.send_polls(now);
@@ -285,7 +293,12 @@
         });
         let in_doubt = self.jobs.values().filter(|job| job.is_in_doubt());
         let in_doubt_ends = in_doubt.map(|job| job.in_doubt_until);
-        polls.chain(ends).chain(in_doubt_ends).map(|at| at.max(now)).min()
+        polls
+            .chain(ends)
+            .chain(in_doubt_ends)
+            .chain(self.warm_up_limit())
+            .map(|at| at.max(now))
+            .min()
     }
 
     fn next_number(&mut self) -> u64 {
@@ -332,7 +345,7 @@
         }
     }
 
-    fn place_job(&mut self, now: Millis, number: u64) {
+    pub(crate) fn place_job(&mut self, now: Millis, number: u64) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         for task_index in 0..job.tasks.len() {
             let task = job.tasks[task_index].clone();
@@ -415,10 +428,14 @@
 
     fn remove_job(&mut self, number: u64) {
         if let Some(job) = self.jobs.remove(&number) {
-            self.by_id.remove(&job.spec.id);
+            self.forget_id(&job);
         }
     }
 
+    pub(crate) fn forget_id(&mut self, job: &Job) {
+        self.by_id.remove(&job.spec.id);
+    }
+
     /// Removes a job that nobody waits for and stops all its runs.
     pub(crate) fn drop_job(&mut self, now: Millis, number: u64) {
         self.remove_job(number);
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -141,6 +141,13 @@
         self.clock.is_some()
     }
 
+    /// Whether the worker takes tasks in principle and its first poll has neither been answered nor
+    /// failed.
+    pub const fn awaits_first_reply(&self) -> bool {
+        let is_polled = !self.has_replied() && self.unanswered_polls == 0;
+        self.listed && is_polled && matches!(self.entry.state, WorkerState::Ready)
+    }
+
     /// Whether new tasks may be sent to the worker at `now`.
     pub fn accepts_tasks(&self, now: Millis) -> bool {
         self.listed
