Renew memberships without waiting for lost replies; know the worker counts before taking cells

A renewal waits 1,000 ms for its reply and a membership lasts 1,200 ms, so one lost reply lets it lapse, and a new owner learns of its cell a second late: 700 `no_owner` refusals.

A renewal is sent every 300 ms (75 ms while the generation changes) whether or not earlier ones were answered, four at most; replies that are older than one already applied are dropped. A daemon that leaves waits for its renewals first. The owners are read in a loop of their own, at once when the generation changes and every 4 s otherwise. No cell is taken before the counts are known; what a new owner cannot serve goes on to other cells.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -61,6 +61,7 @@
             let handovers = released.iter().map(|(cell, token)| self.hand_over(cell, *token));
             join_all(handovers).await;
         }
+        self.finish_renewals().await;
         self.leave_group().await;
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod owner;
+pub mod owners;
 pub mod ownership;
 pub mod peers;
 pub mod protocol;
--- /dev/null
+++ b/crates/entry/src/owners.rs
@@ -0,0 +1,179 @@
+//! Keeps the table of the cells' owners up to date, from the store and from other daemons.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::store::Owner;
+use dispatch::clock::Millis;
+use pool::cells::Cell;
+
+use crate::ownership::{GROUP, PEER_TIMEOUT_MS, TOPIC_PREFIX};
+use crate::protocol::{Ownership, Reply, Request};
+use crate::state::Entry;
+
+/// Interval between two reads of the owners from the store while nothing changes, in milliseconds.
+/// A change of the group's generation causes a read at once.
+const READ_INTERVAL_MS: u64 = 4_000;
+/// Interval between two reads while the owner of another zone's cell is unknown, in milliseconds.
+const UNCONFIRMED_READ_INTERVAL_MS: u64 = 1_000;
+/// Interval between two reads during a rebalance, and after a failure, in milliseconds.
+const RETRY_INTERVAL_MS: u64 = 300;
+/// Minimum interval between two reads, in milliseconds.
+const MIN_READ_INTERVAL_MS: u64 = 150;
+/// Maximum number of other daemons that are tracked.
+const MAX_PEERS: usize = 512;
+
+/// State of the loop that reads the owners.
+#[derive(Debug, Default)]
+struct WatchState {
+    /// Time until the next read, in milliseconds.
+    pause_ms: u64,
+    /// Whether this daemon has announced itself to the other daemons.
+    is_announced: bool,
+}
+
+impl Entry {
+    /// Reads the owners of the cells from the store repeatedly, or from another daemon while the
+    /// store is unreachable. Never returns.
+    pub async fn watch_owners(self: Rc<Self>) {
+        let mut state = WatchState::default();
+        loop {
+            self.read_owners(&mut state).await;
+            if !self.is_store_reachable.get() {
+                self.query_peer_for_owners().await;
+                state.pause_ms = RETRY_INTERVAL_MS;
+            }
+            actix_rt::time::sleep(Duration::from_millis(MIN_READ_INTERVAL_MS)).await;
+            let pause = state.pause_ms.saturating_sub(MIN_READ_INTERVAL_MS);
+            let pause = actix_rt::time::sleep(Duration::from_millis(pause));
+            let woken = self.owners_changed.notified();
+            futures_util::future::select(std::pin::pin!(pause), std::pin::pin!(woken)).await;
+        }
+    }
+
+    /// Records a cell's owner as announced by another daemon. A newly recorded owner is no longer
+    /// treated as unresponsive.
+    pub fn record_owner(&self, ownership: &Ownership) {
+        let Ownership { cell, addr, token } = ownership;
+        if self.owners.borrow_mut().record(cell, *addr, *token, self.now()) {
+            self.unresponsive_until.borrow_mut().remove(addr);
+        }
+    }
+
+    /// Returns the known owners of cells, including this daemon.
+    pub fn known_owners(&self) -> Vec<Ownership> {
+        let owned = self.owned.borrow();
+        let own = owned.iter().map(|(cell, owned)| Ownership {
+            cell: cell.clone(),
+            addr: self.settings.advertised,
+            token: owned.pool.token(),
+        });
+        let owners = self.owners.borrow();
+        let known_remote = owners.iter().filter(|(cell, owner)| {
+            owner.token > 0 && owner.addr != self.settings.advertised && !owned.contains_key(*cell)
+        });
+        let known_remote = known_remote.map(|(cell, owner)| Ownership {
+            cell: cell.clone(),
+            addr: owner.addr,
+            token: owner.token,
+        });
+        own.chain(known_remote).collect()
+    }
+
+    /// Queries a random other daemon for the owners of cells, while the store is unreachable.
+    async fn query_peer_for_owners(self: &Rc<Self>) {
+        let peers: Vec<SocketAddr> = self.peers.borrow().keys().copied().collect();
+        if peers.is_empty() {
+            return;
+        }
+        let addr = peers[rand::random_range(0..peers.len())];
+        if let Ok(Reply::Owners(owners)) =
+            self.links.call(addr, Request::Owners, PEER_TIMEOUT_MS).await
+        {
+            for ownership in &owners {
+                self.record_owner(ownership);
+            }
+        }
+    }
+
+    /// Returns the owner of a cell that the store lists at `listed`. While the assignment settles,
+    /// an announced owner keeps its cell although the store lists another daemon.
+    fn settled_owner(&self, cell: &Cell, listed: SocketAddr) -> SocketAddr {
+        if !self.resettlement.borrow().is_settling(self.now()) {
+            return listed;
+        }
+        let announced = self.owners.borrow().announced_owner(cell);
+        announced.filter(|addr| self.is_responsive(*addr)).unwrap_or(listed)
+    }
+
+    async fn read_owners(self: &Rc<Self>, state: &mut WatchState) {
+        let started_at = self.now();
+        state.pause_ms = RETRY_INTERVAL_MS;
+        let rows = self.store.owners(GROUP).await;
+        self.record_store_call("owners", &rows, started_at);
+        let Ok(rows) = rows else { return };
+        self.update_empty_zones(&rows);
+        let mut listed_owners = Vec::new();
+        for row in &rows {
+            let Some(zone) = row.topic.strip_prefix(TOPIC_PREFIX) else { continue };
+            let Some(addr) = member_addr(&row.member) else { continue };
+            if let Some((_, zone)) = row.member.split_once('|') {
+                self.add_peer(addr, zone);
+            }
+            let cell = Cell { zone: Rc::from(zone), partition: row.partition };
+            let addr = self.settled_owner(&cell, addr);
+            listed_owners.push((cell, addr));
+        }
+        let owns = |cell: &Cell| self.owned.borrow().contains_key(cell);
+        self.owners.borrow_mut().apply_store_rows(listed_owners.into_iter(), owns, started_at);
+        state.pause_ms = self.next_read_ms(started_at);
+        if !state.is_announced && !self.peers.borrow().is_empty() {
+            state.is_announced = true;
+            let zone = self.settings.zone.clone();
+            self.broadcast(&Request::Hello(self.settings.advertised, zone));
+        }
+    }
+
+    /// Returns the time until the next read, in milliseconds. While a rebalance is in progress, the
+    /// store lists no owner for some cells.
+    fn next_read_ms(&self, read_at: Millis) -> u64 {
+        let owners = self.owners.borrow();
+        let is_confirmed = |zone: &str| owners.are_confirmed_since(&self.cells_in(zone), read_at);
+        if !is_confirmed(&self.settings.zone) {
+            return RETRY_INTERVAL_MS;
+        }
+        let are_others_confirmed = self.settings.zones.iter().all(|zone| is_confirmed(zone));
+        if are_others_confirmed { READ_INTERVAL_MS } else { UNCONFIRMED_READ_INTERVAL_MS }
+    }
+
+    /// Adds another daemon to the known ones, up to [`MAX_PEERS`].
+    pub fn add_peer(&self, addr: SocketAddr, zone: &str) {
+        let mut peers = self.peers.borrow_mut();
+        if addr != self.settings.advertised && peers.len() < MAX_PEERS {
+            peers.entry(addr).or_insert_with(|| zone.to_owned());
+        }
+    }
+
+    fn update_empty_zones(&self, rows: &[Owner]) {
+        let now = self.now();
+        let zones_with_daemons: BTreeSet<&str> = rows
+            .iter()
+            .filter_map(|row| row.member.split_once('|'))
+            .map(|(_, zone)| zone)
+            .collect();
+        let mut empty_since = self.empty_zones_since.borrow_mut();
+        for zone in self.known_zones() {
+            if zones_with_daemons.contains(zone.as_str()) || zone == self.settings.zone {
+                empty_since.remove(&zone);
+            } else {
+                empty_since.entry(zone).or_insert(now);
+            }
+        }
+    }
+}
+
+fn member_addr(member: &str) -> Option<SocketAddr> {
+    member.split_once('|')?.0.parse().ok()
+}
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -1,12 +1,12 @@
 //! Maintains this daemon's membership in the store's group, and acquires and releases cells as the
 //! store assigns the partitions to which they are mapped.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::store::{HeldPartition, JoinReply, Membership, Owner, StoreError};
+use adapter::store::{HeldPartition, JoinReply, Membership, StoreError};
 use dispatch::clock::Millis;
 use pool::cells::{Cell, cell_of_worker, cells_of_zone, is_cell_partition};
 use pool::pool::Pool;
@@ -16,117 +16,138 @@
 use crate::state::{Entry, OwnedCell, Phase};
 
 /// Store group whose members are all daemons of an installation.
-const GROUP: &str = "entry";
+pub(crate) const GROUP: &str = "entry";
 /// Prefix of the name of a zone's topic; the zone follows it.
-const TOPIC_PREFIX: &str = "cells.";
+pub(crate) const TOPIC_PREFIX: &str = "cells.";
 /// Number of membership renewals within the lifetime of an ownership.
 const RENEWALS_PER_TTL: u64 = 4;
 /// Pause between two renewals while the assignment changes, in milliseconds. The store reassigns a
 /// partition only after its previous holder has joined with the new generation.
 const UNSETTLED_RENEWAL_INTERVAL_MS: u64 = 75;
-/// Interval between two reads of the owners from the store, in milliseconds.
-const OWNERS_READ_INTERVAL_MS: u64 = 1_000;
+/// Maximum number of renewals without a reply. Covers the time-out of a call to the store.
+const MAX_RENEWALS_IN_FLIGHT: usize = 4;
+/// Interval between two checks for renewals in flight, in milliseconds.
+const RENEWAL_CHECK_INTERVAL_MS: u64 = 5;
 /// Time-out for a reply of another daemon to a handover or a query for owners, in milliseconds.
-const PEER_TIMEOUT_MS: u64 = 250;
+pub(crate) const PEER_TIMEOUT_MS: u64 = 250;
 /// Time-out for the last known owner's reply to a request to release a cell, in milliseconds. The
 /// cell has no owner meanwhile if that daemon is gone.
 const RELEASE_TIMEOUT_MS: u64 = 100;
-/// Maximum number of other daemons that are tracked. An installation is specified for 48.
-const MAX_PEERS: usize = 512;
 /// How long a zone must be without any daemon before daemons of other zones acquire its cells, in
 /// milliseconds. A zone that is only cut off keeps serving itself; the entries of its workers have
 /// disappeared by then, and the cells of a zone without workers are not acquired.
 const EMPTY_ZONE_DELAY_MS: u64 = 5_500;
 
-/// State of the membership loop between two iterations.
+/// State of this daemon's membership in the group.
 #[derive(Debug, Default)]
-struct GroupState {
+pub struct GroupState {
     generation: u64,
     /// Whether the last renewal changed the generation.
     is_changing: bool,
     is_reachable: Option<bool>,
-    owners_read_at: Option<Millis>,
-    /// Whether this daemon has announced itself to the other daemons.
-    is_announced: bool,
-    empty_since: BTreeMap<String, Millis>,
+    /// Number of renewals sent.
+    sent: u64,
+    /// Number of the latest renewal whose reply was applied.
+    applied: u64,
+    /// Number of renewals without a reply or a failure so far.
+    in_flight: usize,
 }
 
 impl Entry {
-    /// Runs the membership loop: renews the membership until the daemon drains, applies the
-    /// assignment of partitions, and keeps the table of owners up to date.
+    /// Runs the membership loop: renews the membership until the daemon drains. A renewal is sent
+    /// even if the previous ones have got no reply yet, because the store may lose replies.
     pub async fn maintain_membership(self: Rc<Self>) {
-        let mut group_state = GroupState::default();
         let regular_pause = Duration::from_millis(self.settings.ownership_ms / RENEWALS_PER_TTL);
         let short_pause = Duration::from_millis(UNSETTLED_RENEWAL_INTERVAL_MS).min(regular_pause);
         loop {
-            if self.phase.get() == Phase::Serving {
-                self.renew_membership(&mut group_state).await;
+            let (is_changing, in_flight) = {
+                let group = self.group.borrow();
+                (group.is_changing, group.in_flight)
+            };
+            if self.phase.get() == Phase::Serving && in_flight < MAX_RENEWALS_IN_FLIGHT {
+                actix_rt::spawn(Rc::clone(&self).renew_membership());
             }
-            let due = group_state
-                .owners_read_at
-                .is_none_or(|at| self.now().since(at) >= OWNERS_READ_INTERVAL_MS);
-            if due {
-                self.read_owners(&mut group_state).await;
-            }
-            if !self.is_store_reachable.get() {
-                self.query_peer_for_owners().await;
-            }
-            let pause = if group_state.is_changing { short_pause } else { regular_pause };
+            let pause = if is_changing { short_pause } else { regular_pause };
             let pause = actix_rt::time::sleep(pause);
             let woken = self.rejoin.notified();
             futures_util::future::select(std::pin::pin!(pause), std::pin::pin!(woken)).await;
         }
     }
 
-    async fn renew_membership(self: &Rc<Self>, group_state: &mut GroupState) {
+    async fn renew_membership(self: Rc<Self>) {
+        let Some(has_released) = self.renew_once().await else { return };
+        // The store frees the partitions for their next holder only once this daemon has joined
+        // with the new generation.
+        if has_released && self.renew_once().await.is_some() {
+            self.broadcast_rejoin();
+        }
+    }
+
+    /// Renews the membership and applies the assignment. Returns whether any cell was released, or
+    /// `None` if the assignment was not applied.
+    async fn renew_once(self: &Rc<Self>) -> Option<bool> {
         let sent_at = self.now();
-        let joined = self.join(group_state).await;
-        let Some(joined) = joined.filter(|_| self.phase.get() == Phase::Serving) else {
-            group_state.is_changing = false;
-            return;
+        let number = {
+            let mut group = self.group.borrow_mut();
+            group.sent += 1;
+            group.in_flight += 1;
+            group.sent
         };
-        self.keep_cells_after_lapse(sent_at);
-        let changed = joined.generation != group_state.generation;
-        group_state.is_changing = changed;
-        group_state.generation = joined.generation;
-        let lost = self.apply_assignment(&joined);
-        if lost {
-            // The store frees the partitions for their next holder only once this daemon has joined
-            // with the new generation.
-            self.join(group_state).await;
-            self.broadcast_rejoin();
+        let joined = self.join().await;
+        {
+            let mut group = self.group.borrow_mut();
+            group.in_flight -= 1;
+            if number <= group.applied {
+                return None;
+            }
+            self.record_store_reachability(&mut group, joined.as_ref().err());
+            let is_serving = self.phase.get() == Phase::Serving;
+            let Some(joined) = joined.as_ref().ok().filter(|_| is_serving) else {
+                group.is_changing = false;
+                return None;
+            };
+            group.applied = number;
+            group.is_changing = joined.generation != group.generation;
+            group.generation = joined.generation;
+            if group.is_changing {
+                self.owners_changed.notify_one();
+            }
         }
-        if changed {
-            group_state.owners_read_at = None;
+        self.keep_cells_after_lapse(sent_at);
+        joined.ok().map(|joined| self.apply_assignment(&joined))
+    }
+
+    /// Waits until no renewal is in flight, so that none of them rejoins a group that this daemon
+    /// leaves.
+    pub async fn finish_renewals(&self) {
+        while self.group.borrow().in_flight > 0 {
+            actix_rt::time::sleep(Duration::from_millis(RENEWAL_CHECK_INTERVAL_MS)).await;
         }
     }
 
-    async fn join(&self, group_state: &mut GroupState) -> Option<JoinReply> {
+    async fn join(&self) -> Result<JoinReply, StoreError> {
         let member = self.member_name();
-        let topics: Vec<String> =
-            self.zones_to_serve(group_state).iter().map(|zone| topic_of(zone)).collect();
+        let topics: Vec<String> = self.zones_to_serve().iter().map(|zone| topic_of(zone)).collect();
         let membership = Membership {
             group: GROUP,
             member: &member,
             topics: &topics,
             ttl_ms: self.settings.ownership_ms,
-            generation: group_state.generation,
+            generation: self.group.borrow().generation,
         };
         let started_at = self.now();
         let joined = self.store.join(&membership).await;
         self.record_store_call("join", &joined, started_at);
-        self.record_store_reachability(group_state, joined.as_ref().err());
-        joined.ok()
+        joined
     }
 
     /// Records whether the store is reachable, and logs when that changes.
-    fn record_store_reachability(&self, group_state: &mut GroupState, error: Option<&StoreError>) {
+    fn record_store_reachability(&self, group: &mut GroupState, error: Option<&StoreError>) {
         let is_reachable = error.is_none();
         self.is_store_reachable.set(is_reachable);
-        if group_state.is_reachable == Some(is_reachable) {
+        if group.is_reachable.replace(is_reachable) == Some(is_reachable) {
             return;
         }
-        group_state.is_reachable = Some(is_reachable);
         match error {
             None => log::info!("part=ownership event=store_regained"),
             Some(error) => log::warn!("part=ownership event=store_lost why=\"{error}\""),
@@ -158,10 +179,10 @@
         format!("{}|{}", self.settings.advertised, self.settings.zone)
     }
 
-    fn zones_to_serve(&self, group_state: &mut GroupState) -> BTreeSet<String> {
+    fn zones_to_serve(&self) -> BTreeSet<String> {
         let now = self.now();
         let mut zones = BTreeSet::from([self.settings.zone.clone()]);
-        for (zone, since) in &group_state.empty_since {
+        for (zone, since) in &*self.empty_zones_since.borrow() {
             let has_workers = self.worker_count(zone) > 0;
             if has_workers && now.since(*since) >= EMPTY_ZONE_DELAY_MS {
                 zones.insert(zone.clone());
@@ -193,7 +214,12 @@
         !lost.is_empty()
     }
 
+    /// Returns the cells of the held partitions. Empty while the worker counts are unknown: with
+    /// one cell for the zone, its owner would attract the jobs of all cells.
     fn assigned_cells(&self, held: &[HeldPartition]) -> BTreeSet<Cell> {
+        if !self.knows_worker_counts() {
+            return BTreeSet::new();
+        }
         let held: BTreeSet<(&str, u32)> =
             held.iter().map(|held| (held.topic.as_str(), held.partition)).collect();
         let mut assigned = BTreeSet::new();
@@ -205,7 +231,7 @@
         assigned
     }
 
-    fn known_zones(&self) -> BTreeSet<String> {
+    pub(crate) fn known_zones(&self) -> BTreeSet<String> {
         let zones = self.settings.zones.iter().cloned();
         zones.chain([self.settings.zone.clone()]).collect()
     }
@@ -291,16 +317,6 @@
         self.handover_until.borrow_mut().extend(cells.into_iter().map(|cell| (cell, until)));
     }
 
-    /// Returns the owner of a cell that the store lists at `listed`. While the assignment settles,
-    /// an announced owner keeps its cell although the store lists another daemon.
-    fn settled_owner(&self, cell: &Cell, listed: SocketAddr) -> SocketAddr {
-        if !self.resettlement.borrow().is_settling(self.now()) {
-            return listed;
-        }
-        let announced = self.owners.borrow().announced_owner(cell);
-        announced.filter(|addr| self.is_responsive(*addr)).unwrap_or(listed)
-    }
-
     fn start_ownership(self: &Rc<Self>, cell: Cell, token: u64, how: &str) {
         let pool = Pool::new(token);
         log::info!("part=ownership event=cell_gained cell={cell} token={token} how={how}");
@@ -349,51 +365,6 @@
         }
     }
 
-    /// Records a cell's owner as announced by another daemon. A newly recorded owner is no longer
-    /// treated as unresponsive.
-    pub fn record_owner(&self, ownership: &Ownership) {
-        let Ownership { cell, addr, token } = ownership;
-        if self.owners.borrow_mut().record(cell, *addr, *token, self.now()) {
-            self.unresponsive_until.borrow_mut().remove(addr);
-        }
-    }
-
-    /// Returns the known owners of cells, including this daemon.
-    pub fn known_owners(&self) -> Vec<Ownership> {
-        let owned = self.owned.borrow();
-        let own = owned.iter().map(|(cell, owned)| Ownership {
-            cell: cell.clone(),
-            addr: self.settings.advertised,
-            token: owned.pool.token(),
-        });
-        let owners = self.owners.borrow();
-        let known_remote = owners.iter().filter(|(cell, owner)| {
-            owner.token > 0 && owner.addr != self.settings.advertised && !owned.contains_key(*cell)
-        });
-        let known_remote = known_remote.map(|(cell, owner)| Ownership {
-            cell: cell.clone(),
-            addr: owner.addr,
-            token: owner.token,
-        });
-        own.chain(known_remote).collect()
-    }
-
-    /// Queries a random other daemon for the owners of cells, while the store is unreachable.
-    async fn query_peer_for_owners(self: &Rc<Self>) {
-        let peers: Vec<SocketAddr> = self.peers.borrow().keys().copied().collect();
-        if peers.is_empty() {
-            return;
-        }
-        let addr = peers[rand::random_range(0..peers.len())];
-        if let Ok(Reply::Owners(owners)) =
-            self.links.call(addr, Request::Owners, PEER_TIMEOUT_MS).await
-        {
-            for ownership in &owners {
-                self.record_owner(ownership);
-            }
-        }
-    }
-
     /// Releases a cell. Its runs continue under their leases, so that the next owner can adopt
     /// them.
     pub fn release_cell(self: &Rc<Self>, cell: &Cell, why: &str) {
@@ -483,7 +454,7 @@
         self.broadcast_to(&Request::Rejoin, |zone| zone == self.settings.zone);
     }
 
-    fn broadcast(self: &Rc<Self>, request: &Request) {
+    pub(crate) fn broadcast(self: &Rc<Self>, request: &Request) {
         self.broadcast_to(request, |_| true);
     }
 
@@ -499,68 +470,8 @@
             });
         }
     }
-
-    async fn read_owners(self: &Rc<Self>, group_state: &mut GroupState) {
-        let started_at = self.now();
-        group_state.owners_read_at = Some(started_at);
-        let rows = self.store.owners(GROUP).await;
-        self.record_store_call("owners", &rows, started_at);
-        let Ok(rows) = rows else { return };
-        self.update_empty_zones(group_state, &rows);
-        let mut listed_owners = Vec::new();
-        for row in &rows {
-            let Some(zone) = row.topic.strip_prefix(TOPIC_PREFIX) else { continue };
-            let Some(addr) = member_addr(&row.member) else { continue };
-            if let Some((_, zone)) = row.member.split_once('|') {
-                self.add_peer(addr, zone);
-            }
-            let cell = Cell { zone: Rc::from(zone), partition: row.partition };
-            let addr = self.settled_owner(&cell, addr);
-            listed_owners.push((cell, addr));
-        }
-        let owns = |cell: &Cell| self.owned.borrow().contains_key(cell);
-        self.owners.borrow_mut().apply_store_rows(listed_owners.into_iter(), owns, started_at);
-        let own_zone = self.cells_in(&self.settings.zone);
-        if !self.owners.borrow().are_confirmed_since(&own_zone, started_at) {
-            // A rebalance is in progress: the owners are read again in the next iteration.
-            group_state.owners_read_at = None;
-        }
-        if !group_state.is_announced && !self.peers.borrow().is_empty() {
-            group_state.is_announced = true;
-            let zone = self.settings.zone.clone();
-            self.broadcast(&Request::Hello(self.settings.advertised, zone));
-        }
-    }
-
-    /// Adds another daemon to the known ones, up to [`MAX_PEERS`].
-    pub fn add_peer(&self, addr: SocketAddr, zone: &str) {
-        let mut peers = self.peers.borrow_mut();
-        if addr != self.settings.advertised && peers.len() < MAX_PEERS {
-            peers.entry(addr).or_insert_with(|| zone.to_owned());
-        }
-    }
-
-    fn update_empty_zones(&self, group_state: &mut GroupState, rows: &[Owner]) {
-        let now = self.now();
-        let zones_with_daemons: BTreeSet<&str> = rows
-            .iter()
-            .filter_map(|row| row.member.split_once('|'))
-            .map(|(_, zone)| zone)
-            .collect();
-        for zone in self.known_zones() {
-            if zones_with_daemons.contains(zone.as_str()) || zone == self.settings.zone {
-                group_state.empty_since.remove(&zone);
-            } else {
-                group_state.empty_since.entry(zone).or_insert(now);
-            }
-        }
-    }
 }
 
 fn topic_of(zone: &str) -> String {
     format!("{TOPIC_PREFIX}{zone}")
 }
-
-fn member_addr(member: &str) -> Option<SocketAddr> {
-    member.split_once('|')?.0.parse().ok()
-}
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -91,8 +91,11 @@
     pub async fn run_job(self: &Rc<Self>, request: &JobRequest, trace: &mut Trace) -> Outcome {
         loop {
             let outcome = self.try_owners(request, trace).await;
-            let has_no_owner = matches!(outcome, Outcome::NotRun { reason: Reason::NoOwner, .. });
-            if !has_no_owner || self.now().since(request.arrived_at) >= request.owner_wait_ms() {
+            let may_find_owner = matches!(
+                outcome,
+                Outcome::NotRun { reason: Reason::NoOwner | Reason::NewOwner, .. }
+            );
+            if !may_find_owner || self.now().since(request.arrived_at) >= request.owner_wait_ms() {
                 return outcome;
             }
             actix_rt::time::sleep(Duration::from_millis(OWNER_RETRY_INTERVAL_MS)).await;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -77,6 +77,7 @@
     actix_rt::spawn(Rc::clone(&entry).watch_catalogue());
     actix_rt::spawn(Rc::clone(&entry).watch_workers());
     actix_rt::spawn(Rc::clone(&entry).maintain_membership());
+    actix_rt::spawn(Rc::clone(&entry).watch_owners());
     actix_rt::spawn(Rc::clone(&entry).drive_pools());
     Ok(entry)
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::error::EntryError;
 use crate::metrics::Metrics;
+use crate::ownership::GroupState;
 use crate::protocol::EntryProtocol;
 use crate::settings::Settings;
 use crate::worker_counts::ZoneCount;
@@ -85,6 +86,10 @@
     /// Until when cells are kept although the store does not assign them to this daemon: cells that
     /// another daemon handed over, and those owned when the store became reachable again.
     pub handover_until: RefCell<HashMap<Cell, Millis>>,
+    /// State of this daemon's membership in the store's group.
+    pub group: RefCell<GroupState>,
+    /// Since when each zone has had no daemon in the group.
+    pub empty_zones_since: RefCell<BTreeMap<String, Millis>>,
     /// Whether this daemon's membership lapsed lately, so that its cells are kept for a while.
     pub resettlement: RefCell<Resettlement>,
     /// Generation and cells of the latest assignment by the store.
@@ -116,6 +121,8 @@
     pub metrics: Metrics,
     /// Wakes the loop that maintains the membership in the group.
     pub rejoin: Notify,
+    /// Wakes the loop that reads the owners of the cells.
+    pub owners_changed: Notify,
     /// Wakes the loop that drives the pools.
     pub pools_changed: Notify,
     /// Jobs that other daemons submitted here, with their cell, the serial of the ownership and the
@@ -151,6 +158,8 @@
             peers: RefCell::default(),
             is_store_reachable: Value::new(false),
             handover_until: RefCell::default(),
+            group: RefCell::default(),
+            empty_zones_since: RefCell::default(),
             resettlement: RefCell::new(Resettlement::new(settings.ownership_ms)),
             assignment: RefCell::default(),
             requested_cells: RefCell::default(),
@@ -166,6 +175,7 @@
             store: StoreClient::new(settings.store, caller),
             metrics: Metrics::new()?,
             rejoin: Notify::new(),
+            owners_changed: Notify::new(),
             pools_changed: Notify::new(),
             remote_jobs: RefCell::default(),
             outcome_senders: RefCell::default(),
--- a/crates/entry/src/worker_counts.rs
+++ b/crates/entry/src/worker_counts.rs
@@ -52,6 +52,11 @@
         if is_settling { listed.max(reported()) } else { listed }
     }
 
+    /// Whether the worker counts are known, from the workers' entries or from another daemon.
+    pub fn knows_worker_counts(&self) -> bool {
+        self.knows_workers.get() || !self.reported_counts.borrow().is_empty()
+    }
+
     /// Records whether this daemon may own a cell now, which decides whether it reads the workers'
     /// entries. Reading continues for `LINGER_MS` after that, since partitions often return when
     /// they are rebalanced.
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -107,6 +107,9 @@
     TaskFailed,
     /// No daemon that owns suitable workers could be reached in time.
     NoOwner,
+    /// The job was queued while the cell's new owner did not know its workers yet, and turned out
+    /// to be too much for them. Other cells may have free resources.
+    NewOwner,
 }
 
 impl Reason {
@@ -119,6 +122,7 @@
             Self::TimeOver => "time_over",
             Self::TaskFailed => "task_failed",
             Self::NoOwner => "no_owner",
+            Self::NewOwner => "new_owner",
         }
     }
 }
--- a/crates/pool/src/warm_up.rs
+++ b/crates/pool/src/warm_up.rs
@@ -7,7 +7,7 @@
 
 use dispatch::clock::Millis;
 
-use crate::job::{Job, Outcome};
+use crate::job::{Job, Outcome, Reason};
 use crate::pool::Pool;
 use crate::queue;
 
@@ -56,8 +56,8 @@
         }
     }
 
-    /// Refuses the queued jobs that admission would refuse now. Each job is judged against those
-    /// that go before it in the queue.
+    /// Refuses the queued jobs that admission would refuse now, so that they are sent to other
+    /// cells. Each job is judged against those that go before it in the queue.
     fn readmit_queued_jobs(&mut self, now: Millis) {
         let queued = self.jobs.iter().filter(|(_, job)| !job.started && job.has_pending());
         let mut queued: Vec<_> =
@@ -68,9 +68,9 @@
             .filter_map(|(_, number)| Some((*number, self.jobs.remove(number)?)))
             .collect();
         for (number, job) in waiting {
-            if let Some(outcome @ Outcome::NotRun { .. }) = self.refusal(&job, true, now) {
+            if let Some(Outcome::NotRun { retry_after_ms, .. }) = self.refusal(&job, true, now) {
                 self.forget_id(&job);
-                self.answer(number, outcome);
+                self.answer(number, Outcome::NotRun { reason: Reason::NewOwner, retry_after_ms });
             } else {
                 self.jobs.insert(number, job);
                 self.place_job(now, number);
