Let reads of the configuration wait as long as its bound allows

Change. [platform] config_apply_ms, from the platform's bounds; a read waits for what it leaves after detecting a dead connection, 600 to 2,000 ms.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -69,6 +69,9 @@
     pub partitions: u32,
     /// Time after which a daemon loses its cells without a renewal, in milliseconds.
     pub ownership_ms: u64,
+    /// Time after its publication within which a change of the configuration has to be in force, in
+    /// milliseconds.
+    pub config_apply_ms: u64,
     /// Maximum duration of a shutdown, in milliseconds.
     pub grace_ms: u64,
     /// Minimum level of log lines.
@@ -83,6 +86,7 @@
 /// Allows four consecutive renewals to be lost.
 const DEFAULT_OWNERSHIP_MS: u64 = 1_200;
 const DEFAULT_GRACE_MS: u64 = 6_000;
+const DEFAULT_CONFIG_APPLY_MS: u64 = 2_000;
 /// The busiest daemon logs about 150 lines per second under the users' daily load.
 const DEFAULT_LOG_LINES_PER_S: u64 = 400;
 
@@ -125,6 +129,12 @@
         store: reader.value("platform", "store", ADDRESS_REMEDY)?,
         partitions: reader.number("platform", "partitions", 32, PARTITIONS_RANGE)? as u32,
         ownership_ms: ownership_ms.max(min_ownership_ms),
+        config_apply_ms: reader.number(
+            "platform",
+            "config_apply_ms",
+            DEFAULT_CONFIG_APPLY_MS,
+            DURATION_RANGE_MS,
+        )?,
         grace_ms: reader.seconds("drain", "grace_s", DEFAULT_GRACE_MS)?,
         log_level: reader.level()?,
         log_lines_per_s: reader.number(
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -12,10 +12,11 @@
 
 use crate::state::Entry;
 
-/// How long a read waits at the store for a record, in milliseconds. A dead connection is detected
-/// only after this wait plus the read's time-out, and a change has to be in force 2 s after it was
-/// published.
-const READ_WAIT_MS: u64 = 600;
+/// Range of the time that a read waits at the store for a record, in milliseconds.
+const READ_WAIT_RANGE_MS: (u64, u64) = (600, 2_000);
+/// Time for detecting a dead connection after the wait, reconnecting and applying a change, in
+/// milliseconds.
+const READ_RESERVE_MS: u64 = 1_400;
 /// Delay before a failed call is retried, in milliseconds.
 const RETRY_DELAY_MS: u64 = 150;
 /// Delay between reads of the workers' topic, in milliseconds. Every worker renews its entry
@@ -105,11 +106,18 @@
         }
     }
 
+    /// Returns how long a read waits at the store for a record, in milliseconds. A dead connection
+    /// is detected only after this wait, and a change has to be in force within the configured time.
+    fn read_wait_ms(&self) -> u64 {
+        let (min_ms, max_ms) = READ_WAIT_RANGE_MS;
+        self.settings.config_apply_ms.saturating_sub(READ_RESERVE_MS).clamp(min_ms, max_ms)
+    }
+
     /// Returns the next records and advances the offset. Returns `None` if the topic has to be
     /// listed again, and no records after a failure and the delay before a retry.
     async fn read_next(&self, topic: &str, offset: &mut u64) -> Option<Vec<KeyedRecord>> {
         let began = self.now();
-        let reply = self.store.read(topic, *offset, READ_WAIT_MS).await;
+        let reply = self.store.read(topic, *offset, self.read_wait_ms()).await;
         self.record_store_call("read", &reply, began);
         match reply {
             Ok(ReadReply::Records { records, next_offset }) => {
