Pass over cells without an owner; ask the displaced owner again

While memberships lapse, the store lists daemons that do not own their cells yet. A daemon that was assigned nothing believes the list, asks the same two cells in each round, and both deny.

A cell whose listed owner denied it is passed over for 50 ms and does not count as an attempt, so that other cells of the zone, then other zones, are asked. The owner that had announced itself before the store listed another one is remembered and asked again (Owners::reject).

Tests. spill.rs and owners.rs, one new test each; both need the new functions, so that they cannot run on the code before.

--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -175,7 +175,12 @@
             let Some(addr) = self.owner_of(cell) else { return Attempt::NotStarted };
             let message = RunRequest { cell: cell.clone(), submission };
             match self.run_remotely(addr, message).await {
-                Ok(result) => result,
+                Ok(result) => {
+                    if result.is_none() {
+                        self.owners.borrow_mut().reject(cell, addr);
+                    }
+                    result
+                }
                 Err(LinkError::NoConnection(addr)) => {
                     self.mark_unresponsive(addr);
                     None
@@ -191,7 +196,10 @@
                 }
             }
         };
-        let Some((outcome, backlog)) = result else { return Attempt::NotStarted };
+        let Some((outcome, backlog)) = result else {
+            self.loads.borrow_mut().record_unowned(cell, self.now());
+            return Attempt::NotStarted;
+        };
         self.loads.borrow_mut().record(cell, &outcome, backlog, self.now());
         Attempt::Outcome(outcome)
     }
--- a/crates/pool/src/owners.rs
+++ b/crates/pool/src/owners.rs
@@ -2,7 +2,9 @@
 //!
 //! The store lists the holder of a partition as soon as the partition is assigned, which can be
 //! before that daemon owns the cell, and lists no holder during a rebalance. Since the last known
-//! owner keeps serving the cell meanwhile, it stays in the table for a grace period.
+//! owner keeps serving the cell meanwhile, it stays in the table for a grace period. For the same
+//! reason, an owner that announced itself is remembered when the store lists another daemon, in case
+//! that one does not own the cell yet.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,6 +28,9 @@
     pub confirmed_at: Millis,
     /// When a read of the store first lacked the owner; `None` if it is confirmed.
     pub unlisted_since: Option<Millis>,
+    /// Address and fencing token of the owner that announced itself before the store listed this
+    /// one.
+    pub displaced: Option<(SocketAddr, u64)>,
 }
 
 /// The last known owner of each cell.
@@ -70,11 +75,22 @@
         if self.cells.get(cell).is_some_and(|known| known.token > token) {
             return false;
         }
-        self.cells
-            .insert(cell.clone(), Owner { addr, token, confirmed_at: now, unlisted_since: None });
+        let owner = Owner { addr, token, confirmed_at: now, unlisted_since: None, displaced: None };
+        self.cells.insert(cell.clone(), owner);
         true
     }
 
+    /// Records that a daemon does not own a cell although it is listed as the owner. The owner that
+    /// it displaced, if any, takes its place.
+    pub fn reject(&mut self, cell: &Cell, addr: SocketAddr) {
+        let Some(owner) = self.cells.get_mut(cell).filter(|owner| owner.addr == addr) else {
+            return;
+        };
+        if let Some((addr, token)) = owner.displaced.take() {
+            (owner.addr, owner.token) = (addr, token);
+        }
+    }
+
     /// Removes the owner of a cell from the table.
     pub fn remove(&mut self, cell: &Cell) {
         self.cells.remove(cell);
@@ -91,9 +107,13 @@
         let is_owner = |(cell, addr): &(Cell, SocketAddr)| *addr != self.own_addr || owns(cell);
         let mut listed = BTreeMap::new();
         for (cell, addr) in rows.filter(is_owner) {
-            let announced = self.cells.get(&cell).filter(|announced| announced.addr == addr);
-            let token = announced.map_or(0, |announced| announced.token);
-            listed.insert(cell, Owner { addr, token, confirmed_at: now, unlisted_since: None });
+            let (token, displaced) = match self.cells.get(&cell) {
+                Some(known) if known.addr == addr => (known.token, known.displaced),
+                Some(known) if known.token > 0 => (0, Some((known.addr, known.token))),
+                _ => (0, None),
+            };
+            let owner = Owner { addr, token, confirmed_at: now, unlisted_since: None, displaced };
+            listed.insert(cell, owner);
         }
         for (cell, known) in &self.cells {
             let since = known.unlisted_since.unwrap_or(now);
--- a/crates/pool/src/spill.rs
+++ b/crates/pool/src/spill.rs
@@ -21,6 +21,9 @@
 /// milliseconds.
 const REFUSAL_BACKOFF_MS: u64 = 40;
 
+/// How long a cell is not asked after no owner was found for it, in milliseconds.
+const UNOWNED_BACKOFF_MS: u64 = 50;
+
 /// Last known load of a cell.
 #[derive(Clone, Copy, Debug, Default)]
 struct CellLoad {
@@ -28,12 +31,18 @@
     backlog: Backlog,
     /// When the owner last refused a job in either phase, so could not start all its tasks at once.
     busy_at: Option<Millis>,
+    /// When the daemon listed as the owner last denied owning the cell, or could not be reached.
+    unowned_at: Option<Millis>,
     /// When the owner last refused a job for another reason than [`Reason::Busy`], so that queueing
     /// would not have helped.
     refused_at: Option<Millis>,
 }
 
 impl CellLoad {
+    fn is_unowned(&self, now: Millis) -> bool {
+        self.unowned_at.is_some_and(|at| now.since(at) < UNOWNED_BACKOFF_MS)
+    }
+
     fn refused_recently(&self, may_wait: bool, backoff_ms: u64, now: Millis) -> bool {
         let refused_at = if may_wait { self.refused_at } else { self.busy_at };
         refused_at.is_some_and(|at| now.since(at) < backoff_ms)
@@ -58,6 +67,11 @@
         }
     }
 
+    /// Records that no owner was found for a cell, so that jobs are sent to other cells for a while.
+    pub fn record_unowned(&mut self, cell: &Cell, now: Millis) {
+        self.cells.entry(cell.clone()).or_default().unowned_at = Some(now);
+    }
+
     /// Returns the cell of `cells` with the least waiting work, then the most free cores, without
     /// those already asked and those that refused less than `backoff_ms` ago.
     fn least_loaded(
@@ -70,7 +84,7 @@
         let usable = cells.filter(|cell| {
             let load = self.cells.get(cell).copied().unwrap_or_default();
             let refused = load.refused_recently(search.may_wait, backoff_ms, now);
-            !refused && !search.asked.contains(cell)
+            !refused && !load.is_unowned(now) && !search.asked.contains(cell)
         });
         usable.min_by_key(|cell| {
             let backlog = self.cells.get(cell).map(|load| load.backlog).unwrap_or_default();
@@ -90,6 +104,9 @@
     /// Returns the next cell to ask and whether the job may be queued there, or `None` if no cell is
     /// left. `same_zone` and `other_zones` are the cells of this daemon's zone and of the other
     /// zones that have a reachable owner.
+    ///
+    /// Attempts at cells for which no owner was found, as [`CellLoads::record_unowned`] says, do not
+    /// count towards the maximum.
     pub fn next(
         &mut self,
         loads: &CellLoads,
@@ -113,7 +130,9 @@
         other_zones: impl Fn() -> Vec<Cell>,
         now: Millis,
     ) -> Option<Cell> {
-        if self.asked.len() >= MAX_ATTEMPTS_PER_PHASE {
+        let is_owned =
+            |cell: &&Cell| loads.cells.get(*cell).is_none_or(|load| !load.is_unowned(now));
+        if self.asked.iter().filter(is_owned).count() >= MAX_ATTEMPTS_PER_PHASE {
             return None;
         }
         let in_same_zone = loads.least_loaded(same_zone.iter().cloned(), self, 0, now);
--- a/crates/pool/tests/owners.rs
+++ b/crates/pool/tests/owners.rs
@@ -71,3 +71,24 @@
     owners.remove(&cell(0));
     assert!(owners.is_empty());
 }
+
+/// While memberships lapse and are renewed, the store lists daemons that do not own their cells
+/// yet, and the previous owners keep serving them.
+#[test]
+fn the_announced_owner_is_asked_again_when_the_listed_one_denies_the_cell() {
+    let mut owners = owners();
+    owners.record(&cell(0), addr(2), 7, Millis(1_000));
+    for at_ms in [1_100, 1_400] {
+        owners.apply_store_rows([(cell(0), addr(3))].into_iter(), |_| false, Millis(at_ms));
+        assert_eq!(owners.remote_owner(&cell(0)), Some(addr(3)), "at {at_ms}");
+        owners.reject(&cell(0), addr(2));
+        assert_eq!(owners.remote_owner(&cell(0)), Some(addr(3)), "another daemon was asked");
+        owners.reject(&cell(0), addr(3));
+        assert_eq!(owners.remote_owner(&cell(0)), Some(addr(2)), "at {at_ms}");
+        owners.reject(&cell(0), addr(2));
+        assert_eq!(owners.remote_owner(&cell(0)), Some(addr(2)), "no other owner is known");
+    }
+    assert!(owners.record(&cell(0), addr(3), 8, Millis(1_500)));
+    owners.reject(&cell(0), addr(3));
+    assert_eq!(owners.remote_owner(&cell(0)), Some(addr(3)));
+}
--- a/crates/pool/tests/spill.rs
+++ b/crates/pool/tests/spill.rs
@@ -87,3 +87,25 @@
 fn a_search_without_owned_cells_asks_none() {
     assert!(asked(&mut CellLoads::default(), &[], &[], Reason::Busy).is_empty());
 }
+
+/// During rebalances many cells of a zone have no owner for a moment, while others have free
+/// workers.
+#[test]
+fn cells_without_an_owner_are_passed_over_until_an_owner_is_found() {
+    let same_zone: Vec<Cell> = (0..6).map(|partition| cell("a", partition)).collect();
+    let mut loads = CellLoads::default();
+    let mut search = CellSearch::default();
+    let mut asked = Vec::new();
+    while let Some((cell, _)) = search.next(&loads, &same_zone, Vec::new, Millis(100)) {
+        asked.push(cell.partition);
+        if cell.partition < 4 {
+            loads.record_unowned(&cell, Millis(100));
+        } else {
+            loads.record(&cell, &refused(Reason::Busy), backlog(0, 0), Millis(100));
+        }
+    }
+    assert_eq!(asked, [0, 1, 2, 3, 4, 5, 4, 5], "two owners are asked in each phase");
+    let mut search = CellSearch::default();
+    let next = search.next(&loads, &same_zone, Vec::new, Millis(151));
+    assert!(next.is_some_and(|(cell, _)| cell.partition < 4), "the back-off has not ended");
+}
