--- a/crates/entry/src/owners.rs
+++ b/crates/entry/src/owners.rs
@@ -58,7 +58,7 @@
     pub fn record_owner(&self, ownership: &Ownership) {
         let Ownership { cell, addr, token } = ownership;
         if self.owners.borrow_mut().record(cell, *addr, *token, self.now()) {
-            self.unresponsive_until.borrow_mut().remove(addr);
+            self.responsiveness.borrow_mut().record_reply(*addr);
         }
     }
 
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -176,17 +176,18 @@
             let message = RunRequest { cell: cell.clone(), submission };
             match self.run_remotely(addr, message).await {
                 Ok(result) => {
+                    self.responsiveness.borrow_mut().record_reply(addr);
                     if result.is_none() {
                         self.owners.borrow_mut().reject(cell, addr);
                     }
                     result
                 }
                 Err(LinkError::NoConnection(addr)) => {
-                    self.mark_unresponsive(addr);
+                    self.responsiveness.borrow_mut().record_failure(addr, self.now());
                     None
                 }
                 Err(LinkError::ReplyLost(addr)) => {
-                    self.mark_unresponsive(addr);
+                    self.responsiveness.borrow_mut().record_failure(addr, self.now());
                     self.metrics.forwarded.with_label_values(&["lost"]).inc();
                     log::info!(
                         "part=route event=owner_lost job={} cell={cell} owner={addr}",
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,6 +17,7 @@
 use pool::owners::Owners;
 use pool::pool::Pool;
 use pool::resettle::Resettlement;
+use pool::responsiveness::Responsiveness;
 use pool::spill::CellLoads;
 use tokio::sync::{Notify, oneshot};
 
@@ -98,8 +99,8 @@
     pub requested_cells: RefCell<BTreeSet<Cell>>,
     /// Last known load of each cell, from the outcomes of jobs.
     pub loads: RefCell<CellLoads>,
-    /// Until when an unresponsive daemon gets no requests.
-    pub unresponsive_until: RefCell<HashMap<SocketAddr, Millis>>,
+    /// Which other daemons get no requests because they did not reply lately.
+    pub responsiveness: RefCell<Responsiveness>,
     /// Fencing token at which this daemon was last fenced off each cell. The cell is not acquired
     /// again with this token or a lower one.
     pub fenced: RefCell<HashMap<Cell, u64>>,
@@ -164,7 +165,7 @@
             assignment: RefCell::default(),
             requested_cells: RefCell::default(),
             loads: RefCell::default(),
-            unresponsive_until: RefCell::default(),
+            responsiveness: RefCell::default(),
             fenced: RefCell::default(),
             phase: Value::new(Phase::Serving),
             exits_at: Value::new(None),
@@ -203,20 +204,12 @@
         serial
     }
 
-    /// Records that a daemon did not reply, so that it gets no requests for a while.
-    pub fn mark_unresponsive(&self, addr: SocketAddr) {
-        self.unresponsive_until.borrow_mut().insert(addr, self.now().plus(UNRESPONSIVE_MS));
-    }
-
-    /// Whether requests may be sent to a daemon, because it is not marked as unresponsive.
+    /// Whether requests may be sent to a daemon, because it did not fail to reply lately.
     pub fn is_responsive(&self, addr: SocketAddr) -> bool {
-        self.unresponsive_until.borrow().get(&addr).is_none_or(|until| self.now() >= *until)
+        self.responsiveness.borrow().is_responsive(addr, self.now())
     }
 }
 
-/// How long a daemon gets no requests after it did not reply, in milliseconds.
-const UNRESPONSIVE_MS: u64 = 400;
-
 /// Derives the key for connections between daemons from the list of zones, which is the same for
 /// all daemons of an installation. The platform provides no secret, so the key does not
 /// authenticate: it only separates the daemons of different installations.
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -58,7 +58,8 @@
                 records.iter().map(|record| record.key.clone()).collect();
             self.mark_unlisted(&listed, &mut missing_since);
             let was_known = self.knows_workers.replace(true);
-            self.apply_workers(&records, &mut missing_since);
+            log::info!("part=follow event=workers_listed workers={}", listed.len());
+            self.apply_workers(&records, &mut missing_since, log::Level::Debug);
             if !was_known {
                 // Cells acquired before the entries were read have no workers yet.
                 self.refresh_all_workers();
@@ -67,7 +68,7 @@
             }
             while self.should_read_workers.get() {
                 let Some(records) = self.read_next(WORKER_TOPIC, &mut offset).await else { break };
-                self.apply_workers(&records, &mut missing_since);
+                self.apply_workers(&records, &mut missing_since, log::Level::Info);
                 pause(WORKER_READ_DELAY_MS).await;
             }
             // If the history was trimmed, the known entries stay in use until the next listing.
@@ -166,14 +167,17 @@
         *current = Some(Rc::new(catalogue));
     }
 
+    /// Applies the workers' entries. `level` is that of the log line for each change: a listing
+    /// would use up the rate of lines for the lines that matter after a start.
     fn apply_workers(
         self: &Rc<Self>,
         records: &[KeyedRecord],
         missing_since: &mut HashMap<String, Millis>,
+        level: log::Level,
     ) {
         let mut changed = false;
         for record in records {
-            changed |= self.apply_worker(record, missing_since);
+            changed |= self.apply_worker(record, missing_since, level);
         }
         changed |= self.remove_expired(missing_since);
         if changed {
@@ -185,6 +189,7 @@
         &self,
         record: &KeyedRecord,
         missing_since: &mut HashMap<String, Millis>,
+        level: log::Level,
     ) -> bool {
         let Some(value) = &record.value else {
             missing_since.entry(record.key.clone()).or_insert_with(|| self.now());
@@ -204,7 +209,7 @@
         let state = entry.state;
         let changed = self.directory.borrow_mut().apply(&record.key, Some(entry));
         if changed {
-            log::info!("part=follow event=worker worker={} state={state:?}", record.key);
+            log::log!(level, "part=follow event=worker worker={} state={state:?}", record.key);
         }
         changed
     }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -19,6 +19,7 @@
 mod replies;
 pub mod resettle;
 pub mod resources;
+pub mod responsiveness;
 pub mod round_trip;
 pub mod run;
 pub mod spill;
