The last daemon of a zone keeps its cells while it drains

A daemon that drains as the last member of its zone leaves the group, keeps its cells and announces them each second, until another daemon takes them or its grace is nearly over; it takes only jobs that can end by then. Of two daemons that claim a cell the one with the lower token gives up when it learns of the other. A process that was paused between a renewal and the use of its reply takes no cell on an assignment that has run out.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -51,6 +51,9 @@
         submission: Submission,
         on_submit: impl FnOnce(u64, u64),
     ) -> Option<(Outcome, Backlog)> {
+        if !self.may_take_job(&submission) {
+            return None;
+        }
         let now = self.now();
         let (serial, number, receiver) = {
             let mut owned = self.owned.borrow_mut();
--- a/crates/entry/src/owners.rs
+++ b/crates/entry/src/owners.rs
@@ -53,15 +53,42 @@
         }
     }
 
-    /// Records a cell's owner as announced by another daemon. A newly recorded owner is no longer
-    /// treated as unresponsive.
-    pub fn record_owner(&self, ownership: &Ownership) {
+    /// Records a cell's owner as announced by another daemon, which shows that it responds. If both
+    /// claim the cell, the one with the lower fencing token gives it up: this daemon at once, the
+    /// other one when it learns of this daemon's ownership.
+    pub fn record_owner(self: &Rc<Self>, ownership: &Ownership) {
         let Ownership { cell, addr, token } = ownership;
+        let own_token = self.owned.borrow().get(cell).map(|owned| owned.pool.token());
+        match own_token {
+            Some(own_token) if own_token < *token => self.release_cell(cell, "overtaken"),
+            Some(own_token) if own_token > *token => {
+                self.announce_to(
+                    *addr,
+                    Ownership {
+                        cell: cell.clone(),
+                        addr: self.settings.advertised,
+                        token: own_token,
+                    },
+                );
+                return;
+            }
+            Some(_) | None => {}
+        }
         if self.owners.borrow_mut().record(cell, *addr, *token, self.now()) {
             self.responsiveness.borrow_mut().record_reply(*addr);
         }
     }
 
+    fn announce_to(self: &Rc<Self>, addr: SocketAddr, ownership: Ownership) {
+        let entry = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let request = Request::AnnounceOwner(ownership);
+            if let Err(error) = entry.links.notify(addr, request).await {
+                log::info!("part=ownership event=announce_failed why=\"{error}\"");
+            }
+        });
+    }
+
     /// Returns the known owners of cells, including this daemon.
     pub fn known_owners(&self) -> Vec<Ownership> {
         let owned = self.owned.borrow();
@@ -99,13 +126,13 @@
     }
 
     /// Returns the owner of a cell that the store lists at `listed`. While the assignment settles,
-    /// an announced owner keeps its cell although the store lists another daemon.
+    /// the last known owner keeps its cell although the store lists another daemon.
     fn settled_owner(&self, cell: &Cell, listed: SocketAddr) -> SocketAddr {
         if !self.resettlement.borrow().is_settling(self.now()) {
             return listed;
         }
-        let announced = self.owners.borrow().announced_owner(cell);
-        announced.filter(|addr| self.is_responsive(*addr)).unwrap_or(listed)
+        let known = self.owners.borrow().remote_owner(cell);
+        known.filter(|addr| self.is_responsive(*addr)).unwrap_or(listed)
     }
 
     async fn read_owners(self: &Rc<Self>, state: &mut WatchState) {
@@ -115,6 +142,12 @@
         self.record_store_call("owners", &rows, started_at);
         let Ok(rows) = rows else { return };
         self.update_empty_zones(&rows);
+        let is_zone_peer = |row: &Owner| {
+            let member = row.member.split_once('|');
+            member.is_some_and(|(_, zone)| zone == self.settings.zone)
+                && row.member != self.member_name()
+        };
+        self.has_zone_peers.set(rows.iter().any(is_zone_peer));
         let mut listed_owners = Vec::new();
         for row in &rows {
             let Some(zone) = row.topic.strip_prefix(TOPIC_PREFIX) else { continue };
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -175,7 +175,7 @@
     /// Returns the name of this daemon in the group. It contains the address, so that other daemons
     /// can be discovered from the store's list of members. A restarted process has the same name
     /// and therefore keeps its cells.
-    fn member_name(&self) -> String {
+    pub(crate) fn member_name(&self) -> String {
         format!("{}|{}", self.settings.advertised, self.settings.zone)
     }
 
@@ -249,9 +249,9 @@
         if fenced.is_some_and(|token| generation <= token) {
             return;
         }
-        let announced = self.owners.borrow().announced_owner(&cell);
-        match announced.filter(|addr| self.is_responsive(*addr)) {
-            None => self.start_ownership(cell, generation, "dealt"),
+        let last_owner = self.owners.borrow().remote_owner(&cell);
+        match last_owner.filter(|addr| self.is_responsive(*addr)) {
+            None => self.start_assigned(cell, generation, "dealt"),
             Some(owner) => {
                 if self.requested_cells.borrow_mut().insert(cell.clone()) {
                     actix_rt::spawn(Rc::clone(self).request_cell(cell, owner, generation));
@@ -282,7 +282,7 @@
         };
         let fenced = self.fenced.borrow().get(&cell).is_some_and(|token| generation <= *token);
         if !fenced && !self.owned.borrow().contains_key(&cell) {
-            self.start_ownership(cell, generation, how);
+            self.start_assigned(cell, generation, how);
         }
     }
 
@@ -317,6 +317,17 @@
         self.handover_until.borrow_mut().extend(cells.into_iter().map(|cell| (cell, until)));
     }
 
+    /// Acquires a cell that the store has assigned with this generation. Refused when the membership
+    /// has run out since, because this process was paused.
+    fn start_assigned(self: &Rc<Self>, cell: Cell, generation: u64, how: &str) {
+        if !self.resettlement.borrow().is_member(self.now()) {
+            log::warn!("part=ownership event=assignment_expired cell={cell} token={generation}");
+            self.metrics.cells.with_label_values(&["expired"]).inc();
+            return;
+        }
+        self.start_ownership(cell, generation, how);
+    }
+
     fn start_ownership(self: &Rc<Self>, cell: Cell, token: u64, how: &str) {
         let pool = Pool::new(token);
         log::info!("part=ownership event=cell_gained cell={cell} token={token} how={how}");
@@ -329,6 +340,22 @@
         self.broadcast(&Request::AnnounceOwner(Ownership { cell, addr, token }));
     }
 
+    /// Announces all owned cells to the other daemons.
+    pub fn announce_owned_cells(self: &Rc<Self>) {
+        let addr = self.settings.advertised;
+        let announce = |(cell, owned): (&Cell, &OwnedCell)| {
+            Request::AnnounceOwner(Ownership {
+                cell: cell.clone(),
+                addr,
+                token: owned.pool.token(),
+            })
+        };
+        let announcements: Vec<Request> = self.owned.borrow().iter().map(announce).collect();
+        for announcement in &announcements {
+            self.broadcast(announcement);
+        }
+    }
+
     /// Takes over a cell from a daemon that shuts down and cannot reach the store. The fencing
     /// token stays the same, because the previous owner sends no further orders to workers.
     pub fn accept_handover(self: &Rc<Self>, cell: Cell, token: u64) -> Reply {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -89,6 +89,8 @@
     pub handover_until: RefCell<HashMap<Cell, Millis>>,
     /// State of this daemon's membership in the store's group.
     pub group: RefCell<GroupState>,
+    /// Whether another daemon of this daemon's zone was in the group at the last read.
+    pub has_zone_peers: Value<bool>,
     /// Since when each zone has had no daemon in the group.
     pub empty_zones_since: RefCell<BTreeMap<String, Millis>>,
     /// Whether this daemon's membership lapsed lately, so that its cells are kept for a while.
@@ -108,6 +110,8 @@
     pub phase: Value<Phase>,
     /// When the process exits at the latest; `None` until it drains.
     pub exits_at: Value<Option<Millis>>,
+    /// When this draining daemon, the last one of its zone, releases its cells at the latest.
+    pub releases_cells_at: Value<Option<Millis>>,
     /// Number of callers' requests in flight.
     pub in_flight: Value<usize>,
     /// Jobs whose callers are connected to this daemon.
@@ -160,6 +164,7 @@
             is_store_reachable: Value::new(false),
             handover_until: RefCell::default(),
             group: RefCell::default(),
+            has_zone_peers: Value::new(false),
             empty_zones_since: RefCell::default(),
             resettlement: RefCell::new(Resettlement::new(settings.ownership_ms)),
             assignment: RefCell::default(),
@@ -169,6 +174,7 @@
             fenced: RefCell::default(),
             phase: Value::new(Phase::Serving),
             exits_at: Value::new(None),
+            releases_cells_at: Value::new(None),
             in_flight: Value::new(0),
             open_jobs: OpenJobs::default(),
             links,
--- a/crates/entry/tests/lapse.rs
+++ b/crates/entry/tests/lapse.rs
@@ -1,9 +1,11 @@
-//! Tests of a zone that loses the store for longer than its memberships last, with real daemon
-//! processes.
+//! Tests of a zone whose daemons lose their memberships: the store is out of reach for longer than
+//! they last, or the daemons are stopped in turn. With real daemon processes.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use pool::catalogue::WorkerState;
+use rustix::process::Signal;
 use soak::cluster::{Cluster, Layout, job};
 use standins::metastore::StoreBehaviour;
 
@@ -79,3 +81,36 @@
     cells.sort_unstable();
     assert_eq!(cells, ["z0/0", "z0/9"], "each cell has one owner");
 }
+
+/// Guards against workers that stay idle for seconds in a rolling restart: the other daemon of the
+/// zone is still away when the last one is stopped.
+#[actix_rt::test]
+async fn the_last_daemon_of_a_zone_serves_until_another_one_takes_its_cell() {
+    let program = Path::new(env!("CARGO_BIN_EXE_clementine-entry"));
+    // The jobs come through a daemon of the other zone, which has no workers of its own.
+    let layout = Layout { zones: 2, daemons: 2, workers: 2 };
+    let mut cluster = Cluster::start(program, layout).await;
+    let last = cluster.find_owner(0).await;
+    let first = 1 - last;
+    for worker in 2..4 {
+        cluster.publish_worker(worker, 1, WorkerState::Draining);
+    }
+    cluster.daemons[first].signal(Signal::TERM);
+    pause(1_500).await;
+    cluster.daemons[last].signal(Signal::TERM);
+    let began = Instant::now();
+    let mut id = 1;
+    let mut is_restarted = false;
+    while began.elapsed() < Duration::from_millis(4_500) {
+        if !is_restarted && began.elapsed() > Duration::from_millis(3_000) {
+            cluster.restart(first);
+            is_restarted = true;
+        }
+        let answer = cluster.submit(2 + id as usize % 2, &job(id, 1, 5, "5")).await.unwrap();
+        let at_ms = began.elapsed().as_millis();
+        assert_eq!(answer.0, 200, "job {id} at {at_ms} ms: {}", answer.1);
+        id += 1;
+        pause(20).await;
+    }
+    assert_eq!(cluster.find_owner(0).await, first, "the daemon that came back owns the cell");
+}
--- a/crates/pool/src/owners.rs
+++ b/crates/pool/src/owners.rs
@@ -57,13 +57,6 @@
         (addr != self.own_addr).then_some(addr)
     }
 
-    /// Returns the address of a cell's owner if that daemon itself announced its ownership, and
-    /// `None` if only the store lists it or it is this daemon.
-    pub fn announced_owner(&self, cell: &Cell) -> Option<SocketAddr> {
-        let owner = self.cells.get(cell).filter(|owner| owner.token > 0)?;
-        (owner.addr != self.own_addr).then_some(owner.addr)
-    }
-
     /// Iterates over all known owners in order of cell.
     pub fn iter(&self) -> impl Iterator<Item = (&Cell, &Owner)> {
         self.cells.iter()
--- a/crates/pool/src/resettle.rs
+++ b/crates/pool/src/resettle.rs
@@ -52,6 +52,12 @@
         Some(now.plus(KEEP_MS + RELEASE_MARGIN_MS))
     }
 
+    /// Whether the membership still lasts at `now`, according to the latest renewal. A process that
+    /// was paused after a renewal must not take a cell on an assignment that has run out meanwhile.
+    pub fn is_member(&self, now: Millis) -> bool {
+        self.renewed_at.is_some_and(|at| now.since(at) < self.ttl_ms)
+    }
+
     /// Whether the assignment has not settled yet since the membership was regained.
     pub fn is_settling(&self, now: Millis) -> bool {
         self.returned_at.is_some_and(|at| now.since(at) < KEEP_MS)
--- a/crates/pool/tests/resettle.rs
+++ b/crates/pool/tests/resettle.rs
@@ -39,6 +39,18 @@
     }
 }
 
+/// Replays a process that is paused between the reply to its renewal and the use of the assignment,
+/// or while it waits for the last owner of a cell.
+#[test]
+fn an_assignment_is_not_used_after_the_membership_has_run_out() {
+    let resettlement = renewed();
+    // The last renewal was sent at 900 ms; the time counts from there, not from the reply.
+    for (now_ms, is_member) in [(905, true), (2_099, true), (2_100, false), (9_000, false)] {
+        assert_eq!(resettlement.is_member(Millis(now_ms)), is_member, "at {now_ms}");
+    }
+    assert!(!Resettlement::new(TTL_MS).is_member(Millis(0)), "nothing was renewed yet");
+}
+
 #[test]
 fn the_first_renewal_keeps_nothing() {
     let mut resettlement = Resettlement::new(TTL_MS);
