Extreme numbers from workers and callers cause no overflow

One malformed message can stop the task that serves a cell: a worker that reports the largest clock or run number, and a job that declares the largest time or size, overflow additions in the pool. With overflow checks that is a panic; without them a lease or an admission is computed from a wrapped number. Since a new owner queues jobs before it knows its workers, a job of any size also reaches the backlog's product.

--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -108,9 +108,10 @@
             let pending = job.tasks.iter().filter(|task| task.state == TaskState::Pending);
             let work = pending.map(|task| {
                 let step = task.step as usize;
-                job.task_ms[step] * job.spec.steps[step].task_resources.cpu_millicores
+                let cpu_millicores = job.spec.steps[step].task_resources.cpu_millicores;
+                job.task_ms[step].saturating_mul(cpu_millicores)
             });
-            backlog.queued_work += work.sum::<u64>();
+            backlog.queued_work = work.fold(backlog.queued_work, u64::saturating_add);
         }
         backlog
     }
--- a/crates/pool/src/catalogue.rs
+++ b/crates/pool/src/catalogue.rs
@@ -35,13 +35,13 @@
     /// Returns the latency objective of a job with an expected run time of `expected_ms`, counted
     /// from the arrival of the request, in milliseconds.
     pub fn objective_ms(&self, expected_ms: u64) -> u64 {
-        (expected_ms as f64 * self.stretch) as u64 + self.target_ms
+        ((expected_ms as f64 * self.stretch) as u64).saturating_add(self.target_ms)
     }
 
     /// Returns the time after which the answer to a job with an expected run time of `expected_ms`
     /// is of no use any more, counted from the arrival of the request, in milliseconds.
     pub fn useful_ms(&self, expected_ms: u64) -> u64 {
-        self.objective_ms(expected_ms) * LATE_FACTOR
+        self.objective_ms(expected_ms).saturating_mul(LATE_FACTOR)
     }
 }
 
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -273,7 +273,8 @@
         let timeout_ms = self.round_trip.timeout_ms();
         let renewal_call = |(id, worker): (&Rc<str>, &mut Worker)| {
             let has_runs = !worker.runs.is_empty();
-            let until_ms = worker.clock_at(now).filter(|_| has_runs)? + LEASE_MS;
+            let clock_ms = worker.clock_at(now).filter(|_| has_runs)?;
+            let until_ms = clock_ms.saturating_add(LEASE_MS);
             let call = PollCall {
                 token: self.token,
                 ack_cursor: worker.cursor(),
@@ -364,7 +365,7 @@
             let name = job.name(task_index);
             let run = Run {
                 task_ref: Some((number, task_index)),
-                run: task.run + 1,
+                run: task.run.saturating_add(1),
                 resources: step.task_resources,
                 state: RunState::Starting,
                 since: now,
@@ -376,14 +377,14 @@
                 task: name.clone(),
                 run: run.run,
                 spec: Rc::clone(&job.spec.payload),
-                lease_until_ms: clock_ms + LEASE_MS,
+                lease_until_ms: clock_ms.saturating_add(LEASE_MS),
                 token: self.token,
             };
             let target = worker.target(&id, self.round_trip.timeout_ms());
             self.actions.push(Action::Start(target, call));
             worker.place(name, run);
             job.tasks[task_index].state = TaskState::Placed;
-            job.tasks[task_index].run = task.run + 1;
+            job.tasks[task_index].run = task.run.saturating_add(1);
             job.tasks[task_index].worker = Some(id);
             job.started = true;
         }
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -111,7 +111,8 @@
         let Some(job) = self.jobs.get_mut(&number) else { return };
         job.tasks[at].state = TaskState::Pending;
         if refusal == Refusal::OldRun {
-            job.tasks[at].run += RUN_NUMBER_JUMP;
+            let task = &mut job.tasks[at];
+            task.run = task.run.saturating_add(RUN_NUMBER_JUMP);
         }
         if refusal == Refusal::Unreadable {
             self.task_failed(now, number, at);
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -186,7 +186,7 @@
     /// estimate is early by the time that the reply took, which errs towards shorter leases.
     pub fn clock_at(&self, now: Millis) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
-        Some(clock_ms + now.since(at))
+        Some(clock_ms.saturating_add(now.since(at)))
     }
 
     /// Returns the highest number of an ended run that was received.
@@ -228,7 +228,7 @@
         self.next_poll_at = None;
         self.acking = self.cursor;
         let renews = !self.runs.is_empty() && self.unanswered_polls == 0;
-        let lease_until_ms = self.clock_at(now)? + LEASE_MS;
+        let lease_until_ms = self.clock_at(now)?.saturating_add(LEASE_MS);
         if renews {
             self.lease_bound = self.lease_bound.max(now.plus(LEASE_BOUND_MS));
         }
