--- a/crates/entry/tests/lapse.rs
+++ b/crates/entry/tests/lapse.rs
@@ -70,7 +70,7 @@
     // Cells are kept for 2.5 s and released within another second.
     let mut id = 1;
     let began = Instant::now();
-    while began.elapsed() < Duration::from_millis(5_000) {
+    while began.elapsed() < Duration::from_secs(5) {
         let answer = cluster.submit(id as usize % 3, &job(id, 1, 5, "5")).await.unwrap();
         assert_eq!(answer.0, 200, "job {id}: {}", answer.1);
         id += 1;
@@ -102,7 +102,7 @@
     let mut id = 1;
     let mut is_restarted = false;
     while began.elapsed() < Duration::from_millis(4_500) {
-        if !is_restarted && began.elapsed() > Duration::from_millis(3_000) {
+        if !is_restarted && began.elapsed() > Duration::from_secs(3) {
             cluster.restart(first);
             is_restarted = true;
         }
