--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -92,7 +92,8 @@
     /// Outcome of a job, and the load of the cell after it.
     Outcome(Outcome, Backlog),
     /// The request is refused: the sender does not own the cell, does not accept the handover or
-    /// does not know the numbers of workers.
+    /// does not know the numbers of workers. As the reply to [`Request::ReleaseCell`]: the sender
+    /// does not own the cell, or has just released it.
     NotOwner,
     /// The sender has taken over the cell.
     TakenOver,
