Revert: one owner of another zone asked after two of the same zone

Cause of the revert. Owners there have 0.12 of a core; under a burst each refused job costs up to six attempts instead of four.

--- a/crates/pool/src/spill.rs
+++ b/crates/pool/src/spill.rs
@@ -3,8 +3,7 @@
 //! Callers load the zones unevenly, and a burst can fill one zone while others have free workers.
 //! A job is first offered for immediate start of all its tasks, to cells in the same zone before
 //! cells in other zones. It is queued at a cell only if none of the cells asked can start it at
-//! once. Large zones have many cells, of which two are asked; one owner of another zone is asked
-//! after them, since a zone that is full has no room in its other cells either.
+//! once.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -15,12 +14,9 @@
 use crate::job::{Outcome, Reason};
 use crate::queue::Backlog;
 
-/// Maximum number of owners of the same zone asked for one job in each phase: first for an immediate
-/// start, then with queueing allowed.
-const MAX_SAME_ZONE_ATTEMPTS: usize = 2;
-/// Number of owners asked in each phase before the search ends, if there are enough. One owner of
-/// another zone is asked even after [`MAX_SAME_ZONE_ATTEMPTS`].
-const MIN_ATTEMPTS_PER_PHASE: usize = 2;
+/// Maximum number of owners asked for one job in each phase: first for an immediate start, then
+/// with queueing allowed.
+const MAX_ATTEMPTS_PER_PHASE: usize = 2;
 /// How long after a refusal the owner of a cell in another zone is not asked again for any job, in
 /// milliseconds.
 const REFUSAL_BACKOFF_MS: u64 = 40;
@@ -136,20 +132,13 @@
     ) -> Option<Cell> {
         let is_owned =
             |cell: &&Cell| loads.cells.get(*cell).is_none_or(|load| !load.is_unowned(now));
-        let asked = self.asked.iter().filter(is_owned);
-        let (in_same_zone, in_other_zones): (Vec<&Cell>, Vec<&Cell>) =
-            asked.partition(|cell| same_zone.contains(cell));
-        let may_ask_same_zone = in_same_zone.len() < MAX_SAME_ZONE_ATTEMPTS;
-        let max_in_other_zones = MIN_ATTEMPTS_PER_PHASE.saturating_sub(in_same_zone.len()).max(1);
-        let may_ask_other_zones = in_other_zones.len() < max_in_other_zones;
-        let mut cell = None;
-        if may_ask_same_zone && in_other_zones.is_empty() {
-            cell = loads.least_loaded(same_zone.iter().cloned(), self, 0, now);
+        if self.asked.iter().filter(is_owned).count() >= MAX_ATTEMPTS_PER_PHASE {
+            return None;
         }
-        if cell.is_none() && may_ask_other_zones {
-            cell = loads.least_loaded(other_zones().into_iter(), self, REFUSAL_BACKOFF_MS, now);
-        }
-        let cell = cell?;
+        let in_same_zone = loads.least_loaded(same_zone.iter().cloned(), self, 0, now);
+        let in_other_zones =
+            || loads.least_loaded(other_zones().into_iter(), self, REFUSAL_BACKOFF_MS, now);
+        let cell = in_same_zone.or_else(in_other_zones)?;
         self.asked.push(cell.clone());
         Some(cell)
     }
