Log workers that are lost with active runs, restarts, and the load behind a refusal

No decision changes.

A refused connection is now told apart from one that could not be opened: it shows that no process listens, which a cut-off worker does not. A worker's loss is logged once for each kind of evidence (silent, refused, replaced), with the runs that shared it; a worker that replies again in the same process too. Second and later starts are logged, and refusals carry the load of the cell that replied last.

--- a/crates/clementined/src/catalogue.rs
+++ b/crates/clementined/src/catalogue.rs
@@ -87,7 +87,7 @@
         let record = serde_json::to_string(&CatalogueRecord::Edit(edit)).unwrap_or_default();
         self.platform_messages.set(self.platform_messages.get() + 2);
         match self.log.append(CATALOGUE_STREAM, vec![record]).await {
-            Err(CallError::NoConnection(_)) => {
+            Err(CallError::NoConnection(_) | CallError::ConnectionRefused(_)) => {
                 let why = "the log service cannot be reached; try again when it is back".to_owned();
                 return EditBody::NotAccepted { why };
             }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -21,6 +21,8 @@
 /// A draining daemon accepts a job only if the time until it exits is at least this multiple of the
 /// job's declared time.
 const DRAIN_TIME_FACTOR: u64 = 3;
+/// Status of a response that reports how a job ended.
+const OK: u16 = 200;
 /// Time reserved for sending a response to the caller, in milliseconds.
 const RESPONSE_MARGIN_MS: u64 = 100;
 /// Delay after which a caller may retry at another daemon when this one drains, in milliseconds.
@@ -169,14 +171,23 @@
         let seconds = took_ms as f64 / 1_000.0;
         self.metrics.latency_s.with_label_values(&[route]).observe(seconds);
         let cell = trace.cell.as_ref().map(ToString::to_string).unwrap_or_default();
+        let load = trace.backlog.filter(|_| status != OK).map(|load| {
+            format!(
+                " free_millicores={} capacity_millicores={} queue_ms={}",
+                load.free_millicores,
+                load.capacity_millicores,
+                load.wait_ms(),
+            )
+        });
         log::info!(
             "part=callers event=answer job={} route={route} status={status} why={why} \
              took_ms={took_ms} limit_ms={} longest_ms={} tasks={tasks} cell={cell} tries={} \
-             config={version}",
+             config={version}{}",
             job.spec.id,
             job.limit_ms,
             job.spec.critical_path_ms(|step| step.estimate_ms),
             trace.attempts,
+            load.unwrap_or_default(),
         );
     }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -22,6 +22,10 @@
     pub polls: IntCounterVec,
     /// Ended runs that workers reported in replies to polls.
     pub ended_runs: IntCounter,
+    /// Workers that were lost with active runs, by cause, and those that replied again.
+    pub worker_losses: IntCounterVec,
+    /// Runs that were active on lost workers, by cause.
+    pub lost_runs: IntCounterVec,
     /// Calls to the store, by call and result.
     pub store_calls: IntCounterVec,
     /// Jobs forwarded to other daemons, by result.
@@ -68,6 +72,8 @@
             stops: counters("entry_stops_total", "Stops by reply.", &["reply"])?,
             polls: counters("entry_looks_total", "Looks by reply.", &["reply"])?,
             ended_runs,
+            worker_losses: counters("entry_workers_lost_total", "Lost workers.", &["cause"])?,
+            lost_runs: counters("entry_runs_lost_total", "Runs on lost workers.", &["cause"])?,
             store_calls: counters("entry_store_calls_total", "Store calls.", &["call", "result"])?,
             forwarded: counters("entry_forwarded_total", "Jobs sent on.", &["result"])?,
             cells: counters("entry_cells_total", "Cells gained and lost.", &["change"])?,
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -7,6 +7,7 @@
 use pool::call::{PollCall, PollReply, StartCall, StartReply, StopCall, StopReply, Target};
 use pool::cells::Cell;
 use pool::job::{Outcome, Progress};
+use pool::loss::WorkerLoss;
 use pool::pool::{Action, MAX_STALL_MS, Pool, Submission};
 use pool::queue::Backlog;
 use tokio::sync::oneshot;
@@ -15,6 +16,8 @@
 
 /// Maximum time between two iterations of the loop that drives the pools, in milliseconds.
 const MAX_PAUSE_MS: u64 = 100;
+/// Maximum number of runs that the log line of a lost worker names.
+const MAX_LOGGED_RUNS: usize = 16;
 
 /// Identifies the ownership of a cell under which a call is made, so that a reply does not reach
 /// the pool of a later ownership.
@@ -125,9 +128,40 @@
                     let _ = sender.send(outcome);
                 }
             }
+            Action::ReportLoss(loss) => self.log_loss(&ownership, &loss),
+            Action::ReportReturn(life) => {
+                self.metrics.worker_losses.with_label_values(&["returned"]).inc();
+                log::info!(
+                    "part=owner event=worker_returned worker={} started_at={}",
+                    life.worker,
+                    life.started_at_ms.unwrap_or_default(),
+                );
+            }
         }
     }
 
+    fn log_loss(&self, ownership: &OwnershipRef, loss: &WorkerLoss) {
+        let cause = loss.cause.as_str();
+        self.metrics.worker_losses.with_label_values(&[cause]).inc();
+        self.metrics.lost_runs.with_label_values(&[cause]).inc_by(loss.runs.len() as u64);
+        let tasks: Vec<String> = loss
+            .runs
+            .iter()
+            .take(MAX_LOGGED_RUNS)
+            .map(|(task, run)| format!("{task}/{run}"))
+            .collect();
+        log::info!(
+            "part=owner event=worker_lost worker={} started_at={} cause={cause} draining={} \
+             cell={} runs={} tasks={}",
+            loss.life.worker,
+            loss.life.started_at_ms.unwrap_or_default(),
+            loss.was_draining,
+            ownership.cell,
+            loss.runs.len(),
+            tasks.join(","),
+        );
+    }
+
     async fn send_start(self: Rc<Self>, ownership: OwnershipRef, target: Target, call: StartCall) {
         let reply = self.workers.start(&target, &call).await;
         let label = match reply {
@@ -136,7 +170,8 @@
             StartReply::Lost => "lost",
         };
         self.metrics.starts.with_label_values(&[label]).inc();
-        let level = if label == "started" { log::Level::Debug } else { log::Level::Info };
+        let is_usual = label == "started" && call.run == 1;
+        let level = if is_usual { log::Level::Debug } else { log::Level::Info };
         log::log!(
             level,
             "part=owner event=start task={} run={} worker={} token={} lease_until={} reply={label}",
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -49,6 +49,8 @@
     pub cell: Option<Cell>,
     /// Number of attempts, each at the owner of a cell.
     pub attempts: usize,
+    /// Load of the cell that replied last; `None` before the first reply.
+    pub backlog: Option<Backlog>,
 }
 
 /// Cancels a forwarded job at its owner if no reply has arrived when it is dropped, because nobody
@@ -112,6 +114,7 @@
             trace.cell = Some(cell.clone());
             trace.attempts += 1;
             let attempt = self.submit_to_cell(&cell, request, PreviousOwner::None, may_wait).await;
+            trace.backlog = self.loads.borrow().backlog(&cell);
             match decide(attempt, &PreviousOwner::None) {
                 Decision::Answer(outcome) => return outcome,
                 Decision::SameCell(previous_owner) => {
@@ -145,6 +148,7 @@
             }
             trace.attempts += 1;
             let attempt = self.submit_to_cell(cell, request, previous_owner.clone(), true).await;
+            trace.backlog = self.loads.borrow().backlog(cell);
             match decide(attempt, &previous_owner) {
                 Decision::Answer(outcome) => return outcome,
                 Decision::SameCell(known) => previous_owner = known,
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -206,10 +206,17 @@
             }
         };
         missing_since.remove(&record.key);
-        let state = entry.state;
+        let (state, addr, started_at_ms) = (entry.state, entry.addr, entry.started_at_ms);
+        let cpu_millicores = entry.capacity.cpu_millicores;
         let changed = self.directory.borrow_mut().apply(&record.key, Some(entry));
         if changed {
-            log::log!(level, "part=follow event=worker worker={} state={state:?}", record.key);
+            log::log!(
+                level,
+                "part=follow event=worker worker={} state={state:?} addr={addr} \
+                 started_at={} cpu_millicores={cpu_millicores}",
+                record.key,
+                started_at_ms.unwrap_or_default(),
+            );
         }
         changed
     }
--- a/crates/httpedge/src/client.rs
+++ b/crates/httpedge/src/client.rs
@@ -24,6 +24,9 @@
     /// No connection could be opened, so nothing was sent.
     #[error("no connection to {0}; check that it runs and that the address is right")]
     NoConnection(SocketAddr),
+    /// The address refused the connection: nothing listens there, and nothing was sent.
+    #[error("{0} refused the connection; check that the process runs")]
+    ConnectionRefused(SocketAddr),
     /// The request may have arrived, but its complete reply did not.
     #[error("got no complete reply from {0}; the request may have taken effect")]
     ReplyLost(SocketAddr),
@@ -127,8 +130,8 @@
     /// whatever the status is.
     ///
     /// # Errors
-    /// Returns [`CallError::NoConnection`] or [`CallError::ReplyLost`] if there is no complete reply
-    /// in time.
+    /// Returns [`CallError::NoConnection`], [`CallError::ConnectionRefused`] or
+    /// [`CallError::ReplyLost`] if there is no complete reply in time.
     pub async fn send_raw(&self, call: RawRequest<'_>) -> Result<(u16, Vec<u8>), CallError> {
         let addr = call.addr;
         let limit = Duration::from_millis(call.timeout_ms);
@@ -210,24 +213,25 @@
 /// Converts an error of `awc`. Only errors that occur before a connection is established prove that
 /// the request was not sent: `awc` does not report when an established connection broke.
 fn call_error(addr: SocketAddr, error: &SendRequestError) -> CallError {
-    let not_sent = match error {
-        SendRequestError::Url(_) => true,
-        SendRequestError::Connect(error) => connection_not_established(error),
-        _ => false,
-    };
-    if not_sent { CallError::NoConnection(addr) } else { CallError::ReplyLost(addr) }
+    match error {
+        SendRequestError::Url(_) => CallError::NoConnection(addr),
+        SendRequestError::Connect(error) => connect_error(addr, error),
+        _ => CallError::ReplyLost(addr),
+    }
 }
 
-fn connection_not_established(error: &ConnectError) -> bool {
+fn connect_error(addr: SocketAddr, error: &ConnectError) -> CallError {
     match error {
-        ConnectError::Timeout | ConnectError::Unresolved | ConnectError::NoRecords => true,
-        ConnectError::Io(error) => matches!(
-            error.kind(),
-            ErrorKind::ConnectionRefused
-                | ErrorKind::HostUnreachable
-                | ErrorKind::NetworkUnreachable
-                | ErrorKind::AddrNotAvailable
-        ),
-        _ => false,
+        ConnectError::Timeout | ConnectError::Unresolved | ConnectError::NoRecords => {
+            CallError::NoConnection(addr)
+        }
+        ConnectError::Io(error) => match error.kind() {
+            ErrorKind::ConnectionRefused => CallError::ConnectionRefused(addr),
+            ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+            | ErrorKind::AddrNotAvailable => CallError::NoConnection(addr),
+            _ => CallError::ReplyLost(addr),
+        },
+        _ => CallError::ReplyLost(addr),
     }
 }
--- a/crates/httpedge/tests/lost_replies.rs
+++ b/crates/httpedge/tests/lost_replies.rs
@@ -63,12 +63,12 @@
 }
 
 #[test]
-fn a_refused_connection_is_reported_as_not_sent() {
+fn a_refused_connection_is_reported_as_refused() {
     actix_rt::System::new().block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         drop(listener);
         let reply: Result<u64, CallError> = HttpClient::new().post(addr, "/start", &1, 2_000).await;
-        assert_eq!(reply, Err(CallError::NoConnection(addr)));
+        assert_eq!(reply, Err(CallError::ConnectionRefused(addr)));
     });
 }
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -242,6 +242,8 @@
                     self.send(&target, WorkerCall::Poll(call, Millis(self.now_ms)));
                 }
                 Action::Answer(number, outcome) => self.send_answer(zone, number, outcome),
+                // Workers are never lost here.
+                Action::ReportLoss(_) | Action::ReportReturn(_) => {}
             }
         }
         let due = self.pools[zone].next_due(Millis(self.now_ms));
--- a/crates/pool/src/call.rs
+++ b/crates/pool/src/call.rs
@@ -137,6 +137,9 @@
     Unreadable,
     /// No connection could be opened, so the call was not sent.
     NotSent,
+    /// The worker's address refused the connection, so the call was not sent: no process listens
+    /// there, which a silent or cut-off worker does not show.
+    NotListening,
 }
 
 impl Refusal {
@@ -151,6 +154,7 @@
             Self::Unhealthy => "unwell",
             Self::Unreadable => "unreadable",
             Self::NotSent => "not_sent",
+            Self::NotListening => "not_listening",
         }
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod estimate;
 pub mod failover;
 pub mod job;
+pub mod loss;
 pub mod owners;
 pub mod placement;
 pub mod pool;
--- /dev/null
+++ b/crates/pool/src/loss.rs
@@ -0,0 +1,54 @@
+//! Losses of workers while runs were active on them.
+//!
+//! See [docs/OPERATIONS.md](../../../docs/OPERATIONS.md) for the log lines that are made of them.
+
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::job::TaskName;
+
+/// One process of a worker. A restarted worker may keep its id.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct WorkerLife {
+    /// Id of the worker.
+    pub worker: Rc<str>,
+    /// Start time of the process in Unix milliseconds, as the worker reported it.
+    pub started_at_ms: Option<u64>,
+}
+
+/// How the loss of a worker showed, from the weakest evidence to the strongest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LossCause {
+    /// The worker left polls unanswered until the lease of its runs expired. It may only be cut off.
+    Silent,
+    /// The worker's address refuses connections: the process has ended.
+    Refused,
+    /// Another process has taken the worker's place.
+    Replaced,
+}
+
+impl LossCause {
+    /// Returns the name under which the cause is logged.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Refused => "refused",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
+/// A worker that was lost with active runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerLoss {
+    /// The lost process.
+    pub life: WorkerLife,
+    /// How the loss showed.
+    pub cause: LossCause,
+    /// Whether the worker had announced that it would leave.
+    pub was_draining: bool,
+    /// Tasks that were running, or may have been, with the numbers of their runs, in order.
+    pub runs: Vec<(TaskName, u32)>,
+}
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -18,6 +18,7 @@
 use crate::job::{
     Job, JobSpec, Outcome, PreviousOwner, Progress, Reason, Step, TaskName, TaskState,
 };
+use crate::loss::{WorkerLife, WorkerLoss};
 use crate::placement::{self, TaskRequirements};
 use crate::queue;
 use crate::round_trip::RoundTrip;
@@ -44,6 +45,10 @@
     /// Return a job's outcome to its submitter. The number is the one that [`Pool::submit`]
     /// returned.
     Answer(u64, Outcome),
+    /// Record that a worker was lost with active runs.
+    ReportLoss(WorkerLoss),
+    /// Record that a worker that was reported as lost has replied again in the same process.
+    ReportReturn(WorkerLife),
 }
 
 /// A job as it is submitted to the owner of a cell.
@@ -86,7 +91,7 @@
     pub(crate) warm_up: WarmUp,
     // Whether `set_workers` has been called.
     pub(crate) has_worker_list: bool,
-    actions: Vec<Action>,
+    pub(crate) actions: Vec<Action>,
     last_number: u64,
 }
 
@@ -157,7 +162,8 @@
         for (id, entry) in entries {
             match self.workers.get_mut(id) {
                 None => {
-                    self.workers.insert(Rc::clone(id), Worker::new(entry.clone(), now));
+                    let worker = Worker::new(Rc::clone(id), entry.clone(), now);
+                    self.workers.insert(Rc::clone(id), worker);
                 }
                 Some(worker) => changes.extend(update(worker, entry, now)),
             }
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -8,7 +8,7 @@
 
 use crate::call::{End, PollReply, Refusal, StartCall, StartReply, StopCall, StopReply};
 use crate::job::{Outcome, Reason, TaskState};
-use crate::pool::Pool;
+use crate::pool::{Action, Pool};
 use crate::run::RunState;
 use crate::worker::RunUpdate;
 
@@ -29,7 +29,7 @@
         };
         match reply {
             StartReply::Lost => self.round_trip.record_timeout(),
-            StartReply::Refused(Refusal::NotSent) => {}
+            StartReply::Refused(Refusal::NotSent | Refusal::NotListening) => {}
             StartReply::Started { .. } | StartReply::Refused(_) => {
                 self.round_trip.record_reply(now.since(run.sent_at));
             }
@@ -88,6 +88,7 @@
                 let entry = worker.entry.clone();
                 worker.restart(entry, now)
             }
+            PollReply::Refused(Refusal::NotListening) => worker.record_refused_poll(now),
             PollReply::Refused(_) | PollReply::Lost => worker.record_unanswered_poll(now),
         };
         self.apply(now, changes, Some(id));
@@ -103,7 +104,7 @@
         let Some(run) = worker.remove(&call.task) else { return };
         match refusal {
             Refusal::NoCapacity | Refusal::LeaseExpired => worker.recheck_capacity(now),
-            Refusal::Unhealthy | Refusal::NotSent => worker.pause(now),
+            Refusal::Unhealthy | Refusal::NotSent | Refusal::NotListening => worker.pause(now),
             Refusal::InstanceMismatch => worker.poll_no_later_than(now),
             Refusal::OldRun | Refusal::Unreadable | Refusal::Fenced => {}
         }
@@ -131,6 +132,8 @@
                         self.send_stop(id, &task, run);
                     }
                 }
+                RunUpdate::WorkerLost(loss) => self.actions.push(Action::ReportLoss(loss)),
+                RunUpdate::WorkerReturned(life) => self.actions.push(Action::ReportReturn(life)),
             }
         }
     }
--- a/crates/pool/src/spill.rs
+++ b/crates/pool/src/spill.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Returns the backlog that a cell's owner reported last, or `None` if it has not replied yet.
+    pub fn backlog(&self, cell: &Cell) -> Option<Backlog> {
+        self.cells.get(cell).map(|load| load.backlog)
+    }
+
     /// Records that no owner was found for a cell, so that jobs are sent to other cells for a while.
     pub fn record_unowned(&mut self, cell: &Cell, now: Millis) {
         self.cells.entry(cell.clone()).or_default().unowned_at = Some(now);
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -8,6 +8,7 @@
 use crate::call::{End, Report, Target};
 use crate::catalogue::{WorkerEntry, WorkerState};
 use crate::job::TaskName;
+use crate::loss::{LossCause, WorkerLife, WorkerLoss};
 use crate::resources::Resources;
 use crate::run::{OrphanedRun, Run, RunState};
 
@@ -72,11 +73,16 @@
         /// Run number of the start.
         run: u32,
     },
+    /// The worker was lost with active runs.
+    WorkerLost(WorkerLoss),
+    /// The worker was reported as lost and has replied again in the same process.
+    WorkerReturned(WorkerLife),
 }
 
 /// A worker as seen by the daemon that owns it.
 #[derive(Debug)]
 pub struct Worker {
+    id: Rc<str>,
     /// Latest entry that the worker published in the store.
     pub entry: WorkerEntry,
     /// Whether the worker's entry is in the store now.
@@ -104,13 +110,16 @@
     failures: u32,
     last_failed_job: Option<u64>,
     unanswered_polls: u32,
+    /// How the loss of this process was reported last; `None` while it replies.
+    reported_loss: Option<LossCause>,
 }
 
 impl Worker {
     /// Creates a worker that has to be polled before tasks are sent to it.
-    pub fn new(entry: WorkerEntry, now: Millis) -> Self {
+    pub fn new(id: Rc<str>, entry: WorkerEntry, now: Millis) -> Self {
         let started_at_ms = entry.started_at_ms;
         Self {
+            id,
             entry,
             listed: true,
             runs: HashMap::new(),
@@ -130,6 +139,7 @@
             failures: 0,
             last_failed_job: None,
             unanswered_polls: 0,
+            reported_loss: None,
         }
     }
 
@@ -257,17 +267,44 @@
         self.expire_runs(now)
     }
 
+    /// Records that a poll was refused because no process listens at the worker's address. The
+    /// runs are kept until their lease has expired: a network device may refuse connections in the
+    /// name of a worker that runs on.
+    pub fn record_refused_poll(&mut self, now: Millis) -> Vec<RunUpdate> {
+        let loss = self.report_loss(LossCause::Refused);
+        loss.into_iter().chain(self.record_unanswered_poll(now)).collect()
+    }
+
+    /// Returns a report that this process is lost with its active runs, unless there are none or
+    /// the loss was reported with the same evidence before.
+    fn report_loss(&mut self, cause: LossCause) -> Option<RunUpdate> {
+        if self.runs.is_empty() || self.reported_loss >= Some(cause) {
+            return None;
+        }
+        self.reported_loss = Some(cause);
+        let mut runs: Vec<(TaskName, u32)> =
+            self.runs.iter().map(|(task, run)| (task.clone(), run.run)).collect();
+        runs.sort_unstable();
+        let was_draining = self.entry.state == WorkerState::Draining;
+        Some(RunUpdate::WorkerLost(WorkerLoss { life: self.life(), cause, was_draining, runs }))
+    }
+
+    fn life(&self) -> WorkerLife {
+        WorkerLife { worker: Rc::clone(&self.id), started_at_ms: self.started_at_ms }
+    }
+
     /// Returns the runs whose lease has certainly expired as interrupted, so that their tasks can
     /// be restarted. Their resources stay reserved until a poll shows that they are free.
     pub fn expire_runs(&mut self, now: Millis) -> Vec<RunUpdate> {
         if now < self.lease_bound {
             return Vec::new();
         }
+        let loss = self.report_loss(LossCause::Silent);
         let expired = self.runs.values_mut().filter_map(|run| {
             let job_task = run.task_ref.take()?;
             Some(RunUpdate::Ended { job_task, end: End::Interrupted, normalized_ms: 0.0 })
         });
-        expired.collect()
+        loss.into_iter().chain(expired).collect()
     }
 
     /// Records the worker's clock from a reply, which also ends a series of unanswered polls.
@@ -324,15 +361,21 @@
         self.poll_sent_at = None;
         let restarted =
             report.started_at_ms.is_some() && report.started_at_ms != self.started_at_ms;
+        let mut changes = Vec::new();
         if restarted && self.started_at_ms.is_some() {
+            changes.extend(self.report_loss(LossCause::Replaced));
+            self.reported_loss = None;
             self.cursor = 0;
             self.acking = 0;
             self.orphaned_runs.clear();
         }
+        if self.reported_loss.take().is_some() {
+            changes.push(RunUpdate::WorkerReturned(self.life()));
+        }
         self.started_at_ms = report.started_at_ms.or(self.started_at_ms);
         self.update_clock(report.clock_ms, now);
         self.acked = self.acking;
-        let mut changes = self.apply_ended(now, report);
+        changes.extend(self.apply_ended(now, report));
         changes.extend(self.apply_missing(sent_at, report));
         changes.extend(self.apply_running(now, report));
         self.orphaned_runs.retain(|_, orphan| {
@@ -445,8 +488,9 @@
     /// exist. Returns these runs as interrupted.
     pub fn restart(&mut self, entry: WorkerEntry, now: Millis) -> Vec<RunUpdate> {
         let poll_sent_at = self.poll_sent_at;
+        let loss = self.report_loss(LossCause::Replaced);
         let runs = std::mem::take(&mut self.runs);
-        *self = Self::new(entry, now);
+        *self = Self::new(Rc::clone(&self.id), entry, now);
         self.poll_sent_at = poll_sent_at;
         let interrupted = runs.into_values().filter_map(|run| {
             Some(RunUpdate::Ended {
@@ -455,6 +499,6 @@
                 normalized_ms: 0.0,
             })
         });
-        interrupted.collect()
+        loss.into_iter().chain(interrupted).collect()
     }
 }
--- /dev/null
+++ b/crates/pool/tests/losses.rs
@@ -0,0 +1,110 @@
+//! Tests of the reports about workers that are lost with active runs.
+
+mod support;
+
+use std::rc::Rc;
+
+use dispatch::clock::Millis;
+use pool::call::{PollReply, Refusal, Report, StartReply};
+use pool::catalogue::{WorkerEntry, WorkerState};
+use pool::job::PreviousOwner;
+use pool::loss::{LossCause, WorkerLife};
+use pool::pool::{Action, Pool, Submission};
+use pool::worker::LEASE_BOUND_MS;
+use support::{entry, job, terms};
+
+const ID: &str = "0000000000000001";
+
+fn report(started_at_ms: u64) -> PollReply {
+    PollReply::Report(Report {
+        clock_ms: 5_000,
+        started_at_ms: Some(started_at_ms),
+        ..Report::default()
+    })
+}
+
+/// A pool of one worker in the given state that runs two tasks.
+fn pool_with_runs(state: WorkerState) -> Pool {
+    let mut pool = Pool::new(7);
+    let id: Rc<str> = Rc::from("0");
+    let ready = entry(0, 64);
+    pool.set_workers(Millis(0), [(&id, &ready)].into_iter());
+    pool.poll_reply(Millis(0), "0", Millis(0), &report(1));
+    let submission = Submission {
+        spec: job(ID, 2, 27, 200),
+        terms: terms("r", 60, 2),
+        age_ms: 0,
+        limit_ms: 1_500,
+        previous_owner: PreviousOwner::None,
+        may_wait: true,
+        is_remote: false,
+    };
+    pool.submit(Millis(1), submission);
+    for action in pool.take_actions() {
+        if let Action::Start(target, call) = action {
+            let reply = StartReply::Started { clock_ms: 5_001 };
+            pool.start_reply(Millis(2), &target.id, &call, reply);
+        }
+    }
+    pool.set_workers(Millis(2), [(&id, &WorkerEntry { state, ..ready })].into_iter());
+    pool.take_actions();
+    pool
+}
+
+/// The losses that the pool reports, as cause, draining and number of runs.
+fn losses(pool: &mut Pool) -> Vec<(LossCause, bool, usize)> {
+    let loss = |action| match action {
+        Action::ReportLoss(loss) => Some((loss.cause, loss.was_draining, loss.runs.len())),
+        _ => None,
+    };
+    pool.take_actions().into_iter().filter_map(loss).collect()
+}
+
+#[test]
+fn refused_connections_are_reported_once_and_before_the_lease_expires() {
+    let mut pool = pool_with_runs(WorkerState::Ready);
+    pool.poll_reply(Millis(20), "0", Millis(10), &PollReply::Lost);
+    assert!(losses(&mut pool).is_empty(), "a lost reply alone proves nothing");
+    for ms in [21, 200, 400, 2_000] {
+        let refused = PollReply::Refused(Refusal::NotListening);
+        pool.poll_reply(Millis(ms), "0", Millis(ms), &refused);
+        let expected = if ms == 21 { vec![(LossCause::Refused, false, 2)] } else { Vec::new() };
+        assert_eq!(losses(&mut pool), expected, "at {ms} ms");
+    }
+}
+
+#[test]
+fn a_silent_worker_is_reported_when_its_lease_has_expired_and_again_when_it_was_replaced() {
+    let mut pool = pool_with_runs(WorkerState::Ready);
+    for ms in (20..2_000).step_by(20) {
+        pool.poll_reply(Millis(ms), "0", Millis(ms), &PollReply::Lost);
+        let lost = losses(&mut pool);
+        if lost.is_empty() {
+            continue;
+        }
+        assert_eq!(lost, [(LossCause::Silent, false, 2)]);
+        assert!(ms >= LEASE_BOUND_MS, "at {ms} ms");
+        pool.poll_reply(Millis(3_000), "0", Millis(2_990), &report(2));
+        assert_eq!(losses(&mut pool), [(LossCause::Replaced, false, 2)]);
+        return;
+    }
+    panic!("the loss was not reported");
+}
+
+#[test]
+fn a_worker_that_replies_again_in_the_same_process_is_reported_as_returned() {
+    let mut pool = pool_with_runs(WorkerState::Ready);
+    let refused = PollReply::Refused(Refusal::NotListening);
+    pool.poll_reply(Millis(20), "0", Millis(10), &refused);
+    pool.take_actions();
+    pool.poll_reply(Millis(200), "0", Millis(190), &report(1));
+    let life = WorkerLife { worker: Rc::from("0"), started_at_ms: Some(1) };
+    assert!(pool.take_actions().contains(&Action::ReportReturn(life)));
+}
+
+#[test]
+fn the_report_tells_whether_the_worker_was_draining() {
+    let mut pool = pool_with_runs(WorkerState::Draining);
+    pool.poll_reply(Millis(20), "0", Millis(10), &PollReply::Refused(Refusal::InstanceMismatch));
+    assert_eq!(losses(&mut pool), [(LossCause::Replaced, true, 2)]);
+}
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -121,6 +121,7 @@
         (Refusal::LeaseExpired, Some((2, true))),
         (Refusal::Unhealthy, Some((2, true))),
         (Refusal::NotSent, Some((2, true))),
+        (Refusal::NotListening, Some((2, true))),
         (Refusal::InstanceMismatch, Some((2, false))),
         (Refusal::Unreadable, Some((2, false))),
         (Refusal::Fenced, None),
@@ -239,7 +240,10 @@
                     assert_ne!(*target.id, *id);
                     restarted_at.get_or_insert(ms);
                 }
-                Action::Stop(..) | Action::Answer(..) => {}
+                Action::Stop(..)
+                | Action::Answer(..)
+                | Action::ReportLoss(_)
+                | Action::ReportReturn(_) => {}
             }
         }
     }
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -370,6 +370,7 @@
                     }
                 }
                 Action::Answer(number, outcome) => self.handle_answer(daemon, number, outcome),
+                Action::ReportLoss(_) | Action::ReportReturn(_) => {}
             }
         }
         if fenced {
--- a/crates/pool/tests/warm_up.rs
+++ b/crates/pool/tests/warm_up.rs
@@ -46,7 +46,10 @@
         match action {
             Action::Start(..) => starts += 1,
             Action::Answer(number, outcome) => outcomes.push((number, outcome)),
-            Action::Stop(..) | Action::Poll(..) => {}
+            Action::Stop(..)
+            | Action::Poll(..)
+            | Action::ReportLoss(_)
+            | Action::ReportReturn(_) => {}
         }
     }
     (starts, outcomes)
--- a/crates/upstreams/src/client.rs
+++ b/crates/upstreams/src/client.rs
@@ -141,7 +141,9 @@
             let hint = Hint { free: reply.free, leaving: reply.leaving, boot: reply.boot };
             (outcome_of(reply.end), Some(hint))
         }
-        Err(CallError::NoConnection(_)) => (StartOutcome::NoConnection, None),
+        Err(CallError::NoConnection(_) | CallError::ConnectionRefused(_)) => {
+            (StartOutcome::NoConnection, None)
+        }
         Ok(_)
         | Err(CallError::ReplyLost(_) | CallError::Status { .. } | CallError::Unreadable(_)) => {
             (outcome_if_lost, None)
