--- a/crates/pool/tests/one_run_at_a_time.rs
+++ b/crates/pool/tests/one_run_at_a_time.rs
@@ -14,6 +14,7 @@
     worker_fault_every_ms: 900,
     failing_runs: 20,
     long_runs: 100,
+    crashing_jobs: 0,
 };
 
 fn run(seed: u64, worker_defect: WorkerDefect, daemon_defect: DaemonDefect) -> Simulation {
@@ -68,6 +69,7 @@
         worker_fault_every_ms: 0,
         failing_runs: 0,
         long_runs: 0,
+        crashing_jobs: 0,
     };
     let mut simulation =
         Simulation::new(7, no_faults, WorkerDefect::Nothing, DaemonDefect::Nothing);
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -4,10 +4,12 @@
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
-use pool::call::{End, PollCall, PollReply, StartCall, StartReply, StopCall, StopReply, Target};
+use pool::call::{
+    End, PollCall, PollReply, Refusal, StartCall, StartReply, StopCall, StopReply, Target,
+};
 use pool::catalogue::WorkerEntry;
 use pool::failover::{Attempt, Decision, decide, outcome_if_too_late};
-use pool::job::{JobSpec, Outcome, PreviousOwner};
+use pool::job::{JobSpec, Outcome, PreviousOwner, TaskName};
 use pool::pool::{Action, LINK_TIMEOUT_MS, Pool, Submission};
 use pool::round_trip::{MAX_TIMEOUT_MS, MIN_TIMEOUT_MS};
 use rand::rngs::SmallRng;
@@ -21,6 +23,10 @@
 const LIMIT_MS: u64 = 2_500;
 const TAKEOVER_MS: u64 = 1_200;
 const STEP_MS: u64 = 1;
+/// Time from the crash of a worker until its next process listens, in milliseconds.
+const DOWN_MS: u64 = 3_000;
+/// Crashes under one task after which its further starts are counted.
+const CRASHES_BEFORE_COUNT: u32 = 3;
 
 /// A defect planted in the daemons, to check that the test detects it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +49,8 @@
     pub worker_fault_every_ms: u64,
     pub failing_runs: u32,
     pub long_runs: u32,
+    /// Jobs whose first task crashes every worker that starts it.
+    pub crashing_jobs: u32,
 }
 
 enum Event {
@@ -53,6 +61,7 @@
     StartReply(usize, usize, StartCall, StartReply),
     StopReply(usize, usize, StopCall, StopReply),
     PollReply(usize, usize, u64, PollReply),
+    Crash(usize, TaskName),
     Send(usize),
     Broken(usize, usize),
 }
@@ -68,6 +77,8 @@
     submission: Option<(usize, u64)>,
     outcome: Option<Outcome>,
     sends: u32,
+    /// Whether the first task crashes every worker that starts it.
+    crashes_workers: bool,
 }
 
 /// A daemon that owns a cell, or has not yet noticed that it lost it.
@@ -82,6 +93,8 @@
     rng: SmallRng,
     pub workers: Vec<PoolWorker>,
     disconnected_until: HashMap<(usize, usize), u64>,
+    /// Until when no process listens at the worker's address.
+    down_until: HashMap<usize, u64>,
     daemons: Vec<Daemon>,
     owners: [Option<usize>; CELLS],
     takeover_at: [Option<u64>; CELLS],
@@ -100,6 +113,10 @@
     pub steps: u64,
     pub completed: usize,
     pub starts: usize,
+    /// Crashes under each task that crashes workers.
+    pub crashes: HashMap<TaskName, u32>,
+    /// Starts of such tasks after [`CRASHES_BEFORE_COUNT`] crashes.
+    pub starts_after_crashes: HashMap<TaskName, u32>,
 }
 
 const TASK_CORES: u64 = 27;
@@ -128,6 +145,7 @@
             rng,
             workers,
             disconnected_until: HashMap::new(),
+            down_until: HashMap::new(),
             daemons: Vec::new(),
             owners: [None; CELLS],
             takeover_at: [None; CELLS],
@@ -144,6 +162,8 @@
             steps: 0,
             completed: 0,
             starts: 0,
+            crashes: HashMap::new(),
+            starts_after_crashes: HashMap::new(),
         };
         for cell in 0..CELLS {
             simulation.take_over(cell);
@@ -157,6 +177,8 @@
             let task_count = self.rng.random_range(1..=4);
             let estimate_ms = self.rng.random_range(60..900);
             let spec = job(&format!("{number:016x}"), task_count, TASK_CORES, estimate_ms);
+            let crashing_jobs = self.faults.crashing_jobs;
+            let crashes_workers = crashing_jobs > 0 && self.chance(crashing_jobs);
             let request = Request {
                 spec,
                 arrived_ms: 0,
@@ -165,6 +187,7 @@
                 submission: None,
                 outcome: None,
                 sends: 0,
+                crashes_workers,
             };
             self.requests.push(request);
             self.push(self.now_ms + 50 + number as u64 * interval_ms, Event::Send(number));
@@ -420,6 +443,25 @@
 
     fn handle(&mut self, event: Event) {
         match event {
+            Event::Start(daemon, worker, call, _) if self.is_down(worker) => {
+                let refused = StartReply::Refused(Refusal::NotListening);
+                self.push(self.now_ms + 1, Event::StartReply(daemon, worker, call, refused));
+            }
+            Event::Stop(daemon, worker, call, _) if self.is_down(worker) => {
+                let refused = StopReply::Refused(Refusal::NotListening);
+                self.push(self.now_ms + 1, Event::StopReply(daemon, worker, call, refused));
+            }
+            Event::PollArrives(daemon, worker, _, sent_ms) if self.is_down(worker) => {
+                let refused = PollReply::Refused(Refusal::NotListening);
+                self.push(self.now_ms + 1, Event::PollReply(daemon, worker, sent_ms, refused));
+            }
+            Event::PollWaits(daemon, worker, sent_ms, _) if self.is_down(worker) => {
+                self.push(
+                    self.now_ms + 1,
+                    Event::PollReply(daemon, worker, sent_ms, PollReply::Lost),
+                );
+            }
+            Event::Crash(worker, task) => self.crash(worker, &task),
             Event::Start(daemon, worker, call, late) => self.start_run(daemon, worker, call, late),
             Event::Stop(daemon, worker, call, late) => {
                 let reply = self.workers[worker].stop(self.now_ms, &call);
@@ -495,6 +537,7 @@
             self.starts += 1;
             self.stale_starts += usize::from(self.workers[worker].has_seen_newer_token(call.token));
             self.check_overlap(worker, &call);
+            self.schedule_crash(worker, &call.task);
         }
         if late {
             return;
@@ -504,6 +547,51 @@
         self.push(at_ms, Event::StartReply(daemon, worker, call, reply));
     }
 
+    fn is_down(&self, worker: usize) -> bool {
+        self.down_until.get(&worker).is_some_and(|until| self.now_ms < *until)
+    }
+
+    fn crash(&mut self, worker: usize, task: &TaskName) {
+        if !self.workers[worker].active.contains_key(task) {
+            return;
+        }
+        self.record_event(&task.job, format!("{worker} crashes under {task}"));
+        self.workers[worker].restart(self.now_ms);
+        self.down_until.insert(worker, self.now_ms + DOWN_MS);
+        *self.crashes.entry(task.clone()).or_default() += 1;
+    }
+
+    /// Counts the start of a task that crashes workers, and schedules the crash.
+    fn schedule_crash(&mut self, worker: usize, task: &TaskName) {
+        let crashes_workers = task.index == 0
+            && self.requests.iter().any(|r| r.crashes_workers && r.spec.id == task.job);
+        if !crashes_workers {
+            return;
+        }
+        if self.crashes.get(task).is_some_and(|crashes| *crashes >= CRASHES_BEFORE_COUNT) {
+            *self.starts_after_crashes.entry(task.clone()).or_default() += 1;
+        }
+        let at_ms = self.now_ms + self.rng.random_range(1..30);
+        self.push(at_ms, Event::Crash(worker, task.clone()));
+    }
+
+    /// Numbers of the jobs that crash no worker: failed, completed and in all.
+    pub fn harmless_jobs(&self) -> (usize, usize, usize) {
+        let harmless = || self.requests.iter().filter(|request| !request.crashes_workers);
+        let failed = |request: &&Request| matches!(request.outcome, Some(Outcome::Failed(_)));
+        let completed = |request: &&Request| request.outcome == Some(Outcome::Completed);
+        (
+            harmless().filter(failed).count(),
+            harmless().filter(completed).count(),
+            harmless().count(),
+        )
+    }
+
+    /// Events of a job, for the message of a failed test.
+    pub fn history_of(&self, job: &str) -> String {
+        self.history.get(job).map(|lines| lines.join("\n  ")).unwrap_or_default()
+    }
+
     fn record_event(&mut self, job: &Rc<str>, line: String) {
         let line = format!("{} ms: {line}", self.now_ms);
         self.history.entry(Rc::clone(job)).or_default().push(line);
