End the runs of a lost worker when their lease expires, not at the next failed poll

What callers saw: a task whose worker was gone started elsewhere 1.5 s after the crash instead of 0.94 s, too late for most of them.

Cause: the expiry of a lease was looked at only when a poll failed, and polls of a silent worker back off to 600 ms. Class: a deadline that has no timer of its own. Ruled out: a longer lease, since no poll renewed it after the first failure; a wait for room, since the restart followed the failed poll at 6.721 by 1 ms.

Change: advance() expires leases, and next_due() names their time. The bound is as before, so no run can be active. The end of a worker's pause has no timer either; the daemon's loop runs every 100 ms at least, so that is left as it is.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -231,6 +231,7 @@
             return;
         }
         self.drop_remote_jobs_after_stall(now);
+        self.expire_leases(now);
         self.resolve_in_doubt(now);
         self.update_warm_up(now);
         self.place_queued_jobs(now);
@@ -258,6 +259,16 @@
         }
     }
 
+    /// Ends the runs of silent workers whose lease has expired, so that their tasks start elsewhere
+    /// without waiting for the next poll.
+    fn expire_leases(&mut self, now: Millis) {
+        let silent = self.workers.values_mut().filter(|worker| worker.next_expiry().is_some());
+        let changes: Vec<RunUpdate> = silent.flat_map(|worker| worker.expire_runs(now)).collect();
+        if !changes.is_empty() {
+            self.apply(now, changes, None);
+        }
+    }
+
     /// Gives up the cell. Every job returns to its submitter as [`Outcome::Moved`], and no
     /// further start is sent.
     pub fn relinquish(&mut self) {
@@ -307,6 +318,7 @@
         polls
             .chain(ends)
             .chain(in_doubt_ends)
+            .chain(self.workers.values().filter_map(Worker::next_expiry))
             .chain(self.warm_up_limit())
             .map(|at| at.max(now))
             .min()
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -293,6 +293,13 @@
         WorkerLife { worker: Rc::clone(&self.id), started_at_ms: self.started_at_ms }
     }
 
+    /// Returns when the lease of a worker that leaves polls unanswered expires, or `None` if no job
+    /// waits for that.
+    pub fn next_expiry(&self) -> Option<Millis> {
+        let is_awaited = self.runs.values().any(|run| run.task_ref.is_some());
+        (is_awaited && self.unanswered_polls > 0).then_some(self.lease_bound)
+    }
+
     /// Returns the runs whose lease has certainly expired as interrupted, so that their tasks can
     /// be restarted. Their resources stay reserved until a poll shows that they are free.
     pub fn expire_runs(&mut self, now: Millis) -> Vec<RunUpdate> {
