Confine a route whose tasks crash workers to the workers it has not lost

Cause: nothing limits how many workers one kind takes down at a time. Every new job of the kind is as likely to crash a worker, and a worker is away for three seconds. Class: a missing bulkhead between tenants of shared resources.

Change: two convicted tasks within ten seconds confine their route until no worker has crashed under it for ten seconds. For each worker that is lost with its runs, it may occupy three fewer in the cell, so that it stops at a third lost. Admission counts the same workers; a wide job starts only if they hold all its tasks. A suspect of such a route is not started again where the answer is too late to be of use: the caller gets a 504 at once.

--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -44,12 +44,16 @@
         let crashed_at = Millis(now.0.saturating_sub(age_ms));
         let findings = self.crashes.borrow_mut().record(crashed_at, crash);
         for task in &findings.convicted {
-            self.metrics.convictions.inc();
+            self.metrics.convictions.with_label_values(&["task"]).inc();
             log::warn!(
                 "part=crashes event=task_convicted task={task} worker={}",
                 crash.life.worker
             );
         }
+        for route in &findings.confined {
+            self.metrics.convictions.with_label_values(&["route"]).inc();
+            log::warn!("part=crashes event=route_confined route={route}");
+        }
         for cell in self.other_owned_cells(reporting_cell) {
             if let Some(owned) = self.owned.borrow_mut().get_mut(&cell) {
                 owned.pool.record_crash(now, age_ms, crash);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -26,8 +26,8 @@
     pub worker_losses: IntCounterVec,
     /// Runs that were active on lost workers, by cause.
     pub lost_runs: IntCounterVec,
-    /// Tasks that were found to crash workers.
-    pub convictions: IntCounter,
+    /// Tasks that were found to crash workers, and routes that were confined for such tasks.
+    pub convictions: IntCounterVec,
     /// Calls to the store, by call and result.
     pub store_calls: IntCounterVec,
     /// Jobs forwarded to other daemons, by result.
@@ -61,8 +61,6 @@
         registry.register(Box::new(store_latency_s.clone()))?;
         let ended_runs = IntCounter::new("entry_ends_total", "Runs seen to end.")?;
         registry.register(Box::new(ended_runs.clone()))?;
-        let convictions = IntCounter::new("entry_convictions_total", "Convicted tasks.")?;
-        registry.register(Box::new(convictions.clone()))?;
         let catalogue_version = IntGauge::new("entry_catalogue_version", "Version in force.")?;
         registry.register(Box::new(catalogue_version.clone()))?;
         Ok(Self {
@@ -78,7 +76,7 @@
             ended_runs,
             worker_losses: counters("entry_workers_lost_total", "Lost workers.", &["cause"])?,
             lost_runs: counters("entry_runs_lost_total", "Runs on lost workers.", &["cause"])?,
-            convictions,
+            convictions: counters("entry_convictions_total", "Crash convictions.", &["of"])?,
             store_calls: counters("entry_store_calls_total", "Store calls.", &["call", "result"])?,
             forwarded: counters("entry_forwarded_total", "Jobs sent on.", &["result"])?,
             cells: counters("entry_cells_total", "Cells gained and lost.", &["change"])?,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -45,6 +45,8 @@
     pub task_ms: f64,
     /// Mean CPU demand of a task, in thousandths of a core.
     pub cpu_millicores: f64,
+    /// Share of the jobs whose first task crashes every worker that starts it, from 0 to 1.
+    pub crashing_share: f64,
 }
 
 /// A period of increased arrival rate.
@@ -81,6 +83,7 @@
 }
 
 const NUMBER: &str = "a number";
+const SHARE: &str = "a number from 0 to 1";
 const NUMBERS: &str = "comma-separated numbers";
 
 struct Section<'a> {
@@ -104,6 +107,12 @@
         if self.properties.contains_key(key) { self.number(key) } else { Ok(default) }
     }
 
+    /// Reads a share from 0 to 1; zero if the key is missing.
+    fn share(&self, key: &'static str) -> Result<f64, ScenarioError> {
+        let share = self.number_or(key, 0.0)?;
+        if (0.0..=1.0).contains(&share) { Ok(share) } else { Err(self.invalid(key, SHARE)) }
+    }
+
     fn numbers<T: FromStr>(&self, key: &'static str) -> Result<Vec<T>, ScenarioError> {
         let text = self.properties.get(key).ok_or_else(|| self.invalid(key, NUMBERS))?;
         let numbers = text.split(',').map(|part| part.trim().parse().ok());
@@ -171,5 +180,6 @@
         tasks: section.number("tasks")?,
         task_ms: section.number("task_ms")?,
         cpu_millicores: cores * 1_000.0,
+        crashing_share: section.share("crashing_share")?,
     })
 }
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -7,10 +7,13 @@
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
-use pool::call::{End, PollCall, PollReply, StartCall, StartReply, StopCall, StopReply, Target};
+use pool::call::{
+    End, PollCall, PollReply, Refusal, StartCall, StartReply, StopCall, StopReply, Target,
+};
 use pool::catalogue::{WorkerEntry, WorkerState};
 use pool::cells::Cell;
-use pool::job::{Outcome, PreviousOwner};
+use pool::crashes::Crash;
+use pool::job::{Outcome, PreviousOwner, TaskName};
 use pool::pool::{Action, Pool, Submission};
 use pool::queue::Backlog;
 use pool::resources::Resources;
@@ -32,6 +35,10 @@
 /// jobs are answered.
 const DRAIN_MS: u64 = 5_000;
 const WORKER_MEMORY_MB: u64 = 65_536;
+/// Time from the start of a task that crashes its worker to the crash, in milliseconds.
+const CRASH_DELAY_MS: u64 = 10;
+/// Time from the crash of a worker until its next process listens, in milliseconds.
+const RESTART_MS: u64 = 3_000;
 
 /// A call from an owner to a worker. A poll carries the time at which it was sent.
 #[derive(Clone, Debug)]
@@ -65,6 +72,8 @@
     CheckPoll(usize),
     /// A timer of an owner expires.
     Advance(usize),
+    /// A worker crashes under the first task of a job, unless the task has been stopped.
+    Crash(usize, TaskName),
 }
 
 /// A poll that waits at its worker for a run to end.
@@ -84,6 +93,8 @@
     advance_at_ms: Vec<Option<u64>>,
     workers: Vec<PoolWorker>,
     pending_polls: Vec<Option<PendingPoll>>,
+    /// Until when no process listens at each worker's address.
+    down_until_ms: Vec<u64>,
     searches: Vec<CellSearch>,
     loads: Vec<CellLoads>,
     submitted: HashMap<(usize, u64), usize>,
@@ -115,6 +126,7 @@
             advance_at_ms: vec![None; zones],
             workers: Vec::new(),
             pending_polls: Vec::new(),
+            down_until_ms: Vec::new(),
             searches: jobs.iter().map(|_| CellSearch::default()).collect(),
             loads: (0..zones).map(|_| CellLoads::default()).collect(),
             submitted: HashMap::new(),
@@ -144,6 +156,7 @@
         for (_, entry) in &entries {
             self.workers.push(PoolWorker::new(entry.capacity, 0, 0));
             self.pending_polls.push(None);
+            self.down_until_ms.push(0);
         }
         let mut pool = Pool::new(1);
         pool.set_workers(Millis(0), entries.iter().map(|(id, entry)| (id, entry)));
@@ -178,6 +191,7 @@
             Event::Reply(worker, reply) => self.handle_reply(worker, reply),
             Event::CheckPoll(worker) => self.check_poll(worker),
             Event::Advance(zone) => self.advance(zone),
+            Event::Crash(worker, task) => self.crash(worker, &task),
         }
     }
 
@@ -228,6 +242,10 @@
     }
 
     fn advance(&mut self, zone: usize) {
+        // An earlier time may have been scheduled since.
+        if self.advance_at_ms[zone] != Some(self.now_ms) {
+            return;
+        }
         self.advance_at_ms[zone] = None;
         self.pools[zone].advance(Millis(self.now_ms));
         self.perform_actions(zone);
@@ -242,8 +260,14 @@
                     self.send(&target, WorkerCall::Poll(call, Millis(self.now_ms)));
                 }
                 Action::Answer(number, outcome) => self.send_answer(zone, number, outcome),
-                // Workers are never lost here.
-                Action::ReportLoss(_) | Action::ReportReturn(_) => {}
+                Action::ReportLoss(loss) => {
+                    if let Some(crash) = loss.crash() {
+                        self.report.crashes += 1;
+                        self.share_crash(zone, &crash);
+                    }
+                }
+                // A worker that does not listen has crashed.
+                Action::ReportReturn(_) => {}
             }
         }
         let due = self.pools[zone].next_due(Millis(self.now_ms));
@@ -254,6 +278,39 @@
         }
     }
 
+    fn share_crash(&mut self, reporting_zone: usize, crash: &Crash) {
+        for zone in (0..self.pools.len()).filter(|zone| *zone != reporting_zone) {
+            self.pools[zone].record_crash(Millis(self.now_ms), 0, crash);
+            self.perform_actions(zone);
+        }
+    }
+
+    fn is_down(&self, worker: usize) -> bool {
+        self.now_ms < self.down_until_ms[worker]
+    }
+
+    fn crash(&mut self, worker: usize, task: &TaskName) {
+        if !self.workers[worker].active.contains_key(task) {
+            return;
+        }
+        self.workers[worker].restart(self.now_ms);
+        self.down_until_ms[worker] = self.now_ms + RESTART_MS;
+        if let Some(poll) = self.pending_polls[worker].take() {
+            let reply = Reply::Poll(PollReply::Lost, poll.sent_at);
+            self.push(self.now_ms + LINK_DELAY_MS, Event::Reply(worker, reply));
+        }
+    }
+
+    fn refuse_connection(&mut self, worker: usize, call: WorkerCall) {
+        let refusal = Refusal::NotListening;
+        let reply = match call {
+            WorkerCall::Start(call) => Reply::Start(call, StartReply::Refused(refusal)),
+            WorkerCall::Stop(call) => Reply::Stop(call, StopReply::Refused(refusal)),
+            WorkerCall::Poll(_, sent_at) => Reply::Poll(PollReply::Refused(refusal), sent_at),
+        };
+        self.push(self.now_ms + LINK_DELAY_MS, Event::Reply(worker, reply));
+    }
+
     fn send_answer(&mut self, zone: usize, number: u64, outcome: Outcome) {
         let Some(job) = self.submitted.remove(&(zone, number)) else { return };
         let backlog = self.pools[zone].backlog(Millis(self.now_ms));
@@ -280,6 +337,10 @@
     }
 
     fn handle_call(&mut self, worker: usize, call: WorkerCall) {
+        if self.is_down(worker) {
+            self.refuse_connection(worker, call);
+            return;
+        }
         let reply_at_ms = self.now_ms + LINK_DELAY_MS;
         match call {
             WorkerCall::Start(call) => {
@@ -287,6 +348,11 @@
                 let (reply, started) = self.workers[worker].start(self.now_ms, &call, work);
                 if started {
                     self.push(self.now_ms + work.duration_ms, Event::CheckPoll(worker));
+                    let job = &self.jobs[self.by_id[&call.task.job]];
+                    if job.crashes_workers && call.task.index == 0 {
+                        let at_ms = self.now_ms + CRASH_DELAY_MS;
+                        self.push(at_ms, Event::Crash(worker, call.task.clone()));
+                    }
                 }
                 self.push(reply_at_ms, Event::Reply(worker, Reply::Start(call, reply)));
             }
--- a/crates/lab/src/workload.rs
+++ b/crates/lab/src/workload.rs
@@ -45,6 +45,8 @@
     pub terms: Terms,
     /// Run time of each task on a worker with slowdown 1, in milliseconds.
     pub task_ms: Vec<u64>,
+    /// Whether the first task crashes every worker that starts it.
+    pub crashes_workers: bool,
 }
 
 impl GeneratedJob {
@@ -112,6 +114,7 @@
         target_ms: TARGET_MS,
         timeout_ms: CALLER_WAIT_MS,
     };
+    let crashes_workers = kind.crashing_share > 0.0 && rng.random_bool(kind.crashing_share);
     GeneratedJob {
         kind: kind_index,
         zone: rng.random_range(0..scenario.zones),
@@ -119,6 +122,7 @@
         spec,
         terms,
         task_ms,
+        crashes_workers,
     }
 }
 
--- a/crates/lab/tests/loads.rs
+++ b/crates/lab/tests/loads.rs
@@ -11,6 +11,10 @@
 /// Required in-time share of each kind, relative to the mean over the kinds.
 const MIN_SHARE_OF_MEAN: f64 = 0.8;
 
+/// Required in-time share of a kind while another kind crashes workers, relative to its share at the
+/// same load without crashes. A third of the workers is left to the other kind.
+const MIN_SHARE_BESIDE_CRASHES: f64 = 2.0 / 3.0;
+
 fn scenario(name: &str) -> Scenario {
     let file = format!("{}/data/{name}.ini", env!("CARGO_MANIFEST_DIR"));
     load(&file).expect("the scenario file is valid")
@@ -71,6 +75,22 @@
     assert!(admitted_in_time_share(&report) >= MIN_ADMITTED_IN_TIME, "{report}");
 }
 
+/// Guards against issue 25: one kind that crashes the workers takes the room of the others.
+#[test]
+fn a_kind_that_crashes_workers_leaves_room_for_the_others() {
+    let (calm, crashing) = (run_seeds("calm"), run_seeds("crashes"));
+    assert!(crashing.crashes > 100, "{} crashes", crashing.crashes);
+    for ((kind, counts), (_, calm)) in crashing.kinds.iter().zip(&calm.kinds) {
+        if kind != "common" {
+            let (share, calm) = (counts.in_time_share(), calm.in_time_share());
+            assert!(
+                share >= MIN_SHARE_BESIDE_CRASHES * calm,
+                "{kind}: in-time share {share:.3}, calm {calm:.3}"
+            );
+        }
+    }
+}
+
 #[test]
 fn same_seed_gives_same_report() {
     let scenario = scenario("lost");
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -52,19 +52,17 @@
         }
         let initial_steps =
             job.spec.steps.iter().enumerate().filter(|(_, step)| step.after.is_empty());
-        let quarantine = Quarantine::new(job);
+        let quarantine = Quarantine::new(&self.workers, &self.crashes, job, now);
         initial_steps.into_iter().all(|(number, step)| {
             let need = TaskRequirements::of(job, number as u32, step, now);
             let usable = self.workers.values();
-            let usable = usable
-                .filter(|worker| worker.accepts_tasks(now) && quarantine.allows(worker, false));
+            let usable = usable.filter(|worker| worker.accepts_tasks(now));
             let fitting = usable.filter(|worker| placement::is_compatible(worker, need));
-            let fitting: u64 = fitting
-                .map(|worker| {
-                    worker.free().fit_count(step.task_resources).min(MAX_TASKS_PER_WORKER)
-                })
-                .sum();
-            fitting >= u64::from(step.count)
+            let fitting = fitting.map(|worker| {
+                let count = worker.free().fit_count(step.task_resources);
+                (worker, count.min(MAX_TASKS_PER_WORKER))
+            });
+            quarantine.total_fit(fitting) >= u64::from(step.count)
         })
     }
 
@@ -87,7 +85,7 @@
         let mut ends_ms = Vec::new();
         let mut free = 0;
         let first = job.spec.steps.first().map(|step| step.task_resources).unwrap_or_default();
-        let quarantine = Quarantine::new(job);
+        let quarantine = Quarantine::new(&self.workers, &self.crashes, job, now);
         let usable = self.workers.values();
         let usable =
             usable.filter(|worker| worker.accepts_tasks(now) && quarantine.allows(worker, false));
--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -1,9 +1,10 @@
-//! Finds the tasks that crash workers, from the crashes of all cells.
+//! Finds the tasks and the routes that crash workers, from the crashes of all cells.
 //!
 //! Several tasks share a worker, so a crash makes suspects of all of them. A suspect is started
 //! again without other jobs beside it, and a second crash then convicts it. The record outlives
 //! requests and owners: every daemon keeps it and tells the others of each crash, since a caller
-//! resends to any daemon. See
+//! resends to any daemon. A route with convicted tasks is confined to a part of the workers for a
+//! while, so that it cannot take down the workers that the other routes need. See
 //! [docs/design/on-the-platform.md](../../../docs/design/on-the-platform.md).
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -25,6 +26,12 @@
 const MAX_REMEMBERED: usize = 4_096;
 /// Number of the oldest crashes that are forgotten at once when there are [`MAX_REMEMBERED`].
 const FORGOTTEN_AT_ONCE: usize = MAX_REMEMBERED / 4;
+/// Convicted tasks of a route within [`CONFINEMENT_MS`] after which it is confined. A single one
+/// may be a job of its own kind.
+const CONVICTIONS_UNTIL_CONFINED: usize = 2;
+/// How long a route stays confined after the last crash under one of its tasks, in milliseconds.
+pub const CONFINEMENT_MS: u64 = 10_000;
+
 /// A task that was on a worker when it crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -59,6 +66,8 @@
     pub is_new: bool,
     /// Tasks that are convicted from now on.
     pub convicted: Vec<TaskName>,
+    /// Routes that are confined from now on.
+    pub confined: Vec<Rc<str>>,
 }
 
 /// What the crashes say about a task.
@@ -92,6 +101,13 @@
     }
 }
 
+/// Convictions and confinement of one route.
+#[derive(Clone, Debug, Default)]
+struct RouteRecord {
+    convicted_at: VecDeque<Millis>,
+    confined_until: Option<Millis>,
+}
+
 /// The crashes that are remembered.
 #[derive(Clone, Debug, Default)]
 pub struct CrashHistory {
@@ -99,6 +115,7 @@
     /// Processes whose end is in `crashes`.
     lives: HashSet<WorkerLife>,
     by_job: HashMap<Rc<str>, Vec<TaskRecord>>,
+    routes: HashMap<Rc<str>, RouteRecord>,
 }
 
 impl CrashHistory {
@@ -121,6 +138,10 @@
             if is_convicted {
                 findings.convicted.push(task.name.clone());
             }
+            let is_relevant = is_new || is_convicted;
+            if is_relevant && self.update_route(now, &task.route, is_convicted) {
+                findings.confined.push(Rc::clone(&task.route));
+            }
         }
         findings
     }
@@ -152,6 +173,12 @@
         self.by_job.contains_key(job)
     }
 
+    /// Whether the route is confined to a part of the workers.
+    pub fn is_confined(&self, route: &str, now: Millis) -> bool {
+        let until = self.routes.get(route).and_then(|record| record.confined_until);
+        until.is_some_and(|until| now < until)
+    }
+
     /// Returns all remembered crashes with their age in milliseconds, for a daemon that has just
     /// started.
     pub fn export(&self, now: Millis) -> Vec<(u64, Crash)> {
@@ -162,6 +189,22 @@
         self.suspicion(&task.name) == Suspicion::Convicted
     }
 
+    /// Records that a worker crashed under a task of the route. Returns whether the route has to be
+    /// confined from now on.
+    fn update_route(&mut self, now: Millis, route: &Rc<str>, is_newly_convicted: bool) -> bool {
+        let was_confined = self.is_confined(route, now);
+        let record = self.routes.entry(Rc::clone(route)).or_default();
+        record.convicted_at.retain(|at| now.since(*at) < CONFINEMENT_MS);
+        if is_newly_convicted {
+            record.convicted_at.push_back(now);
+        }
+        let is_confined = was_confined || record.convicted_at.len() >= CONVICTIONS_UNTIL_CONFINED;
+        if is_confined {
+            record.confined_until = Some(now.plus(CONFINEMENT_MS));
+        }
+        is_confined && !was_confined
+    }
+
     /// Adds the tasks that the earlier report about the same process lacked.
     fn add_tasks(&mut self, crash: &Crash) {
         let known = self.crashes.iter_mut().find(|(_, known)| known.life == crash.life);
@@ -187,6 +230,10 @@
             self.crashes.drain(..forgotten);
             self.rebuild_index();
         }
+        self.routes.retain(|_, record| {
+            record.confined_until.is_some_and(|until| now < until)
+                || record.convicted_at.iter().any(|at| now.since(*at) < CONFINEMENT_MS)
+        });
     }
 
     fn rebuild_index(&mut self) {
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -113,6 +113,9 @@
     NewOwner,
     /// A task of the job crashes the workers that start it.
     CrashesWorkers,
+    /// A worker crashed under a task of the job, and starting it again would not serve the caller in
+    /// time.
+    WorkerCrashed,
 }
 
 impl Reason {
@@ -127,6 +130,7 @@
             Self::NoOwner => "no_owner",
             Self::NewOwner => "new_owner",
             Self::CrashesWorkers => "crashes_workers",
+            Self::WorkerCrashed => "worker_crashed",
         }
     }
 }
@@ -336,6 +340,11 @@
         self.tasks.iter().any(|task| task.state == TaskState::Pending && !task.is_suspect)
     }
 
+    /// Returns whether a task under which a worker has crashed waits to be started again.
+    pub fn has_pending_suspect(&self) -> bool {
+        self.tasks.iter().any(|task| task.state == TaskState::Pending && task.is_suspect)
+    }
+
     /// Returns whether any task is in doubt: a previous owner may have started it, and its run
     /// has not been found.
     pub fn is_in_doubt(&self) -> bool {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -21,7 +21,7 @@
 };
 use crate::loss::{WorkerLife, WorkerLoss};
 use crate::placement::{self, TaskRequirements};
-use crate::quarantine::Quarantine;
+use crate::quarantine::{Quarantine, is_given_up};
 use crate::queue;
 use crate::round_trip::RoundTrip;
 use crate::run::{Run, RunState};
@@ -328,7 +328,12 @@
         let polls = polls.filter_map(|worker| worker.next_poll_at);
         let ends = self.jobs.values().map(|job| {
             let latest_useful_start = job.latest_useful_start().plus(1);
-            if job.started { job.deadline } else { job.deadline.min(latest_useful_start) }
+            let may_give_up = job.has_pending_suspect() && now < latest_useful_start;
+            if job.started && !may_give_up {
+                job.deadline
+            } else {
+                job.deadline.min(latest_useful_start)
+            }
         });
         let in_doubt = self.jobs.values().filter(|job| job.is_in_doubt());
         let in_doubt_ends = in_doubt.map(|job| job.in_doubt_until);
@@ -350,20 +355,23 @@
     /// late to be of use to the caller.
     fn end_expired_jobs(&mut self, now: Millis) {
         let expired = |(number, job): (&u64, &Job)| {
+            if job.started && job.has_pending_suspect() && is_given_up(job, &self.crashes, now) {
+                return Some((*number, Some(Reason::WorkerCrashed)));
+            }
             if now >= job.deadline {
-                return Some((*number, job.started));
+                return Some((*number, job.started.then_some(Reason::TimeOver)));
             }
-            (!job.started && now > job.latest_useful_start()).then_some((*number, false))
+            (!job.started && now > job.latest_useful_start()).then_some((*number, None))
         };
-        let mut expired: Vec<(u64, bool)> = self.jobs.iter().filter_map(expired).collect();
-        expired.sort_unstable();
-        for (number, started) in expired {
+        let mut expired: Vec<(u64, Option<Reason>)> =
+            self.jobs.iter().filter_map(expired).collect();
+        expired.sort_unstable_by_key(|(number, _)| *number);
+        for (number, abort_reason) in expired {
             let retry_after_ms = queue::retry_after_ms(self.backlog(now).wait_ms());
-            let outcome = if started {
-                Outcome::Aborted(Reason::TimeOver)
-            } else {
-                Outcome::NotRun { reason: Reason::Overload, retry_after_ms }
-            };
+            let outcome = abort_reason.map_or(
+                Outcome::NotRun { reason: Reason::Overload, retry_after_ms },
+                Outcome::Aborted,
+            );
             self.answer(number, outcome);
             self.drop_job(now, number);
         }
@@ -389,12 +397,15 @@
         let Some(job) = self.jobs.get_mut(&number) else { return };
         for task_index in 0..job.tasks.len() {
             let task = job.tasks[task_index].clone();
-            if task.state != TaskState::Pending || !job.is_step_ready(task.step) {
+            if task.state != TaskState::Pending
+                || !job.is_step_ready(task.step)
+                || task.is_suspect && is_given_up(job, &self.crashes, now)
+            {
                 continue;
             }
             let step = &job.spec.steps[task.step as usize];
             let need = TaskRequirements::of(job, task.step, step, now);
-            let quarantine = Quarantine::new(job);
+            let quarantine = Quarantine::new(&self.workers, &self.crashes, job, now);
             let chosen =
                 placement::choose(&self.workers, need, &quarantine, task.is_suspect, now).cloned();
             let Some(id) = chosen else {
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -187,6 +187,16 @@
         self.entry.capacity.minus(self.used)
     }
 
+    /// Returns whether the worker was lost with active runs and has not replied since.
+    pub const fn is_lost(&self) -> bool {
+        self.reported_loss.is_some()
+    }
+
+    /// Returns whether a task of the route is, or may be, running on this worker.
+    pub fn has_runs_of_route(&self, route: &str) -> bool {
+        self.runs.values().any(|run| *run.route == *route)
+    }
+
     /// Counts the runs of one step of a job on this worker.
     pub fn runs_of_step(&self, job: &str, step: u32) -> u32 {
         self.runs.keys().filter(|name| &*name.job == job && name.step == step).count() as u32
--- a/crates/pool/tests/crash_history.rs
+++ b/crates/pool/tests/crash_history.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
-use pool::crashes::{Crash, CrashHistory, CrashedTask, Suspicion};
+use pool::crashes::{CONFINEMENT_MS, Crash, CrashHistory, CrashedTask, Suspicion};
 use pool::job::TaskName;
 use pool::loss::WorkerLife;
 
@@ -104,3 +104,33 @@
     assert!(copy.convicts_job("a"));
     assert_eq!(copy.export(Millis(9_000))[0].0, 900);
 }
+
+/// Convicts a task of a job by two crashes at `at_ms`.
+fn convict(history: &mut CrashHistory, job: &str, at_ms: u64) {
+    for number in 0..2 {
+        let crash = crash(&format!("{job}{number}{at_ms}"), &[&format!("{job}.0.0.0")]);
+        history.record(Millis(at_ms), &crash);
+    }
+}
+
+#[test]
+fn a_route_is_confined_by_a_second_convicted_task_while_workers_crash_under_it() {
+    let mut history = CrashHistory::default();
+    convict(&mut history, "a", 0);
+    assert!(!history.is_confined("r", Millis(1)), "one job may be the only one");
+    convict(&mut history, "b", 5_000);
+    assert!(history.is_confined("r", Millis(5_000)));
+    assert!(!history.is_confined("other", Millis(5_000)));
+    history.record(Millis(9_000), &crash("w", &["c.0.0.0"]));
+    assert!(history.is_confined("r", Millis(9_000 + CONFINEMENT_MS - 1)));
+    assert!(!history.is_confined("r", Millis(9_000 + CONFINEMENT_MS)));
+}
+
+#[test]
+fn a_late_report_about_a_known_crash_does_not_prolong_the_confinement() {
+    let mut history = CrashHistory::default();
+    convict(&mut history, "a", 0);
+    convict(&mut history, "b", 0);
+    history.record(Millis(6_000), &crash("a00", &["a.0.0.0"]));
+    assert!(!history.is_confined("r", Millis(CONFINEMENT_MS)));
+}
