Soak and end-to-end test of tasks that crash their workers

The proxy of a worker can refuse connections, as if its process had ended; a payload makes the stand-in of a worker crash and come back three seconds later in a new process. The end-to-end test sends such a job again to a daemon of another zone, before and after that one was restarted: two starts in all. It failed when it sent again within a millisecond, before the report had arrived; callers resend after 1.3 s, and so does the test now.

--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -123,6 +123,31 @@
     assert_eq!(cluster.count_starts(&job), 2);
 }
 
+/// Guards against issue 25: the second daemon is asked while it lives, and again when its next
+/// process has only what the first one told it.
+#[actix_rt::test]
+async fn a_job_that_crashes_its_workers_is_given_up_at_every_daemon() {
+    let mut cluster = start(2, 1, 3).await;
+    let job = job(9, 1, 20, "20 crash");
+    let answer = cluster.submit(0, &job).await.unwrap();
+    assert_eq!((answer.0, answer.1.contains("failed")), (200, true), "{}", answer.1);
+    assert_eq!(cluster.count_starts(&job), 2, "two crashes convict a task that runs alone");
+    for is_restarted in [false, true] {
+        // Callers resend no sooner than this.
+        pause(1_300).await;
+        if is_restarted {
+            cluster.restart(1);
+            cluster.wait_until_ready(1).await;
+        }
+        let began = Instant::now();
+        let answer = cluster.submit(1, &job).await.unwrap();
+        assert_eq!((answer.0, answer.1.contains("failed")), (200, true), "{}", answer.1);
+        assert!(began.elapsed() < Duration::from_millis(500), "the answer was not known");
+        assert_eq!(cluster.count_starts(&job), 2);
+    }
+    assert_eq!(count_completed(&cluster, 0, 100, 4).await, 4);
+}
+
 #[actix_rt::test]
 async fn jobs_complete_when_their_owner_shuts_down() {
     let mut cluster = start(1, 2, 4).await;
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -20,13 +20,15 @@
 use standins::metastore::MetaStore;
 use standins::pool_worker_server::PoolWorkerServer;
 
-use crate::proxy::Proxy;
+use crate::proxy::{Link, Proxy};
 
 /// Host of the only route.
 pub const HOST: &str = "jobs.example";
 /// Path prefix of the only route.
 pub const PATH_PREFIX: &str = "/checks/";
 const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Time from the crash of a worker until its next process listens.
+const WORKER_RESTART: Duration = Duration::from_secs(3);
 
 /// Size of an installation.
 #[derive(Clone, Copy, Debug)]
@@ -155,7 +157,8 @@
 }
 
 /// Returns a job with one step of `count` tasks. `spec` is the payload that the simulated workers
-/// interpret: the run time in milliseconds, followed by `fail` if the task fails.
+/// interpret: the run time in milliseconds, followed by `fail` if the task fails and by `crash` if it
+/// crashes the worker.
 pub fn job(id: u64, count: u32, estimate_ms: u64, spec: &str) -> JobSpec {
     let step = Step { count, task_resources: cores(27), estimate_ms, ..Step::default() };
     JobSpec { id: Rc::from(format!("{id:016x}")), payload: Rc::from(spec), steps: vec![step] }
@@ -206,7 +209,17 @@
     /// Panics if loopback has no free port.
     pub async fn add_worker(&mut self, zone: usize) {
         let worker = PoolWorkerServer::start(capacity(), cores(27)).await.unwrap();
-        self.worker_proxies.push(Proxy::start(worker.addr).await.unwrap());
+        let proxy = Proxy::start(worker.addr).await.unwrap();
+        let link = Rc::clone(&proxy.link);
+        worker.set_crash_hook(Box::new(move |_| {
+            link.set(Link::Refused);
+            let link = Rc::clone(&link);
+            actix_rt::spawn(async move {
+                actix_rt::time::sleep(WORKER_RESTART).await;
+                link.set(Link::Normal);
+            });
+        }));
+        self.worker_proxies.push(proxy);
         self.workers.push(worker);
         self.publish_worker(self.workers.len() - 1, zone, WorkerState::Ready);
     }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -23,6 +23,8 @@
     Silent,
     /// Forwards requests and holds back replies.
     OneWay,
+    /// Closes the open connections and refuses new ones, as if no process listened.
+    Refused,
 }
 
 /// Interval at which a connection without traffic checks for a changed [`Link`].
@@ -47,21 +49,44 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let addr = listener.local_addr()?;
         let link: Rc<Cell<Link>> = Rc::default();
-        let shared = Rc::clone(&link);
-        actix_rt::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                actix_rt::spawn(forward(client, target, Rc::clone(&shared)));
-            }
-        });
+        actix_rt::spawn(accept(listener, addr, target, Rc::clone(&link)));
         Ok(Self { addr, link })
     }
 }
 
+/// Accepts connections. The listener is closed while the link is [`Link::Refused`].
+async fn accept(
+    mut listener: TcpListener,
+    addr: SocketAddr,
+    target: SocketAddr,
+    link: Rc<Cell<Link>>,
+) {
+    loop {
+        if link.get() == Link::Refused {
+            drop(listener);
+            while link.get() == Link::Refused {
+                actix_rt::time::sleep(POLL_INTERVAL).await;
+            }
+            listener = match TcpListener::bind(addr).await {
+                Ok(listener) => listener,
+                Err(error) => {
+                    eprintln!("soak: cannot listen on {addr} again: {error}");
+                    return;
+                }
+            };
+        }
+        if let Ok(Ok((client, _))) = actix_rt::time::timeout(POLL_INTERVAL, listener.accept()).await
+        {
+            actix_rt::spawn(forward(client, target, Rc::clone(&link)));
+        }
+    }
+}
+
 async fn forward(client: TcpStream, target: SocketAddr, link: Rc<Cell<Link>>) {
     while matches!(link.get(), Link::Silent) {
         actix_rt::time::sleep(POLL_INTERVAL).await;
     }
-    if link.get() == Link::Reset {
+    if matches!(link.get(), Link::Reset | Link::Refused) {
         return;
     }
     let Ok(server) = TcpStream::connect(target).await else { return };
@@ -81,7 +106,7 @@
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let read = actix_rt::time::timeout(POLL_INTERVAL, from.read(&mut buffer)).await;
-        if link.get() == Link::Reset {
+        if matches!(link.get(), Link::Reset | Link::Refused) {
             return;
         }
         let length = match read {
@@ -91,7 +116,7 @@
         };
         loop {
             match link.get() {
-                Link::Reset => return,
+                Link::Reset | Link::Refused => return,
                 Link::Silent => actix_rt::time::sleep(POLL_INTERVAL).await,
                 Link::OneWay if is_reply => actix_rt::time::sleep(POLL_INTERVAL).await,
                 Link::Slow(ms) => {
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -2,6 +2,7 @@
 //! guarantees.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,6 +21,11 @@
 const CALLER_WAIT_MS: u64 = 2_500;
 /// Number of times that a caller sends a job before it gives up.
 const MAX_SENDS: u32 = 4;
+/// One job in this many crashes the workers that start its tasks.
+const CRASHING_JOB_INTERVAL: u64 = 40;
+/// Starts of a task that crashes workers from which on its owners ignore the crashes: three more
+/// after three crashes.
+const MAX_CRASHING_STARTS: usize = 5;
 /// Time after the last fault within which each daemon must serve jobs again: `recoveryS` of the
 /// customers' requirements.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
@@ -62,6 +68,8 @@
 struct Stats {
     completed: Cell<usize>,
     refused: RefCell<Vec<JobSpec>>,
+    /// Jobs whose tasks crash the workers that start them.
+    crashing: RefCell<Vec<JobSpec>>,
     jobs: Cell<usize>,
     pending: Cell<usize>,
 }
@@ -85,6 +93,7 @@
     }
     let mut violations = overlaps.borrow().clone();
     violations.extend(check_refused_jobs(&cluster.borrow(), &stats));
+    violations.extend(check_crashing_jobs(&cluster.borrow(), &stats));
     violations.extend(check_recovery(&cluster).await);
     let mut cluster = cluster.borrow_mut();
     cluster.keep_logs = !violations.is_empty();
@@ -150,7 +159,11 @@
     let mut id = 1;
     while started_at.elapsed() < Duration::from_millis(span_ms) {
         let takes_ms = if rng.random_bool(0.1) { 2_000 } else { rng.random_range(20..500) };
-        let spec = job(id, rng.random_range(1..=3), takes_ms, &takes_ms.to_string());
+        let mut spec = job(id, rng.random_range(1..=3), takes_ms, &takes_ms.to_string());
+        if id.is_multiple_of(CRASHING_JOB_INTERVAL) {
+            spec.payload = Rc::from(format!("{takes_ms} crash"));
+            stats.crashing.borrow_mut().push(spec.clone());
+        }
         let caller_rng = SmallRng::seed_from_u64(rng.random());
         stats.jobs.set(stats.jobs.get() + 1);
         stats.pending.set(stats.pending.get() + 1);
@@ -198,6 +211,21 @@
     ran.map(|spec| format!("job {} was refused each time it was sent, but ran", spec.id)).collect()
 }
 
+/// Checks that no task was started again and again although it crashes the workers.
+fn check_crashing_jobs(cluster: &Cluster, stats: &Stats) -> Vec<String> {
+    let mut starts: BTreeMap<String, usize> = BTreeMap::new();
+    for worker in &cluster.workers {
+        for (task, _) in &*worker.started_runs.borrow() {
+            let crashing = stats.crashing.borrow();
+            if crashing.iter().any(|spec| task.starts_with(&*spec.id)) {
+                *starts.entry(task.clone()).or_default() += 1;
+            }
+        }
+    }
+    let repeated = starts.into_iter().filter(|(_, starts)| *starts > MAX_CRASHING_STARTS);
+    repeated.map(|(task, starts)| format!("{task} crashed {starts} workers")).collect()
+}
+
 /// Checks that each daemon serves jobs again within `RECOVERY_LIMIT` after the last fault.
 async fn check_recovery(cluster: &Rc<RefCell<Cluster>>) -> Vec<String> {
     let daemons = cluster.borrow().daemons.len();
--- a/crates/standins/src/pool_worker_server.rs
+++ b/crates/standins/src/pool_worker_server.rs
@@ -47,6 +47,7 @@
     pub polls: Cell<u64>,
     worker: RefCell<PoolWorker>,
     start_hook: RefCell<StartHook>,
+    crash_hook: RefCell<StartHook>,
     resources: Resources,
     started: Instant,
 }
@@ -64,6 +65,11 @@
     }
 }
 
+/// Whether a task's payload makes the worker crash: `crash` follows the duration.
+fn crashes_worker(call: &StartCall) -> bool {
+    call.spec.split_whitespace().nth(1) == Some("crash")
+}
+
 /// Parses a task's payload: its duration in milliseconds (10 by default), then `fail` if it fails.
 fn parse_work(call: &StartCall, resources: Resources) -> Work {
     let mut words = call.spec.split_whitespace();
@@ -86,6 +92,7 @@
             polls: Cell::new(0),
             worker: RefCell::new(PoolWorker::new(capacity, 50_000, 0)),
             start_hook: RefCell::default(),
+            crash_hook: RefCell::default(),
             resources,
             started: Instant::now(),
         });
@@ -100,6 +107,11 @@
         *self.start_hook.borrow_mut() = StartHook(Some(start_hook));
     }
 
+    /// Calls `crash_hook` with the task when the worker crashes under it.
+    pub fn set_crash_hook(&self, crash_hook: StartCallback) {
+        *self.crash_hook.borrow_mut() = StartHook(Some(crash_hook));
+    }
+
     /// Sets the defect that the worker has from now on.
     pub fn set_defect(&self, defect: WorkerDefect) {
         self.worker.borrow_mut().defect = defect;
@@ -154,6 +166,13 @@
                     if let StartHook(Some(start_hook)) = &*self.start_hook.borrow() {
                         start_hook(&call.task);
                     }
+                    if crashes_worker(&call) {
+                        self.worker.borrow_mut().restart(now_ms);
+                        if let StartHook(Some(crash_hook)) = &*self.crash_hook.borrow() {
+                            crash_hook(&call.task);
+                        }
+                        return Response::truncated();
+                    }
                 }
                 match reply {
                     StartReply::Started { clock_ms } => render_success(clock_ms),
