--- a/crates/pool/tests/one_run_at_a_time.rs
+++ b/crates/pool/tests/one_run_at_a_time.rs
@@ -15,6 +15,7 @@
     failing_runs: 20,
     long_runs: 100,
     crashing_jobs: 0,
+    capacity_change_every_ms: 0,
 };
 
 fn run(seed: u64, worker_defect: WorkerDefect, daemon_defect: DaemonDefect) -> Simulation {
@@ -70,6 +71,7 @@
         failing_runs: 0,
         long_runs: 0,
         crashing_jobs: 0,
+        capacity_change_every_ms: 0,
     };
     let mut simulation =
         Simulation::new(7, no_faults, WorkerDefect::Nothing, DaemonDefect::Nothing);
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -24,6 +24,11 @@
 const LIMIT_MS: u64 = 2_500;
 const TAKEOVER_MS: u64 = 1_200;
 const STEP_MS: u64 = 1;
+/// Time within which owners have to know that a worker has shrunk, in milliseconds: the users'
+/// `contactMs` and an interval between two renewals of the worker's entry.
+const CAPACITY_GRACE_MS: u64 = 4_500;
+/// Longest time until a worker's entry shows its new capacity, in milliseconds.
+const MAX_PUBLICATION_MS: u64 = 1_500;
 /// Time from the crash of a worker until its next process listens, in milliseconds.
 const DOWN_MS: u64 = 3_000;
 /// Crashes under one task after which its further starts are counted.
@@ -52,6 +57,8 @@
     pub long_runs: u32,
     /// Jobs whose first task crashes every worker that starts it.
     pub crashing_jobs: u32,
+    /// Changes of the capacity of a random worker, none of which then refuses a start.
+    pub capacity_change_every_ms: u64,
 }
 
 enum Event {
@@ -63,6 +70,7 @@
     StopReply(usize, usize, StopCall, StopReply),
     PollReply(usize, usize, u64, PollReply),
     Crash(usize, TaskName),
+    Publish(usize),
     Send(usize),
     Broken(usize, usize),
 }
@@ -96,6 +104,10 @@
     disconnected_until: HashMap<(usize, usize), u64>,
     /// Until when no process listens at the worker's address.
     down_until: HashMap<usize, u64>,
+    /// When the capacity of each worker shrank last.
+    shrunk_at: HashMap<usize, u64>,
+    /// Entries that the workers have published.
+    published: Vec<WorkerEntry>,
     daemons: Vec<Daemon>,
     owners: [Option<usize>; CELLS],
     takeover_at: [Option<u64>; CELLS],
@@ -121,6 +133,10 @@
     crash_history: CrashHistory,
     /// Tasks that the daemons have convicted.
     pub convictions: Vec<TaskName>,
+    /// Starts that exceeded a capacity which had been smaller for [`CAPACITY_GRACE_MS`].
+    pub overloads: Vec<String>,
+    /// Starts that exceeded a capacity at all.
+    pub early_overloads: usize,
 }
 
 const TASK_CORES: u64 = 27;
@@ -143,6 +159,7 @@
             .collect();
         for worker in &mut workers {
             worker.defect = defect;
+            worker.guards_capacity = faults.capacity_change_every_ms == 0;
         }
         let mut simulation = Self {
             now_ms: 1_000,
@@ -150,6 +167,8 @@
             workers,
             disconnected_until: HashMap::new(),
             down_until: HashMap::new(),
+            shrunk_at: HashMap::new(),
+            published: (0..CELLS * WORKERS_PER_CELL).map(|number| entry(number, 64)).collect(),
             daemons: Vec::new(),
             owners: [None; CELLS],
             takeover_at: [None; CELLS],
@@ -170,6 +189,8 @@
             starts_after_crashes: HashMap::new(),
             crash_history: CrashHistory::default(),
             convictions: Vec::new(),
+            overloads: Vec::new(),
+            early_overloads: 0,
         };
         for cell in 0..CELLS {
             simulation.take_over(cell);
@@ -247,6 +268,62 @@
         {
             self.inject_worker_fault();
         }
+        if faults.capacity_change_every_ms > 0
+            && self.now_ms.is_multiple_of(faults.capacity_change_every_ms)
+        {
+            self.change_capacity();
+        }
+    }
+
+    /// Shrinks a worker to less than its runs may occupy, or lets it grow again. Its entry shows
+    /// the change later.
+    fn change_capacity(&mut self) {
+        let worker = self.rng.random_range(0..self.workers.len());
+        let capacity = entry(worker, [20, 30, 64][self.rng.random_range(0..3)]).capacity;
+        if capacity.cpu_millicores < self.workers[worker].capacity.cpu_millicores {
+            self.shrunk_at.insert(worker, self.now_ms);
+        }
+        self.workers[worker].capacity = capacity;
+        let at_ms = self.now_ms + self.rng.random_range(5..MAX_PUBLICATION_MS);
+        self.push(at_ms, Event::Publish(worker));
+    }
+
+    fn publish(&mut self, worker: usize) {
+        self.published[worker].capacity = self.workers[worker].capacity;
+        let cell = worker / WORKERS_PER_CELL;
+        let entries: Vec<(Rc<str>, WorkerEntry)> = (0..self.workers.len())
+            .filter(|index| index / WORKERS_PER_CELL == cell)
+            .map(|index| {
+                let started_at_ms = Some(self.workers[index].started_at_ms);
+                let entry = WorkerEntry { started_at_ms, ..self.published[index].clone() };
+                (Rc::from(index.to_string()), entry)
+            })
+            .collect();
+        for daemon in 0..self.daemons.len() {
+            if self.daemons[daemon].cell == cell {
+                self.with_pool(daemon, |pool, now| {
+                    pool.set_workers(now, entries.iter().map(|(id, entry)| (id, entry)));
+                });
+            }
+        }
+    }
+
+    /// Checks that the runs of a worker fit into it after a start.
+    fn check_capacity(&mut self, worker: usize, call: &StartCall) {
+        let (used, capacity) = (self.workers[worker].used(), self.workers[worker].capacity);
+        if capacity.can_fit(used) {
+            return;
+        }
+        self.early_overloads += 1;
+        let shrunk_at = self.shrunk_at.get(&worker).copied().unwrap_or(0);
+        if self.now_ms >= shrunk_at + CAPACITY_GRACE_MS {
+            let task = &call.task;
+            self.overloads.push(format!(
+                "{task} on {worker} at {} ms: {used:?} of {capacity:?}, shrunk at {shrunk_at} ms\n  {}",
+                self.now_ms,
+                self.history_of(&task.job),
+            ));
+        }
     }
 
     fn inject_worker_fault(&mut self) {
@@ -331,8 +408,8 @@
             .enumerate()
             .filter(|(index, _)| index / WORKERS_PER_CELL == cell)
             .map(|(index, worker)| {
-                let entry =
-                    WorkerEntry { started_at_ms: Some(worker.started_at_ms), ..entry(index, 64) };
+                let started_at_ms = Some(worker.started_at_ms);
+                let entry = WorkerEntry { started_at_ms, ..self.published[index].clone() };
                 (Rc::from(index.to_string()), entry)
             })
             .collect();
@@ -491,6 +568,7 @@
                 );
             }
             Event::Crash(worker, task) => self.crash(worker, &task),
+            Event::Publish(worker) => self.publish(worker),
             Event::Start(daemon, worker, call, late) => self.start_run(daemon, worker, call, late),
             Event::Stop(daemon, worker, call, late) => {
                 let reply = self.workers[worker].stop(self.now_ms, &call);
@@ -567,6 +645,7 @@
             self.stale_starts += usize::from(self.workers[worker].has_seen_newer_token(call.token));
             self.check_overlap(worker, &call);
             self.schedule_crash(worker, &call.task);
+            self.check_capacity(worker, &call);
         }
         if late {
             return;
--- a/crates/standins/src/pool_worker.rs
+++ b/crates/standins/src/pool_worker.rs
@@ -61,6 +61,8 @@
 pub struct PoolWorker {
     /// Total resources of the worker.
     pub capacity: Resources,
+    /// Whether the worker refuses a start for which it lacks the resources.
+    pub guards_capacity: bool,
     /// Planted defect.
     pub defect: WorkerDefect,
     /// Start of the worker's process as reported in polls: 1 at first, then the time of the last
@@ -91,6 +93,7 @@
     pub fn new(capacity: Resources, clock_offset_ms: u64, clock_slowdown_permille: u64) -> Self {
         Self {
             capacity,
+            guards_capacity: true,
             defect: WorkerDefect::Nothing,
             started_at_ms: 1,
             clock_offset_ms,
@@ -177,11 +180,7 @@
         if call.run <= fenced_run || self.active.contains_key(&call.task) {
             return refuse(Refusal::OldRun);
         }
-        let used = self
-            .active
-            .values()
-            .fold(Resources::default(), |used, active| used.plus(active.resources));
-        if !self.capacity.minus(used).can_fit(work.resources) {
+        if self.guards_capacity && !self.capacity.minus(self.used()).can_fit(work.resources) {
             return refuse(Refusal::NoCapacity);
         }
         let active = Run {
@@ -196,6 +195,12 @@
         (StartReply::Started { clock_ms }, true)
     }
 
+    /// Returns the resources that the active runs occupy, including those that are being stopped.
+    pub fn used(&self) -> Resources {
+        let runs = self.active.values();
+        runs.fold(Resources::default(), |used, active| used.plus(active.resources))
+    }
+
     /// Carries out a stop call: fences the run and, if it is active, interrupts it after
     /// [`STOP_DELAY_MS`].
     pub fn stop(&mut self, now_ms: u64, call: &StopCall) -> StopReply {
