Count failed runs across owners of a cell

What callers saw: a job whose task fails each time was tried again up to its whole number of attempts by each new owner of its cell.

The progress that an owner reports when it gives a cell up had no failed runs in it; and a failure that the next owner read from a worker was counted but compared with the limit only at the next failure.

Change: the progress carries the numbers of failed runs, and adoption compares them. Between two versions, such a message cannot be read: a job in a handover of a rolling upgrade is then taken over as from an owner that fell silent.

Before and after: the new test saw a third start with two attempts allowed, with either half of the change missing; now the job fails. Ruled out elsewhere: clementined starts a task again only if it has certainly not begun, within a retry budget; a task on a lost worker ends in doubt and its job fails.

--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -98,6 +98,7 @@
             }
             self.jobs.insert(number, job);
             self.finish_if_done(number);
+            self.fail_if_exhausted(now, number);
         }
     }
 }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -144,6 +144,8 @@
     pub done: Vec<u32>,
     /// Tasks that a worker is running or may be running.
     pub placed: Vec<Placed>,
+    /// Indices of the tasks of which runs have failed, and the numbers of these runs.
+    pub failures: Vec<(u32, u32)>,
 }
 
 /// The most recent start of a task.
@@ -318,6 +320,11 @@
                         task.worker = Some(Rc::clone(&placed.worker));
                     }
                 }
+                for (task_index, failures) in &progress.failures {
+                    if let Some(task) = self.tasks.get_mut(*task_index as usize) {
+                        task.failures = *failures;
+                    }
+                }
             }
             PreviousOwner::Unresponsive => {
                 for task in &mut self.tasks {
@@ -367,6 +374,9 @@
                 }
                 TaskState::Pending => {}
             }
+            if task.failures > 0 {
+                progress.failures.push((task_index as u32, task.failures));
+            }
         }
         progress
     }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -226,6 +226,7 @@
         self.watchers.insert(number, number);
         self.jobs.insert(number, job);
         self.finish_if_done(number);
+        self.fail_if_exhausted(now, number);
         self.advance(now);
         number
     }
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -171,10 +171,17 @@
     fn task_failed(&mut self, now: Millis, number: u64, at: usize) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         job.tasks[at].failures += 1;
-        if job.tasks[at].failures < job.terms.max_attempts.max(1) {
-            return;
+        self.fail_if_exhausted(now, number);
+    }
+
+    /// Fails a job if one of its tasks has failed as many times as the route allows, under this and
+    /// previous owners of the cell.
+    pub(crate) fn fail_if_exhausted(&mut self, now: Millis, number: u64) {
+        let Some(job) = self.jobs.get(&number) else { return };
+        let max_attempts = job.terms.max_attempts.max(1);
+        if job.tasks.iter().any(|task| task.failures >= max_attempts) {
+            self.answer(number, Outcome::Failed(Reason::TaskFailed));
+            self.drop_job(now, number);
         }
-        self.answer(number, Outcome::Failed(Reason::TaskFailed));
-        self.drop_job(now, number);
     }
 }
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -138,7 +138,7 @@
             assert!(pool.is_fenced());
             let moved = answers(&actions);
             let placed = Placed { task_index: 0, run: 1, worker: Rc::from(id.as_str()) };
-            let progress = Progress { done: Vec::new(), placed: vec![placed] };
+            let progress = Progress { placed: vec![placed], ..Progress::default() };
             assert_eq!(moved, [Outcome::Moved(progress)]);
         }
     }
@@ -253,6 +253,36 @@
     assert!(restarted_at <= 2 * LEASE_BOUND_MS + 100, "{restarted_at}");
 }
 
+/// Guards against a count of attempts that begins anew with each owner of the cell.
+#[test]
+fn a_failed_run_under_the_previous_owner_counts() {
+    let mut previous = pool(1);
+    let (id, call) = start_one_task(&mut previous, "0000000000000001");
+    let name = call.task.to_string();
+    previous.poll_reply(at(20), &id, at(19), &report(&[], &[(1, &name, 1, End::Failed)]));
+    assert_eq!(starts(&previous.take_actions()).len(), 1, "one of two attempts has failed");
+    previous.relinquish();
+    let moved = answers(&previous.take_actions());
+    let [Outcome::Moved(progress)] = &moved[..] else { panic!("{moved:?}") };
+    // The second run has ended before the next owner asks for it, or ends later.
+    for is_seen_late in [false, true] {
+        let mut next = Pool::new(9);
+        set_workers(&mut next, 1, WorkerState::Ready);
+        let ended = report(&[], &[(2, &name, 2, End::Failed)]);
+        let first = if is_seen_late { report(&[(&name, 2)], &[]) } else { ended.clone() };
+        next.poll_reply(at(30), "0", at(30), &first);
+        let previous_owner = PreviousOwner::Reported(progress.clone());
+        let spec = job("0000000000000001", 1, 27, 200);
+        next.submit(at(31), submission(spec, previous_owner));
+        if is_seen_late {
+            next.poll_reply(at(50), "0", at(49), &ended);
+        }
+        let actions = next.take_actions();
+        assert!(starts(&actions).is_empty(), "{actions:?}");
+        assert_eq!(answers(&actions), [Outcome::Failed(Reason::TaskFailed)]);
+    }
+}
+
 #[test]
 fn new_owner_adopts_active_and_ended_runs_of_the_previous_owner() {
     let name = "0000000000000001.0.0.";
@@ -263,7 +293,8 @@
     let ends = [(1, second.as_str(), 1, End::Done)];
     pool.poll_reply(at(0), "0", at(0), &report(&[(&first, 3)], &ends));
     let placed = |task_index, worker: &str| Placed { task_index, run: 3, worker: Rc::from(worker) };
-    let progress = Progress { done: Vec::new(), placed: vec![placed(0, "0"), placed(2, "1")] };
+    let placed = vec![placed(0, "0"), placed(2, "1")];
+    let progress = Progress { placed, ..Progress::default() };
     let spec = job("0000000000000001", 3, 27, 200);
     pool.submit(at(5), submission(spec, PreviousOwner::Reported(progress)));
     assert!(starts(&pool.take_actions()).is_empty(), "the third task may run on the other worker");
