Tell refusals of a confined route apart from overload, in answers and between cells

What operators saw: why=overload for requests that were refused since their route was confined, while the cell had free workers; /state had no sign of it. What callers of other routes met: each such refusal kept them away from cells of other zones for 40 ms, as a full cell does.

Change: a reason of its own (route_confined), which does not count as a full cell; /state lists confined routes and convicted jobs.

--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -1,5 +1,7 @@
 //! Dump of a daemon's state for operators.
 
+use std::rc::Rc;
+
 use pool::run::RunState;
 use pool::worker::Worker;
 use serde::Serialize;
@@ -18,6 +20,10 @@
     cells: Vec<CellDump>,
     /// Cells and the addresses of their owners.
     owners: Vec<(String, String)>,
+    /// Routes that are confined because their tasks crash workers.
+    confined_routes: Vec<String>,
+    /// Jobs that are not started again because they crash workers.
+    convicted_jobs: Vec<String>,
 }
 
 #[derive(Debug)]
@@ -72,10 +78,16 @@
             owners: owners
                 .map(|(cell, owner)| (cell.to_string(), owner.addr.to_string()))
                 .collect(),
+            confined_routes: to_strings(&self.crashes.borrow().confined_routes(now)),
+            convicted_jobs: to_strings(&self.crashes.borrow().convicted_jobs()),
         }
     }
 }
 
+fn to_strings(names: &[Rc<str>]) -> Vec<String> {
+    names.iter().map(ToString::to_string).collect()
+}
+
 fn worker_dump(id: &str, worker: &Worker, takes_work: bool) -> WorkerDump {
     let state = |state| match state {
         RunState::Starting => "starting",
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -32,16 +32,19 @@
         if self.can_start_now(job, now) {
             return None;
         }
+        let is_confined = self.crashes.is_confined(&job.terms.route, now);
         if !may_wait {
             let retry_after_ms = queue::retry_after_ms(0);
-            return Some(Outcome::NotRun { reason: Reason::Busy, retry_after_ms });
+            let reason = if is_confined { Reason::RouteConfined } else { Reason::Busy };
+            return Some(Outcome::NotRun { reason, retry_after_ms });
         }
         let wait_ms = self.wait_ms(job, now);
         if queue::admits(job, wait_ms, &self.backlog(now), now) {
             return None;
         }
         let retry_after_ms = queue::retry_after_ms(wait_ms);
-        Some(Outcome::NotRun { reason: Reason::Overload, retry_after_ms })
+        let reason = if is_confined { Reason::RouteConfined } else { Reason::Overload };
+        Some(Outcome::NotRun { reason, retry_after_ms })
     }
 
     /// Returns whether all tasks of the initial steps can start at once: no other task is queued,
--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -179,6 +179,22 @@
         until.is_some_and(|until| now < until)
     }
 
+    /// Returns the routes that are confined, in order.
+    pub fn confined_routes(&self, now: Millis) -> Vec<Rc<str>> {
+        let confined = self.routes.keys().filter(|route| self.is_confined(route, now));
+        let mut routes: Vec<Rc<str>> = confined.cloned().collect();
+        routes.sort_unstable();
+        routes
+    }
+
+    /// Returns the ids of the jobs with a convicted task, in order.
+    pub fn convicted_jobs(&self) -> Vec<Rc<str>> {
+        let mut jobs: Vec<Rc<str>> =
+            self.by_job.keys().filter(|job| self.convicts_job(job)).cloned().collect();
+        jobs.sort_unstable();
+        jobs
+    }
+
     /// Returns all remembered crashes with their age in milliseconds, for a daemon that has just
     /// started.
     pub fn export(&self, now: Millis) -> Vec<(u64, Crash)> {
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -116,6 +116,9 @@
     /// A worker crashed under a task of the job, and starting it again would not serve the caller in
     /// time.
     WorkerCrashed,
+    /// The job's route is confined because its tasks crash workers, and the workers left to it are
+    /// busy. Jobs of other routes may find free ones.
+    RouteConfined,
 }
 
 impl Reason {
@@ -131,6 +134,7 @@
             Self::NewOwner => "new_owner",
             Self::CrashesWorkers => "crashes_workers",
             Self::WorkerCrashed => "worker_crashed",
+            Self::RouteConfined => "route_confined",
         }
     }
 }
--- a/crates/pool/src/quarantine.rs
+++ b/crates/pool/src/quarantine.rs
@@ -53,7 +53,7 @@
     /// job.
     pub fn allows(&self, worker: &Worker, is_suspect: bool) -> bool {
         let may_share = |(name, run): (&TaskName, &Run)| {
-            *name.job == *self.job || !(is_suspect || run.is_suspect)
+            !(is_suspect || run.is_suspect) || *name.job == *self.job
         };
         worker.runs.iter().all(may_share)
             && (self.spare_workers > 0 || worker.has_runs_of_route(self.route))
--- a/crates/pool/src/spill.rs
+++ b/crates/pool/src/spill.rs
@@ -60,10 +60,15 @@
     pub fn record(&mut self, cell: &Cell, outcome: &Outcome, backlog: Backlog, now: Millis) {
         let load = self.cells.entry(cell.clone()).or_default();
         load.backlog = backlog;
-        let Outcome::NotRun { reason, .. } = outcome else { return };
-        load.busy_at = Some(now);
-        if *reason != Reason::Busy {
-            load.refused_at = Some(now);
+        match outcome {
+            // Says nothing about the chances of other routes.
+            Outcome::NotRun { reason: Reason::RouteConfined, .. } => {}
+            Outcome::NotRun { reason: Reason::Busy, .. } => load.busy_at = Some(now),
+            Outcome::NotRun { .. } => {
+                load.busy_at = Some(now);
+                load.refused_at = Some(now);
+            }
+            _ => {}
         }
     }
 
--- a/crates/pool/tests/spill.rs
+++ b/crates/pool/tests/spill.rs
@@ -59,6 +59,7 @@
         (Reason::Busy, 50, true),
         (Reason::Overload, 70, false),
         (Reason::Overload, 50, true),
+        (Reason::RouteConfined, 70, true),
     ];
     for (reason, at_ms, is_asked) in cases {
         let mut loads = CellLoads::default();
