Prolong a confinement only by crashes that no other route can have caused

Change: while a route is confined, only a crash with no other route's task on the worker prolongs that, and a further conviction. The test failed with the code before.

--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -29,7 +29,8 @@
 /// Convicted tasks of a route within [`CONFINEMENT_MS`] after which it is confined. A single one
 /// may be a job of its own kind.
 const CONVICTIONS_UNTIL_CONFINED: usize = 2;
-/// How long a route stays confined after the last crash under one of its tasks, in milliseconds.
+/// How long a route stays confined after the last crash that no other route can have caused, in
+/// milliseconds.
 pub const CONFINEMENT_MS: u64 = 10_000;
 
 /// A task that was on a worker when it crashed.
@@ -57,6 +58,11 @@
     fn is_of_one_job(&self) -> bool {
         self.tasks.windows(2).all(|pair| pair[0].name.job == pair[1].name.job)
     }
+
+    /// Whether all tasks on the worker belonged to one route.
+    fn is_of_one_route(&self) -> bool {
+        self.tasks.windows(2).all(|pair| pair[0].route == pair[1].route)
+    }
 }
 
 /// What follows from a crash that has been recorded.
@@ -133,12 +139,13 @@
             self.add_tasks(crash);
         }
         let mut findings = Findings { is_new, ..Findings::default() };
+        let prolongs = is_new && crash.is_of_one_route();
         for (task, was_convicted) in crash.tasks.iter().zip(convicted_before) {
             let is_convicted = !was_convicted && self.convicts(task);
             if is_convicted {
                 findings.convicted.push(task.name.clone());
             }
-            let is_relevant = is_new || is_convicted;
+            let is_relevant = prolongs || is_convicted;
             if is_relevant && self.update_route(now, &task.route, is_convicted) {
                 findings.confined.push(Rc::clone(&task.route));
             }
@@ -205,8 +212,8 @@
         self.suspicion(&task.name) == Suspicion::Convicted
     }
 
-    /// Records that a worker crashed under a task of the route. Returns whether the route has to be
-    /// confined from now on.
+    /// Records that a worker crashed under a task of the route and no other route can have caused
+    /// it, or that the task was convicted. Returns whether the route has to be confined from now on.
     fn update_route(&mut self, now: Millis, route: &Rc<str>, is_newly_convicted: bool) -> bool {
         let was_confined = self.is_confined(route, now);
         let record = self.routes.entry(Rc::clone(route)).or_default();
--- a/crates/pool/tests/crash_history.rs
+++ b/crates/pool/tests/crash_history.rs
@@ -15,8 +15,10 @@
     WorkerLife { worker: Rc::from(worker), started_at_ms: Some(1) }
 }
 
+/// A crash under tasks of the route "r", but for those of job "x", which are of the route "other".
 fn crash(worker: &str, tasks: &[&str]) -> Crash {
-    let tasks = tasks.iter().map(|name| CrashedTask { name: task(name), route: Rc::from("r") });
+    let route = |name: &str| Rc::from(if name.starts_with('x') { "other" } else { "r" });
+    let tasks = tasks.iter().map(|name| CrashedTask { name: task(name), route: route(name) });
     Crash { life: life(worker), tasks: tasks.collect() }
 }
 
@@ -122,6 +124,8 @@
     assert!(history.is_confined("r", Millis(5_000)));
     assert!(!history.is_confined("other", Millis(5_000)));
     history.record(Millis(9_000), &crash("w", &["c.0.0.0"]));
+    let beside_other_route = crash("v", &["c.0.0.1", "x.0.0.0"]);
+    history.record(Millis(9_500), &beside_other_route);
     assert!(history.is_confined("r", Millis(9_000 + CONFINEMENT_MS - 1)));
     assert!(!history.is_confined("r", Millis(9_000 + CONFINEMENT_MS)));
 }
