--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -6,6 +6,7 @@
 use dispatch::clock::Millis;
 use pool::call::{PollCall, PollReply, StartCall, StartReply, StopCall, StopReply, Target};
 use pool::cells::Cell;
+use pool::crashes::Crash;
 use pool::job::{Outcome, Progress};
 use pool::loss::WorkerLoss;
 use pool::pool::{Action, MAX_STALL_MS, Pool, Submission};
@@ -130,7 +131,7 @@
             }
             Action::ReportLoss(loss) => {
                 self.log_loss(&ownership, &loss);
-                if let Some(crash) = loss.crash() {
+                if let Some(crash) = Crash::from_loss(&loss) {
                     self.report_crash(crash, &ownership.cell);
                 }
             }
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -261,7 +261,7 @@
                 }
                 Action::Answer(number, outcome) => self.send_answer(zone, number, outcome),
                 Action::ReportLoss(loss) => {
-                    if let Some(crash) = loss.crash() {
+                    if let Some(crash) = Crash::from_loss(&loss) {
                         self.report.crashes += 1;
                         self.share_crash(zone, &crash);
                     }
--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::TaskName;
-use crate::loss::WorkerLife;
+use crate::loss::{LossCause, LostRun, WorkerLife, WorkerLoss};
 
 /// Crashes under a task that convict it if no other job had a task on the last worker.
 const CRASHES_UNTIL_CONVICTED: usize = 2;
@@ -54,6 +54,19 @@
 }
 
 impl Crash {
+    /// Returns the loss of a worker as a crash, or `None` if the worker may only be cut off, or has
+    /// left as it had announced.
+    pub fn from_loss(loss: &WorkerLoss) -> Option<Self> {
+        let has_ended = match loss.cause {
+            LossCause::Silent => false,
+            LossCause::Refused | LossCause::Replaced => true,
+        };
+        let task =
+            |run: &LostRun| CrashedTask { name: run.task.clone(), route: Rc::clone(&run.route) };
+        (has_ended && !loss.was_draining)
+            .then(|| Self { life: loss.life.clone(), tasks: loss.runs.iter().map(task).collect() })
+    }
+
     /// Whether all tasks on the worker belonged to one job.
     fn is_of_one_job(&self) -> bool {
         self.tasks.windows(2).all(|pair| pair[0].name.job == pair[1].name.job)
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod round_trip;
 pub mod run;
 pub mod spill;
+mod suspects;
 mod warm_up;
 pub mod worker;
--- a/crates/pool/src/loss.rs
+++ b/crates/pool/src/loss.rs
@@ -6,7 +6,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::crashes::{Crash, CrashedTask};
 use crate::job::TaskName;
 
 /// One process of a worker. A restarted worker may keep its id.
@@ -64,18 +63,3 @@
     /// Route of the job.
     pub route: Rc<str>,
 }
-
-impl WorkerLoss {
-    /// Returns the loss as a crash, or `None` if the worker may only be cut off, or has left as it
-    /// had announced.
-    pub fn crash(&self) -> Option<Crash> {
-        let has_ended = match self.cause {
-            LossCause::Silent => false,
-            LossCause::Refused | LossCause::Replaced => true,
-        };
-        let task =
-            |run: &LostRun| CrashedTask { name: run.task.clone(), route: Rc::clone(&run.route) };
-        (has_ended && !self.was_draining)
-            .then(|| Crash { life: self.life.clone(), tasks: self.runs.iter().map(task).collect() })
-    }
-}
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -7,6 +7,7 @@
 use dispatch::clock::Millis;
 
 use crate::call::{End, PollReply, Refusal, StartCall, StartReply, StopCall, StopReply};
+use crate::crashes::Crash;
 use crate::job::{Outcome, Reason, TaskState};
 use crate::pool::{Action, Pool};
 use crate::run::RunState;
@@ -133,7 +134,7 @@
                     }
                 }
                 RunUpdate::WorkerLost(loss) => {
-                    let crash = loss.crash();
+                    let crash = Crash::from_loss(&loss);
                     self.actions.push(Action::ReportLoss(loss));
                     if let Some(crash) = crash {
                         self.apply_crash(now, now, &crash);
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -477,7 +477,7 @@
                 }
                 Action::Answer(number, outcome) => self.handle_answer(daemon, number, outcome),
                 Action::ReportLoss(loss) => {
-                    if let Some(crash) = loss.crash() {
+                    if let Some(crash) = Crash::from_loss(&loss) {
                         self.share_crash(daemon, &crash);
                     }
                 }
