Forget lost workers that are not listed any more when their lease has expired

What operators saw: nothing yet; found on reading the diff.

Change: a worker without an entry is dropped once its lease is over, and the runs there are ended first, so that their tasks start elsewhere. The lease bound is the one that starts rely on.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -159,7 +159,7 @@
     }
 
     /// Replaces the list of the cell's workers. A worker that is no longer listed is kept until
-    /// its last run has ended.
+    /// its last run has ended, or has certainly ended because the worker is lost.
     pub fn set_workers<'a>(
         &mut self,
         now: Millis,
@@ -179,7 +179,8 @@
                 Some(worker) => changes.extend(update(worker, entry, now)),
             }
         }
-        self.workers.retain(|_, worker| worker.listed || !worker.runs.is_empty());
+        self.expire_leases(now);
+        self.workers.retain(|_, worker| worker.listed || worker.may_have_active_runs(now));
         self.apply(now, changes, None);
         self.advance(now);
     }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -192,6 +192,12 @@
         self.reported_loss.is_some()
     }
 
+    /// Returns whether runs of this daemon are active, or may be: those of a lost worker have ended
+    /// with their lease.
+    pub fn may_have_active_runs(&self, now: Millis) -> bool {
+        !(self.runs.is_empty() || self.is_lost() && now >= self.lease_bound)
+    }
+
     /// Returns whether a task of the route is, or may be, running on this worker.
     pub fn has_runs_of_route(&self, route: &str) -> bool {
         self.runs.values().any(|run| *run.route == *route)
--- a/crates/pool/tests/losses.rs
+++ b/crates/pool/tests/losses.rs
@@ -158,3 +158,21 @@
     }
     panic!("the task was not restarted");
 }
+
+/// Guards against workers that are gone for good and keep counting as lost with their runs.
+#[test]
+fn a_lost_worker_is_forgotten_once_it_is_not_listed_and_its_lease_has_expired() {
+    let mut pool = pool_with_runs(WorkerState::Ready);
+    let refused = PollReply::Refused(Refusal::NotListening);
+    pool.poll_reply(Millis(20), "0", Millis(10), &refused);
+    pool.set_workers(Millis(30), std::iter::empty());
+    assert_eq!(pool.workers().count(), 1, "its runs may still be active");
+    pool.take_actions();
+    pool.set_workers(Millis(30 + LEASE_BOUND_MS), std::iter::empty());
+    assert_eq!(pool.workers().count(), 0);
+    let other: Rc<str> = Rc::from("1");
+    pool.set_workers(Millis(1_000), [(&other, &entry(1, 64))].into_iter());
+    pool.poll_reply(Millis(1_001), "1", Millis(1_000), &report(1));
+    let starts = pool.take_actions().into_iter().filter(|a| matches!(a, Action::Start(..)));
+    assert_eq!(starts.count(), 2, "both tasks of the job start on the other worker");
+}
