Free the resources of runs that a crashed worker never confirmed

Cause: a worker that crashes while it starts a run confirms neither the start nor the stop. The run stays in doubt with its resources reserved. If the worker comes back under its id, its owner starts the task there again, and the new run took the place of the old one without releasing the old one's share. Besides, a stop without a reply was repeated only for runs that the worker lists. Class: a reservation whose release hangs on one reply.

Ruled out: confinement (the refusals went on as overload when it had ended); lost workers (all four replied).

Change: a run that takes the place of an earlier one of its task releases that one's resources, and stops that were not confirmed are repeated every 150 ms until they are. Before and after: the new test saw no stop, and 54 of 64 cores reserved for one run of 27 with the stops alone; both are right now.

--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -226,8 +226,9 @@
     }
 
     /// Records a run that is being started: reserves its resources and schedules the renewal of
-    /// its lease.
+    /// its lease. It takes the place of an earlier run of the task whose end was not confirmed.
     pub fn place(&mut self, name: TaskName, run: Run) {
+        self.remove(&name);
         self.used = self.used.plus(run.resources);
         self.lease_bound = self.lease_bound.max(run.sent_at.plus(LEASE_BOUND_MS));
         self.poll_no_later_than(run.sent_at.plus(LEASE_MS - RENEW_AHEAD_MS));
@@ -405,6 +406,7 @@
         changes.extend(self.apply_ended(now, report));
         changes.extend(self.apply_missing(sent_at, report));
         changes.extend(self.apply_running(now, report));
+        changes.extend(self.repeat_unconfirmed_stops(now));
         self.orphaned_runs.retain(|_, orphan| {
             orphan.end.is_none() || now.since(orphan.seen_at) < ADOPTION_WINDOW_MS
         });
@@ -470,8 +472,7 @@
                     run.state = RunState::Running;
                     run.since = now;
                 }
-                let must_stop = matches!(run.state, RunState::Stopping | RunState::InDoubt);
-                if must_stop && now.since(run.since) > POLL_RETRY_MS {
+                if run.state == RunState::Stopping && now.since(run.since) > POLL_RETRY_MS {
                     run.since = now;
                     changes.push(RunUpdate::Stop { task: task.clone(), run: run.run });
                 }
@@ -493,6 +494,19 @@
         changes
     }
 
+    /// Stops the runs again that may still begin, because neither their start nor their last stop was
+    /// confirmed. Their resources stay reserved until the worker has fenced them.
+    fn repeat_unconfirmed_stops(&mut self, now: Millis) -> Vec<RunUpdate> {
+        let mut changes = Vec::new();
+        for (task, run) in &mut self.runs {
+            if run.state == RunState::InDoubt && now.since(run.since) > POLL_RETRY_MS {
+                run.since = now;
+                changes.push(RunUpdate::Stop { task: task.clone(), run: run.run });
+            }
+        }
+        changes
+    }
+
     fn first_orphan_seen_at(&self) -> Option<Millis> {
         let running = self.orphaned_runs.values().filter(|orphan| orphan.end.is_none());
         running.map(|orphan| orphan.seen_at).min()
--- a/crates/pool/tests/losses.rs
+++ b/crates/pool/tests/losses.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
-use pool::call::{PollReply, Refusal, Report, StartReply};
+use pool::call::{PollReply, Refusal, Report, StartReply, StopReply};
 use pool::catalogue::{WorkerEntry, WorkerState};
 use pool::job::PreviousOwner;
 use pool::loss::{LossCause, WorkerLife};
@@ -176,3 +176,47 @@
     let starts = pool.take_actions().into_iter().filter(|a| matches!(a, Action::Start(..)));
     assert_eq!(starts.count(), 2, "both tasks of the job start on the other worker");
 }
+
+/// Guards against resources that stay reserved for a run that never began: the worker crashes while
+/// it starts the run, so that neither the start nor the stop is confirmed, and keeps its id.
+#[test]
+fn a_stop_without_a_reply_is_repeated_although_the_run_is_not_listed() {
+    let mut pool = Pool::new(7);
+    let id: Rc<str> = Rc::from("0");
+    let ready = entry(0, 64);
+    pool.set_workers(Millis(0), [(&id, &ready)].into_iter());
+    pool.poll_reply(Millis(0), "0", Millis(0), &report(1));
+    pool.submit(Millis(1), one_task());
+    let mut stops = 0;
+    for ms in 2..4_000 {
+        pool.advance(Millis(ms));
+        for action in pool.take_actions() {
+            match action {
+                Action::Start(_, call) if ms < 10 => {
+                    pool.start_reply(Millis(ms), "0", &call, StartReply::Lost);
+                }
+                Action::Stop(_, call) if ms < 1_000 => {
+                    let refused = StopReply::Refused(Refusal::NotListening);
+                    pool.stop_reply(Millis(ms), "0", &call, refused);
+                }
+                Action::Stop(_, call) => {
+                    stops += 1;
+                    pool.stop_reply(Millis(ms), "0", &call, StopReply::Stopped);
+                }
+                Action::Poll(..) => {
+                    let refused = PollReply::Refused(Refusal::NotListening);
+                    let reply = if ms < 1_000 { refused } else { report(2) };
+                    pool.poll_reply(Millis(ms), "0", Millis(ms - 1), &reply);
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!(stops > 0, "the next process is not told to fence the run");
+    assert!(stops < 5, "{stops} stops");
+    let backlog = pool.backlog(Millis(4_000));
+    let used = backlog.capacity_millicores - backlog.free_millicores;
+    assert!(used <= 27_000, "{used} of {} are reserved", backlog.capacity_millicores);
+    let runs: usize = pool.workers().map(|(_, worker)| worker.runs.len()).sum();
+    assert!(runs <= 1, "{runs} runs are kept");
+}
