--- a/crates/httpedge/src/client.rs
+++ b/crates/httpedge/src/client.rs
@@ -25,7 +25,7 @@
     #[error("no connection to {0}; check that it runs and that the address is right")]
     NoConnection(SocketAddr),
     /// The address refused the connection: nothing listens there, and nothing was sent.
-    #[error("{0} refused the connection; check that the process runs")]
+    #[error("no connection to {0}; check that it runs: the address refused the connection")]
     ConnectionRefused(SocketAddr),
     /// The request may have arrived, but its complete reply did not.
     #[error("got no complete reply from {0}; the request may have taken effect")]
