--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -26,6 +26,10 @@
 pub const HOST: &str = "jobs.example";
 /// Path prefix of the only route.
 pub const PATH_PREFIX: &str = "/checks/";
+/// Time in which a daemon opens its sockets, or ends because it cannot.
+const STARTUP: Duration = Duration::from_millis(100);
+/// Exit status of a daemon that cannot listen on one of its addresses.
+const ADDRESS_TAKEN: i32 = 69;
 const READY_LIMIT: Duration = Duration::from_secs(20);
 /// Time from the crash of a worker until its next process listens.
 const WORKER_RESTART: Duration = Duration::from_secs(3);
@@ -197,6 +201,8 @@
                 cluster.daemons.push(daemon);
             }
         }
+        actix_rt::time::sleep(STARTUP).await;
+        cluster.restart_where_address_was_taken();
         for at in 0..cluster.daemons.len() {
             cluster.wait_until_ready(at).await;
         }
@@ -289,6 +295,18 @@
         self.daemons[at].child = self.spawn(&settings_path);
     }
 
+    /// Starts the daemons again that ended because an address was taken. While [`free_addr`] probes
+    /// a port, another thread may fork a process, which holds the port until it runs its program.
+    fn restart_where_address_was_taken(&mut self) {
+        for at in 0..self.daemons.len() {
+            let status = self.daemons[at].child.try_wait();
+            if matches!(status, Ok(Some(status)) if status.code() == Some(ADDRESS_TAKEN)) {
+                eprintln!("soak: an address of daemon {at} was taken; it is started again");
+                self.restart(at);
+            }
+        }
+    }
+
     /// Waits until a daemon is ready and the cells are assigned.
     ///
     /// # Panics
