--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -124,7 +124,7 @@
 }
 
 /// Guards against issue 25: the second daemon is asked while it lives, and again when its next
-/// process has only what the first one told it.
+/// process knows only the crashes that it has read from the first one.
 #[actix_rt::test]
 async fn a_job_that_crashes_its_workers_is_given_up_at_every_daemon() {
     let mut cluster = start(2, 1, 3).await;
--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! Several tasks share a worker, so a crash makes suspects of all of them. A suspect is started
 //! again without other jobs beside it, and a second crash then convicts it. The record outlives
-//! requests and owners: every daemon keeps it and tells the others of each crash, since a caller
+//! requests and owners: every daemon keeps it and reports each crash to the others, since a caller
 //! resends to any daemon. A route with convicted tasks is confined to a part of the workers for a
 //! while, so that it cannot take down the workers that the other routes need. See
 //! [docs/design/on-the-platform.md](../../../docs/design/on-the-platform.md).
--- a/crates/pool/tests/capacity.rs
+++ b/crates/pool/tests/capacity.rs
@@ -1,4 +1,4 @@
-//! Workers whose capacity shrinks and grows while they run, and that start whatever they are told to.
+//! Workers whose capacity shrinks and grows while they run, and that refuse no start.
 
 mod support;
 
