Log by what another process of a worker shows, and runs that no owner knows

Three ways lead to worker_lost with cause=replaced: a report, an entry, a reply other_lifetime; they look the same in the logs, no line says when a report first showed another process, and none that a run goes on which its owner has given up. The lines worker_process (start of the process and of the one before, evidence, runs placed there) and orphan_found are added, with counters of both. No decision changes.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -26,6 +26,10 @@
     pub worker_losses: IntCounterVec,
     /// Runs that were active on lost workers, by cause.
     pub lost_runs: IntCounterVec,
+    /// Processes that took the place of a worker's known one, by the evidence for them.
+    pub worker_processes: IntCounterVec,
+    /// Active runs that their worker's owner did not know, from a previous owner or not.
+    pub orphaned_runs: IntCounter,
     /// Tasks that were found to crash workers, and routes that were confined for such tasks.
     pub convictions: IntCounterVec,
     /// Calls to the store, by call and result.
@@ -63,6 +67,8 @@
         registry.register(Box::new(ended_runs.clone()))?;
         let catalogue_version = IntGauge::new("entry_catalogue_version", "Version in force.")?;
         registry.register(Box::new(catalogue_version.clone()))?;
+        let orphaned_runs = IntCounter::new("entry_orphans_total", "Runs that no owner knew.")?;
+        registry.register(Box::new(orphaned_runs.clone()))?;
         Ok(Self {
             requests: counters(
                 "entry_requests_total",
@@ -76,6 +82,12 @@
             ended_runs,
             worker_losses: counters("entry_workers_lost_total", "Lost workers.", &["cause"])?,
             lost_runs: counters("entry_runs_lost_total", "Runs on lost workers.", &["cause"])?,
+            worker_processes: counters(
+                "entry_worker_processes_total",
+                "New processes of workers.",
+                &["evidence"],
+            )?,
+            orphaned_runs,
             convictions: counters("entry_convictions_total", "Crash convictions.", &["of"])?,
             store_calls: counters("entry_store_calls_total", "Store calls.", &["call", "result"])?,
             forwarded: counters("entry_forwarded_total", "Jobs sent on.", &["result"])?,
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -8,7 +8,7 @@
 use pool::cells::Cell;
 use pool::crashes::Crash;
 use pool::job::{Outcome, Progress};
-use pool::loss::WorkerLoss;
+use pool::loss::{ProcessChange, WorkerLoss};
 use pool::pool::{Action, MAX_STALL_MS, Pool, Submission};
 use pool::queue::Backlog;
 use tokio::sync::oneshot;
@@ -144,9 +144,31 @@
                 );
                 self.report_return(life, &ownership.cell);
             }
+            Action::ReportProcess(change) => self.log_process_change(&ownership, &change),
+            Action::ReportOrphan(worker, task, run) => {
+                self.metrics.orphaned_runs.inc();
+                log::info!(
+                    "part=owner event=orphan_found task={task} run={run} worker={worker} cell={}",
+                    ownership.cell,
+                );
+            }
         }
     }
 
+    fn log_process_change(&self, ownership: &OwnershipRef, change: &ProcessChange) {
+        let evidence = change.evidence.as_str();
+        self.metrics.worker_processes.with_label_values(&[evidence]).inc();
+        log::info!(
+            "part=owner event=worker_process worker={} started_at={} before={} evidence={evidence} \
+             cell={} runs={}",
+            change.previous.worker,
+            change.started_at_ms.unwrap_or_default(),
+            change.previous.started_at_ms.unwrap_or_default(),
+            ownership.cell,
+            change.runs,
+        );
+    }
+
     fn log_loss(&self, ownership: &OwnershipRef, loss: &WorkerLoss) {
         let cause = loss.cause.as_str();
         self.metrics.worker_losses.with_label_values(&[cause]).inc();
--- a/crates/pool/src/loss.rs
+++ b/crates/pool/src/loss.rs
@@ -18,6 +18,41 @@
     pub started_at_ms: Option<u64>,
 }
 
+/// How another process of a worker showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessEvidence {
+    /// The worker's reply to a poll.
+    Report,
+    /// The worker's entry in the store.
+    Entry,
+    /// A reply that another process is listening at the worker's address.
+    Mismatch,
+}
+
+impl ProcessEvidence {
+    /// Returns the name under which the evidence is logged.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Report => "report",
+            Self::Entry => "entry",
+            Self::Mismatch => "other_lifetime",
+        }
+    }
+}
+
+/// A worker whose process differs from the one that was known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProcessChange {
+    /// The process that was known.
+    pub previous: WorkerLife,
+    /// Start time of the process that showed, in Unix milliseconds.
+    pub started_at_ms: Option<u64>,
+    /// How it showed.
+    pub evidence: ProcessEvidence,
+    /// Number of runs that the owner had placed on the worker.
+    pub runs: usize,
+}
+
 /// How the loss of a worker showed, from the weakest evidence to the strongest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LossCause {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -19,7 +19,7 @@
 use crate::job::{
     Job, JobSpec, Outcome, PreviousOwner, Progress, Reason, Step, TaskName, TaskState,
 };
-use crate::loss::{WorkerLife, WorkerLoss};
+use crate::loss::{ProcessChange, ProcessEvidence, WorkerLife, WorkerLoss};
 use crate::placement::{self, TaskRequirements};
 use crate::quarantine::{Quarantine, is_given_up};
 use crate::queue;
@@ -51,6 +51,10 @@
     ReportLoss(WorkerLoss),
     /// Record that a worker that was reported as lost has replied again in the same process.
     ReportReturn(WorkerLife),
+    /// Record that another process of a worker showed.
+    ReportProcess(ProcessChange),
+    /// Record that a worker, named by its id, has an active run that this owner does not know.
+    ReportOrphan(Rc<str>, TaskName, u32),
 }
 
 /// A job as it is submitted to the owner of a cell.
@@ -534,7 +538,7 @@
         && entry.started_at_ms.is_some()
         && worker.entry.started_at_ms != entry.started_at_ms;
     if restarted || worker.entry.addr != entry.addr {
-        return worker.restart(entry.clone(), now);
+        return worker.restart(entry.clone(), ProcessEvidence::Entry, now);
     }
     worker.entry.clone_from(entry);
     worker.listed = true;
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -4,11 +4,14 @@
 //! state only if it is certain what the worker did; otherwise the run is stopped and the worker is
 //! polled.
 
+use std::rc::Rc;
+
 use dispatch::clock::Millis;
 
 use crate::call::{End, PollReply, Refusal, StartCall, StartReply, StopCall, StopReply};
 use crate::crashes::Crash;
 use crate::job::{Outcome, Reason, TaskState};
+use crate::loss::ProcessEvidence;
 use crate::pool::{Action, Pool};
 use crate::run::RunState;
 use crate::worker::RunUpdate;
@@ -87,7 +90,7 @@
             }
             PollReply::Refused(Refusal::InstanceMismatch) => {
                 let entry = worker.entry.clone();
-                worker.restart(entry, now)
+                worker.restart(entry, ProcessEvidence::Mismatch, now)
             }
             PollReply::Refused(Refusal::NotListening) => worker.record_refused_poll(now),
             PollReply::Refused(_) | PollReply::Lost => worker.record_unanswered_poll(now),
@@ -144,6 +147,14 @@
                     self.apply_retraction(&life);
                     self.actions.push(Action::ReportReturn(life));
                 }
+                RunUpdate::ProcessChanged(change) => {
+                    self.actions.push(Action::ReportProcess(change));
+                }
+                RunUpdate::OrphanFound { task, run } => {
+                    if let Some((id, _)) = id.and_then(|id| self.workers.get_key_value(id)) {
+                        self.actions.push(Action::ReportOrphan(Rc::clone(id), task, run));
+                    }
+                }
             }
         }
     }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -8,7 +8,7 @@
 use crate::call::{End, Report, Target};
 use crate::catalogue::{WorkerEntry, WorkerState};
 use crate::job::TaskName;
-use crate::loss::{LossCause, LostRun, WorkerLife, WorkerLoss};
+use crate::loss::{LossCause, LostRun, ProcessChange, ProcessEvidence, WorkerLife, WorkerLoss};
 use crate::resources::Resources;
 use crate::run::{OrphanedRun, Run, RunState};
 
@@ -77,6 +77,15 @@
     WorkerLost(WorkerLoss),
     /// The worker was reported as lost and has replied again in the same process.
     WorkerReturned(WorkerLife),
+    /// Another process of the worker showed.
+    ProcessChanged(ProcessChange),
+    /// An active run showed that this owner does not know.
+    OrphanFound {
+        /// Task of the run.
+        task: TaskName,
+        /// Run number of the start.
+        run: u32,
+    },
 }
 
 /// A worker as seen by the daemon that owns it.
@@ -310,6 +319,12 @@
         Some(RunUpdate::WorkerLost(WorkerLoss { life: self.life(), cause, was_draining, runs }))
     }
 
+    fn process_change(&self, started_at_ms: Option<u64>, evidence: ProcessEvidence) -> RunUpdate {
+        let runs = self.runs.len();
+        let previous = self.life();
+        RunUpdate::ProcessChanged(ProcessChange { previous, started_at_ms, evidence, runs })
+    }
+
     fn life(&self) -> WorkerLife {
         WorkerLife { worker: Rc::clone(&self.id), started_at_ms: self.started_at_ms }
     }
@@ -391,6 +406,7 @@
             report.started_at_ms.is_some() && report.started_at_ms != self.started_at_ms;
         let mut changes = Vec::new();
         if restarted && self.started_at_ms.is_some() {
+            changes.push(self.process_change(report.started_at_ms, ProcessEvidence::Report));
             changes.extend(self.report_loss(LossCause::Replaced));
             self.reported_loss = None;
             self.cursor = 0;
@@ -479,6 +495,9 @@
                 continue;
             }
             let new_orphan = OrphanedRun { run: active.run, end: None, seen_at: now };
+            if !self.orphaned_runs.contains_key(task) {
+                changes.push(RunUpdate::OrphanFound { task: task.clone(), run: active.run });
+            }
             let orphan = self.orphaned_runs.entry(task.clone()).or_insert(new_orphan);
             if orphan.end.is_some() {
                 *orphan = new_orphan;
@@ -527,8 +546,14 @@
 
     /// Resets the state for a new process of the worker, in which the previous runs no longer
     /// exist. Returns these runs as interrupted.
-    pub fn restart(&mut self, entry: WorkerEntry, now: Millis) -> Vec<RunUpdate> {
+    pub fn restart(
+        &mut self,
+        entry: WorkerEntry,
+        evidence: ProcessEvidence,
+        now: Millis,
+    ) -> Vec<RunUpdate> {
         let poll_sent_at = self.poll_sent_at;
+        let change = self.process_change(entry.started_at_ms, evidence);
         let loss = self.report_loss(LossCause::Replaced);
         let runs = std::mem::take(&mut self.runs);
         *self = Self::new(Rc::clone(&self.id), entry, now);
@@ -540,6 +565,6 @@
                 normalized_ms: 0.0,
             })
         });
-        loss.into_iter().chain(interrupted).collect()
+        std::iter::once(change).chain(loss).chain(interrupted).collect()
     }
 }
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -243,7 +243,9 @@
                 Action::Stop(..)
                 | Action::Answer(..)
                 | Action::ReportLoss(_)
-                | Action::ReportReturn(_) => {}
+                | Action::ReportReturn(_)
+                | Action::ReportProcess(_)
+                | Action::ReportOrphan(..) => {}
             }
         }
     }
--- a/crates/pool/tests/warm_up.rs
+++ b/crates/pool/tests/warm_up.rs
@@ -49,7 +49,9 @@
             Action::Stop(..)
             | Action::Poll(..)
             | Action::ReportLoss(_)
-            | Action::ReportReturn(_) => {}
+            | Action::ReportReturn(_)
+            | Action::ReportProcess(_)
+            | Action::ReportOrphan(..) => {}
         }
     }
     (starts, outcomes)
