--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -293,7 +293,7 @@
         if !self.workers[worker].active.contains_key(task) {
             return;
         }
-        self.workers[worker].restart(self.now_ms);
+        self.workers[worker].restart(self.now_ms, 0);
         self.down_until_ms[worker] = self.now_ms + RESTART_MS;
         if let Some(poll) = self.pending_polls[worker].take() {
             let reply = Reply::Poll(PollReply::Lost, poll.sent_at);
--- a/crates/pool/tests/crashing_tasks.rs
+++ b/crates/pool/tests/crashing_tasks.rs
@@ -12,6 +12,7 @@
     late_requests: 10,
     owner_change_every_ms: 2_900,
     worker_fault_every_ms: 0,
+    worker_restart_every_ms: 0,
     failing_runs: 0,
     long_runs: 0,
     crashing_jobs: 60,
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -31,6 +31,10 @@
 const MAX_PUBLICATION_MS: u64 = 1_500;
 /// Time from the crash of a worker until its next process listens, in milliseconds.
 const DOWN_MS: u64 = 3_000;
+/// Longest time from a restart of a worker until its next process listens, in milliseconds.
+const MAX_RESTART_MS: u64 = 600;
+/// Range of the amount by which a worker's clock is ahead, in milliseconds.
+const CLOCK_OFFSET_RANGE_MS: std::ops::Range<u64> = 1_000..9_000_000;
 /// Crashes under one task after which its further starts are counted.
 const CRASHES_BEFORE_COUNT: u32 = 3;
 
@@ -55,6 +59,8 @@
     pub worker_fault_every_ms: u64,
     pub failing_runs: u32,
     pub long_runs: u32,
+    /// Restarts of a random worker under its id and address. Its entry is read at any time after.
+    pub worker_restart_every_ms: u64,
     /// Jobs whose first task crashes every worker that starts it.
     pub crashing_jobs: u32,
     /// Changes of the capacity of a random worker, none of which then refuses a start.
@@ -62,15 +68,18 @@
 }
 
 enum Event {
-    Start(usize, usize, StartCall, bool),
-    Stop(usize, usize, StopCall, bool),
+    /// Daemon, worker, call, and for a call that is carried out late the process that received it.
+    Start(usize, usize, StartCall, Option<u64>),
+    Stop(usize, usize, StopCall, Option<u64>),
     PollArrives(usize, usize, PollCall, u64),
-    PollWaits(usize, usize, u64, u64),
+    /// Daemon, worker, the process that received the poll, when it was sent and until when it waits.
+    PollWaits(usize, usize, u64, u64, u64),
     StartReply(usize, usize, StartCall, StartReply),
     StopReply(usize, usize, StopCall, StopReply),
     PollReply(usize, usize, u64, PollReply),
     Crash(usize, TaskName),
-    Publish(usize),
+    /// The entry of the worker's process with the given start time is read.
+    Publish(usize, u64),
     Send(usize),
     Broken(usize, usize),
 }
@@ -153,7 +162,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut workers: Vec<PoolWorker> = (0..CELLS * WORKERS_PER_CELL)
             .map(|_| {
-                let offset_ms = rng.random_range(1_000..9_000_000);
+                let offset_ms = rng.random_range(CLOCK_OFFSET_RANGE_MS);
                 PoolWorker::new(entry(0, 64).capacity, offset_ms, rng.random_range(0..=20))
             })
             .collect();
@@ -268,6 +277,13 @@
         {
             self.inject_worker_fault();
         }
+        if faults.worker_restart_every_ms > 0
+            && self.now_ms.is_multiple_of(faults.worker_restart_every_ms)
+        {
+            let worker = self.rng.random_range(0..self.workers.len());
+            let down_ms = self.rng.random_range(0..MAX_RESTART_MS);
+            self.restart_worker(worker, down_ms);
+        }
         if faults.capacity_change_every_ms > 0
             && self.now_ms.is_multiple_of(faults.capacity_change_every_ms)
         {
@@ -285,19 +301,38 @@
         }
         self.workers[worker].capacity = capacity;
         let at_ms = self.now_ms + self.rng.random_range(5..MAX_PUBLICATION_MS);
-        self.push(at_ms, Event::Publish(worker));
+        self.push(at_ms, Event::Publish(worker, self.workers[worker].started_at_ms));
+    }
+
+    /// Ends the process of a worker; the next one listens after `down_ms`. The entries of processes
+    /// that follow each other closely are read in any order, as from a listing beside a read.
+    fn restart_worker(&mut self, worker: usize, down_ms: u64) {
+        self.end_process(worker, down_ms);
+        let at_ms = self.now_ms + down_ms + self.rng.random_range(1..MAX_PUBLICATION_MS);
+        self.push(at_ms, Event::Publish(worker, self.now_ms));
+    }
+
+    fn end_process(&mut self, worker: usize, down_ms: u64) {
+        self.record_restart(worker);
+        let clock_offset_ms = self.rng.random_range(CLOCK_OFFSET_RANGE_MS);
+        self.workers[worker].restart(self.now_ms, clock_offset_ms);
+        self.down_until.insert(worker, self.now_ms + down_ms);
     }
 
-    fn publish(&mut self, worker: usize) {
+    fn record_restart(&mut self, worker: usize) {
+        let tasks: Vec<TaskName> = self.workers[worker].active.keys().cloned().collect();
+        for task in tasks {
+            self.record_event(&task.job, format!("{worker} restarts under {task}"));
+        }
+    }
+
+    fn publish(&mut self, worker: usize, started_at_ms: u64) {
         self.published[worker].capacity = self.workers[worker].capacity;
+        self.published[worker].started_at_ms = Some(started_at_ms);
         let cell = worker / WORKERS_PER_CELL;
         let entries: Vec<(Rc<str>, WorkerEntry)> = (0..self.workers.len())
             .filter(|index| index / WORKERS_PER_CELL == cell)
-            .map(|index| {
-                let started_at_ms = Some(self.workers[index].started_at_ms);
-                let entry = WorkerEntry { started_at_ms, ..self.published[index].clone() };
-                (Rc::from(index.to_string()), entry)
-            })
+            .map(|index| (Rc::from(index.to_string()), self.published[index].clone()))
             .collect();
         for daemon in 0..self.daemons.len() {
             if self.daemons[daemon].cell == cell {
@@ -329,7 +364,7 @@
     fn inject_worker_fault(&mut self) {
         let worker = self.rng.random_range(0..self.workers.len());
         if self.rng.random_bool(0.3) {
-            self.workers[worker].restart(self.now_ms);
+            self.end_process(worker, 0);
             return;
         }
         let owners = self.owners.iter().flatten().copied();
@@ -403,15 +438,11 @@
         self.token += 1;
         let mut pool = Pool::new(self.token).with_crashes(self.crash_history.clone());
         let entries: BTreeMap<Rc<str>, WorkerEntry> = self
-            .workers
+            .published
             .iter()
             .enumerate()
             .filter(|(index, _)| index / WORKERS_PER_CELL == cell)
-            .map(|(index, worker)| {
-                let started_at_ms = Some(worker.started_at_ms);
-                let entry = WorkerEntry { started_at_ms, ..self.published[index].clone() };
-                (Rc::from(index.to_string()), entry)
-            })
+            .map(|(index, entry)| (Rc::from(index.to_string()), entry.clone()))
             .collect();
         // Leaves out one entry in most cases, as after an outage of the store.
         let missing = self.rng.random_range(0..entries.len() + 2);
@@ -452,13 +483,13 @@
         for action in actions {
             match action {
                 Action::Start(target, call) => {
-                    self.send_order(daemon, &target, |worker, is_late| {
-                        Event::Start(daemon, worker, call, is_late)
+                    self.send_order(daemon, &target, |worker, late| {
+                        Event::Start(daemon, worker, call, late)
                     });
                 }
                 Action::Stop(target, call) => {
-                    self.send_order(daemon, &target, |worker, is_late| {
-                        Event::Stop(daemon, worker, call, is_late)
+                    self.send_order(daemon, &target, |worker, late| {
+                        Event::Stop(daemon, worker, call, late)
                     });
                 }
                 Action::Poll(target, call) => {
@@ -513,7 +544,7 @@
         &mut self,
         daemon: usize,
         target: &Target,
-        event: impl FnOnce(usize, bool) -> Event,
+        event: impl FnOnce(usize, Option<u64>) -> Event,
     ) {
         let worker = number_of(target);
         let is_lost =
@@ -524,7 +555,7 @@
             (_, true) => self.now_ms + self.rng.random_range(300..6_000),
             _ => self.now_ms + self.delay(),
         };
-        let event = event(worker, is_late);
+        let event = event(worker, is_late.then_some(self.workers[worker].started_at_ms));
         if is_lost || is_late {
             let reply = match &event {
                 Event::Start(_, _, call, _) => {
@@ -550,6 +581,9 @@
 
     fn handle(&mut self, event: Event) {
         match event {
+            Event::Start(_, worker, _, Some(process))
+            | Event::Stop(_, worker, _, Some(process))
+                if process != self.workers[worker].started_at_ms => {}
             Event::Start(daemon, worker, call, _) if self.is_down(worker) => {
                 let refused = StartReply::Refused(Refusal::NotListening);
                 self.push(self.now_ms + 1, Event::StartReply(daemon, worker, call, refused));
@@ -562,14 +596,16 @@
                 let refused = PollReply::Refused(Refusal::NotListening);
                 self.push(self.now_ms + 1, Event::PollReply(daemon, worker, sent_ms, refused));
             }
-            Event::PollWaits(daemon, worker, sent_ms, _) if self.is_down(worker) => {
+            Event::PollWaits(daemon, worker, process, sent_ms, _)
+                if self.is_down(worker) || process != self.workers[worker].started_at_ms =>
+            {
                 self.push(
                     self.now_ms + 1,
                     Event::PollReply(daemon, worker, sent_ms, PollReply::Lost),
                 );
             }
             Event::Crash(worker, task) => self.crash(worker, &task),
-            Event::Publish(worker) => self.publish(worker),
+            Event::Publish(worker, started_at_ms) => self.publish(worker, started_at_ms),
             Event::Start(daemon, worker, call, late) => self.start_run(daemon, worker, call, late),
             Event::Stop(daemon, worker, call, late) => {
                 let reply = self.workers[worker].stop(self.now_ms, &call);
@@ -577,7 +613,7 @@
                 self.record_event(&call.task.job, line);
                 let reply =
                     if self.chance(self.faults.lost_replies) { StopReply::Lost } else { reply };
-                if !late {
+                if late.is_none() {
                     let at_ms = self.now_ms + self.delay();
                     self.push(at_ms, Event::StopReply(daemon, worker, call, reply));
                 }
@@ -588,17 +624,20 @@
                 if let Some(reply) = refused {
                     self.push(self.now_ms + 1, Event::PollReply(daemon, worker, sent_ms, reply));
                 } else {
-                    self.push(self.now_ms, Event::PollWaits(daemon, worker, sent_ms, until_ms));
+                    let process = self.workers[worker].started_at_ms;
+                    let waits = Event::PollWaits(daemon, worker, process, sent_ms, until_ms);
+                    self.push(self.now_ms, waits);
                 }
             }
-            Event::PollWaits(daemon, worker, sent_ms, until_ms) => {
+            Event::PollWaits(daemon, worker, process, sent_ms, until_ms) => {
                 self.workers[worker].advance_to(self.now_ms);
                 if self.workers[worker].has_unacknowledged_runs() || self.now_ms >= until_ms {
                     let reply = self.workers[worker].report(self.now_ms);
                     let at_ms = self.now_ms + self.delay();
                     self.push(at_ms, Event::PollReply(daemon, worker, sent_ms, reply));
                 } else {
-                    self.push(self.now_ms + 2, Event::PollWaits(daemon, worker, sent_ms, until_ms));
+                    let waits = Event::PollWaits(daemon, worker, process, sent_ms, until_ms);
+                    self.push(self.now_ms + 2, waits);
                 }
             }
             Event::StartReply(daemon, worker, call, reply) => {
@@ -632,7 +671,7 @@
         self.perform(daemon);
     }
 
-    fn start_run(&mut self, daemon: usize, worker: usize, call: StartCall, late: bool) {
+    fn start_run(&mut self, daemon: usize, worker: usize, call: StartCall, late: Option<u64>) {
         let longest_ms = if self.chance(self.faults.long_runs) { 6_000 } else { 1_200 };
         let duration_ms = self.rng.random_range(40..longest_ms);
         let end = if self.chance(self.faults.failing_runs) { End::Failed } else { End::Done };
@@ -648,7 +687,7 @@
             self.schedule_crash(worker, &call.task);
             self.check_capacity(worker, &call);
         }
-        if late {
+        if late.is_some() {
             return;
         }
         let reply = if self.chance(self.faults.lost_replies) { StartReply::Lost } else { reply };
@@ -665,8 +704,7 @@
             return;
         }
         self.record_event(&task.job, format!("{worker} crashes under {task}"));
-        self.workers[worker].restart(self.now_ms);
-        self.down_until.insert(worker, self.now_ms + DOWN_MS);
+        self.end_process(worker, DOWN_MS);
         *self.crashes.entry(task.clone()).or_default() += 1;
     }
 
--- a/crates/standins/src/pool_worker.rs
+++ b/crates/standins/src/pool_worker.rs
@@ -84,6 +84,8 @@
     lease_until_ms: u64,
 }
 
+/// Longest lease that a worker grants, in milliseconds of its clock; longer ones are shortened.
+pub const MAX_LEASE_MS: u64 = 1_000;
 /// Delay from a stop call until the run is interrupted, in milliseconds.
 pub const STOP_DELAY_MS: u64 = 50;
 
@@ -137,8 +139,9 @@
     }
 
     /// Restarts the worker's process: its runs, fences, unacknowledged ends, fencing token and
-    /// lease are lost.
-    pub fn restart(&mut self, now_ms: u64) {
+    /// lease are lost, and its clock is ahead by `clock_offset_ms` from now on.
+    pub fn restart(&mut self, now_ms: u64, clock_offset_ms: u64) {
+        self.clock_offset_ms = clock_offset_ms;
         self.active.clear();
         self.fenced.clear();
         self.ended.clear();
@@ -173,7 +176,7 @@
         if call.lease_until_ms <= clock_ms {
             return refuse(Refusal::LeaseExpired);
         }
-        self.lease_until_ms = self.lease_until_ms.max(call.lease_until_ms);
+        self.extend_lease(clock_ms, call.lease_until_ms);
         let fenced_run = self.fenced.get(&call.task).copied().unwrap_or(0);
         let fenced_run =
             if self.defect == WorkerDefect::IgnoresFencedRuns { 0 } else { fenced_run };
@@ -195,6 +198,10 @@
         (StartReply::Started { clock_ms }, true)
     }
 
+    fn extend_lease(&mut self, clock_ms: u64, until_ms: u64) {
+        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(clock_ms + MAX_LEASE_MS));
+    }
+
     /// Returns the resources that the active runs occupy, including those that are being stopped.
     pub fn used(&self) -> Resources {
         let runs = self.active.values();
@@ -223,7 +230,8 @@
         if self.has_outdated_token(call.token) {
             return Some(PollReply::Refused(Refusal::Fenced));
         }
-        self.lease_until_ms = self.lease_until_ms.max(call.lease_until_ms.unwrap_or(0));
+        let clock_ms = self.clock(now_ms);
+        self.extend_lease(clock_ms, call.lease_until_ms.unwrap_or(0));
         self.ended.retain(|ended| ended.number > call.ack_cursor);
         None
     }
--- a/crates/standins/src/pool_worker_server.rs
+++ b/crates/standins/src/pool_worker_server.rs
@@ -17,6 +17,8 @@
 use crate::pool_worker::{PoolWorker, Work, WorkerDefect};
 
 const MAX_BODY_BYTES: usize = 1 << 16;
+/// Amount by which the clock of a worker's process is ahead, in milliseconds.
+const CLOCK_OFFSET_MS: u64 = 50_000;
 /// Interval at which a waiting poll checks whether a run has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
 
@@ -90,7 +92,7 @@
             behaviour: Cell::default(),
             started_runs: RefCell::default(),
             polls: Cell::new(0),
-            worker: RefCell::new(PoolWorker::new(capacity, 50_000, 0)),
+            worker: RefCell::new(PoolWorker::new(capacity, CLOCK_OFFSET_MS, 0)),
             start_hook: RefCell::default(),
             crash_hook: RefCell::default(),
             resources,
@@ -167,7 +169,7 @@
                         start_hook(&call.task);
                     }
                     if crashes_worker(&call) {
-                        self.worker.borrow_mut().restart(now_ms);
+                        self.worker.borrow_mut().restart(now_ms, CLOCK_OFFSET_MS);
                         if let StartHook(Some(crash_hook)) = &*self.crash_hook.borrow() {
                             crash_hook(&call.task);
                         }
