Count a crash only against tasks that are known to have started on the worker

Cause: a worker that was lost was held against every task placed on it, also against one whose start was on its way and was then refused (not_listening, other_lifetime). A second, real crash convicted it.

Ruled out: a retraction that came too late (the worker never replied again).

Change: starts that are still to be answered are not among the lost runs. A start without a reply counts in full once the worker has listed or confirmed it; else it makes a suspect, and convicts as the fourth crash only, so that a task that crashes its worker before it can reply is still given up in time.

The two tests of crashing tasks pass as they were.

--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -55,6 +55,7 @@
                         route: Rc::clone(&job.terms.route),
                         is_suspect: task.is_suspect,
                         resources: step.task_resources,
+                        is_confirmed: true,
                         state: RunState::Running,
                         since: orphan.seen_at,
                         sent_at: orphan.seen_at,
--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -18,8 +18,11 @@
 
 /// Crashes under a task that convict it if no other job had a task on the last worker.
 const CRASHES_UNTIL_CONVICTED: usize = 2;
-/// Crashes under a task that convict it in any case.
+/// Crashes under a task that convict it in any company.
 const MAX_CRASHES: usize = 3;
+/// Crashes that convict a task even if some of its runs are not known to have started. Less than
+/// the five starts that a task may have which crashes each of its workers.
+const MAX_UNCONFIRMED_CRASHES: usize = 4;
 /// How long crashes are remembered, in milliseconds. Longer than callers resend a request.
 const RETENTION_MS: u64 = 120_000;
 /// Maximum number of crashes that are remembered.
@@ -41,6 +44,8 @@
     pub name: TaskName,
     /// Route of its job.
     pub route: Rc<str>,
+    /// Whether its run is known to have started. If not, the worker may have crashed before.
+    pub is_confirmed: bool,
 }
 
 /// A worker's process that ended with active runs, without having announced it.
@@ -61,8 +66,11 @@
             LossCause::Silent => false,
             LossCause::Refused | LossCause::Replaced => true,
         };
-        let task =
-            |run: &LostRun| CrashedTask { name: run.task.clone(), route: Rc::clone(&run.route) };
+        let task = |run: &LostRun| CrashedTask {
+            name: run.task.clone(),
+            route: Rc::clone(&run.route),
+            is_confirmed: run.is_confirmed,
+        };
         (has_ended && !loss.was_draining)
             .then(|| Self { life: loss.life.clone(), tasks: loss.runs.iter().map(task).collect() })
     }
@@ -104,17 +112,26 @@
 #[derive(Clone, Debug)]
 struct TaskRecord {
     task: TaskName,
-    /// For each crash, whether no other job had a task on the worker.
-    alone: Vec<bool>,
+    under: Vec<CrashUnderTask>,
+}
+
+/// A crash as seen from one of the tasks on the worker.
+#[derive(Clone, Copy, Debug)]
+struct CrashUnderTask {
+    /// Whether no other job had a task on the worker.
+    was_alone: bool,
+    /// Whether the task is known to have started there.
+    is_confirmed: bool,
 }
 
 impl TaskRecord {
     fn suspicion(&self) -> Suspicion {
-        let was_last_alone = self.alone.last().is_some_and(|alone| *alone);
-        match self.alone.len() {
-            0 => Suspicion::None,
-            MAX_CRASHES.. => Suspicion::Convicted,
-            CRASHES_UNTIL_CONVICTED.. if was_last_alone => Suspicion::Convicted,
+        let mut confirmed = self.under.iter().filter(|crash| crash.is_confirmed);
+        let was_last_alone = confirmed.clone().next_back().is_some_and(|crash| crash.was_alone);
+        match (self.under.len(), confirmed.by_ref().count()) {
+            (0, _) => Suspicion::None,
+            (MAX_UNCONFIRMED_CRASHES.., _) | (_, MAX_CRASHES..) => Suspicion::Convicted,
+            (_, CRASHES_UNTIL_CONVICTED..) if was_last_alone => Suspicion::Convicted,
             _ => Suspicion::Suspect,
         }
     }
@@ -248,13 +265,14 @@
     fn add_tasks(&mut self, crash: &Crash) {
         let known = self.crashes.iter_mut().find(|(_, known)| known.life == crash.life);
         let Some((_, known)) = known else { return };
-        let count_before = known.tasks.len();
+        let tasks_before = known.tasks.clone();
         for task in &crash.tasks {
-            if !known.tasks.contains(task) {
-                known.tasks.push(task.clone());
+            match known.tasks.iter_mut().find(|known| known.name == task.name) {
+                Some(known) => known.is_confirmed |= task.is_confirmed,
+                None => known.tasks.push(task.clone()),
             }
         }
-        if known.tasks.len() > count_before {
+        if known.tasks != tasks_before {
             self.rebuild_index();
         }
     }
@@ -286,12 +304,13 @@
 }
 
 fn add_to_index(by_job: &mut HashMap<Rc<str>, Vec<TaskRecord>>, crash: &Crash) {
-    let alone = crash.is_of_one_job();
+    let was_alone = crash.is_of_one_job();
     for task in &crash.tasks {
+        let crash = CrashUnderTask { was_alone, is_confirmed: task.is_confirmed };
         let records = by_job.entry(Rc::clone(&task.name.job)).or_default();
         match records.iter_mut().find(|record| record.task == task.name) {
-            Some(record) => record.alone.push(alone),
-            None => records.push(TaskRecord { task: task.name.clone(), alone: vec![alone] }),
+            Some(record) => record.under.push(crash),
+            None => records.push(TaskRecord { task: task.name.clone(), under: vec![crash] }),
         }
     }
 }
--- a/crates/pool/src/loss.rs
+++ b/crates/pool/src/loss.rs
@@ -84,7 +84,8 @@
     pub cause: LossCause,
     /// Whether the worker had announced that it would leave.
     pub was_draining: bool,
-    /// Runs that were active, or may have been, in order of their tasks.
+    /// Runs that were active, or may have been, in order of their tasks. Those whose start was still
+    /// to be answered are left out.
     pub runs: Vec<LostRun>,
 }
 
@@ -97,4 +98,6 @@
     pub run: u32,
     /// Route of the job.
     pub route: Rc<str>,
+    /// Whether the run is known to have started.
+    pub is_confirmed: bool,
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -429,6 +429,7 @@
                 route: Rc::clone(&job.terms.route),
                 is_suspect: task.is_suspect,
                 resources: step.task_resources,
+                is_confirmed: false,
                 state: RunState::Starting,
                 since: now,
                 sent_at: now,
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -39,6 +39,7 @@
         }
         match reply {
             StartReply::Started { clock_ms } => {
+                run.is_confirmed = true;
                 if run.state == RunState::Starting {
                     run.state = RunState::Running;
                     run.since = now;
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -357,7 +357,8 @@
         self.report_loss_of(cause, |_, _| true)
     }
 
-    /// Like [`Self::report_loss`], for those of the runs that ended with the process.
+    /// Like [`Self::report_loss`], for those of the runs that ended with the process. A start that
+    /// is still to be answered may have been refused, so it is not counted.
     fn report_loss_of(
         &mut self,
         cause: LossCause,
@@ -370,8 +371,10 @@
             task: task.clone(),
             run: run.run,
             route: Rc::clone(&run.route),
+            is_confirmed: run.is_confirmed,
         };
-        let lost = self.runs.iter().filter(|(task, run)| has_ended(task, run));
+        let lost = self.runs.iter().filter(|(_, run)| run.state != RunState::Starting);
+        let lost = lost.filter(|(task, run)| has_ended(task, run));
         let mut runs: Vec<LostRun> = lost.map(lost_run).collect();
         if runs.is_empty() {
             return None;
@@ -524,9 +527,7 @@
             && report.started_at_ms != self.started_at_ms;
         if is_other_process {
             changes.push(self.process_change(report.started_at_ms, ProcessEvidence::Report));
-            let has_ended = |task: &TaskName, run: &Run| {
-                run.state != RunState::Starting && run.since < sent_at && !report.names(task)
-            };
+            let has_ended = |task: &TaskName, run: &Run| run.since < sent_at && !report.names(task);
             changes.extend(self.report_loss_of(LossCause::Replaced, has_ended));
             self.reported_loss = None;
             self.cursor = 0;
@@ -590,6 +591,7 @@
             let Some(task) = &active.task else { continue };
             if let Some(run) = self.runs.get_mut(task) {
                 if run.run == active.run {
+                    run.is_confirmed = true;
                     run.update_progress(active.percent, now);
                 }
                 if run.state == RunState::Starting && run.run == active.run {
--- a/crates/pool/tests/losses.rs
+++ b/crates/pool/tests/losses.rs
@@ -105,6 +105,25 @@
     assert!(pool.take_actions().contains(&Action::ReportReturn(life)));
 }
 
+/// Guards against issue 29: a task was blamed for a crash of a worker that had refused its start.
+#[test]
+fn a_start_that_is_still_to_be_answered_is_not_among_the_lost_runs() {
+    for refusal in [Refusal::NotListening, Refusal::InstanceMismatch] {
+        let mut pool = pool_with_runs(WorkerState::Ready);
+        let grown = entry(0, 96);
+        pool.set_workers(Millis(2), [(&Rc::from("0"), &grown)].into_iter());
+        pool.submit(
+            Millis(3),
+            Submission { spec: job("0000000000000002", 1, 27, 200), ..one_task() },
+        );
+        let started = pool.take_actions();
+        assert!(started.iter().any(|action| matches!(action, Action::Start(..))), "{started:?}");
+        pool.poll_reply(Millis(20), "0", Millis(10), &PollReply::Refused(refusal));
+        let runs: Vec<usize> = losses(&mut pool).into_iter().map(|(_, _, runs)| runs).collect();
+        assert_eq!(runs, [2], "{refusal:?}");
+    }
+}
+
 #[test]
 fn the_report_tells_whether_the_worker_was_draining() {
     let mut pool = pool_with_runs(WorkerState::Draining);
