Do not hold a crash that shows after the lease has expired fully against the tasks

Cause: a worker that was cut off and crashed behind the cut was first silent until the lease of its runs had expired, then refused connections or was replaced. The runs had ended with the lease, perhaps long before the crash; it counted as one under them.

Change: LostRun and CrashedTask say whether the run is known to have been active when the process ended; only then does the crash count in full. Others make a suspect and convict as the fourth crash. They don't prolong a confinement.

--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -20,9 +20,9 @@
 const CRASHES_UNTIL_CONVICTED: usize = 2;
 /// Crashes under a task that convict it in any company.
 const MAX_CRASHES: usize = 3;
-/// Crashes that convict a task even if some of its runs are not known to have started. Less than
-/// the five starts that a task may have which crashes each of its workers.
-const MAX_UNCONFIRMED_CRASHES: usize = 4;
+/// Crashes that convict a task even if it is not known to have been active each time. Less than the
+/// five starts that a task may have which crashes each of its workers.
+const MAX_UNCERTAIN_CRASHES: usize = 4;
 /// How long crashes are remembered, in milliseconds. Longer than callers resend a request.
 const RETENTION_MS: u64 = 120_000;
 /// Maximum number of crashes that are remembered.
@@ -44,8 +44,8 @@
     pub name: TaskName,
     /// Route of its job.
     pub route: Rc<str>,
-    /// Whether its run is known to have started. If not, the worker may have crashed before.
-    pub is_confirmed: bool,
+    /// Whether its run is known to have been active when the worker crashed.
+    pub was_active: bool,
 }
 
 /// A worker's process that ended with active runs, without having announced it.
@@ -69,7 +69,7 @@
         let task = |run: &LostRun| CrashedTask {
             name: run.task.clone(),
             route: Rc::clone(&run.route),
-            is_confirmed: run.is_confirmed,
+            was_active: run.was_active,
         };
         (has_ended && !loss.was_draining)
             .then(|| Self { life: loss.life.clone(), tasks: loss.runs.iter().map(task).collect() })
@@ -120,17 +120,17 @@
 struct CrashUnderTask {
     /// Whether no other job had a task on the worker.
     was_alone: bool,
-    /// Whether the task is known to have started there.
-    is_confirmed: bool,
+    /// Whether the task is known to have been active then.
+    was_active: bool,
 }
 
 impl TaskRecord {
     fn suspicion(&self) -> Suspicion {
-        let mut confirmed = self.under.iter().filter(|crash| crash.is_confirmed);
-        let was_last_alone = confirmed.clone().next_back().is_some_and(|crash| crash.was_alone);
-        match (self.under.len(), confirmed.by_ref().count()) {
+        let certain = self.under.iter().filter(|crash| crash.was_active);
+        let was_last_alone = certain.clone().next_back().is_some_and(|crash| crash.was_alone);
+        match (self.under.len(), certain.count()) {
             (0, _) => Suspicion::None,
-            (MAX_UNCONFIRMED_CRASHES.., _) | (_, MAX_CRASHES..) => Suspicion::Convicted,
+            (MAX_UNCERTAIN_CRASHES.., _) | (_, MAX_CRASHES..) => Suspicion::Convicted,
             (_, CRASHES_UNTIL_CONVICTED..) if was_last_alone => Suspicion::Convicted,
             _ => Suspicion::Suspect,
         }
@@ -175,7 +175,7 @@
             if is_convicted {
                 findings.convicted.push(task.name.clone());
             }
-            let is_relevant = prolongs || is_convicted;
+            let is_relevant = prolongs && task.was_active || is_convicted;
             if is_relevant && self.update_route(now, &task.route, is_convicted) {
                 findings.confined.push(Rc::clone(&task.route));
             }
@@ -268,7 +268,7 @@
         let tasks_before = known.tasks.clone();
         for task in &crash.tasks {
             match known.tasks.iter_mut().find(|known| known.name == task.name) {
-                Some(known) => known.is_confirmed |= task.is_confirmed,
+                Some(known) => known.was_active |= task.was_active,
                 None => known.tasks.push(task.clone()),
             }
         }
@@ -306,7 +306,7 @@
 fn add_to_index(by_job: &mut HashMap<Rc<str>, Vec<TaskRecord>>, crash: &Crash) {
     let was_alone = crash.is_of_one_job();
     for task in &crash.tasks {
-        let crash = CrashUnderTask { was_alone, is_confirmed: task.is_confirmed };
+        let crash = CrashUnderTask { was_alone, was_active: task.was_active };
         let records = by_job.entry(Rc::clone(&task.name.job)).or_default();
         match records.iter_mut().find(|record| record.task == task.name) {
             Some(record) => record.under.push(crash),
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -367,11 +367,12 @@
         if self.reported_loss >= Some(cause) {
             return None;
         }
+        let was_silent = self.reported_loss == Some(LossCause::Silent);
         let lost_run = |(task, run): (&TaskName, &Run)| LostRun {
             task: task.clone(),
             run: run.run,
             route: Rc::clone(&run.route),
-            is_confirmed: run.is_confirmed,
+            was_active: run.is_confirmed && !was_silent,
         };
         let lost = self.runs.iter().filter(|(_, run)| run.state != RunState::Starting);
         let lost = lost.filter(|(task, run)| has_ended(task, run));
--- a/crates/pool/tests/crash_history.rs
+++ b/crates/pool/tests/crash_history.rs
@@ -21,7 +21,7 @@
     let tasks = tasks.iter().map(|name| CrashedTask {
         name: task(name),
         route: route(name),
-        is_confirmed: true,
+        was_active: true,
     });
     Crash { life: life(worker), tasks: tasks.collect() }
 }
@@ -145,23 +145,23 @@
 
 /// Guards against issue 29: a start that got no reply, on a worker that had crashed before.
 #[test]
-fn crashes_count_fully_only_for_tasks_that_are_known_to_have_started() {
-    let unconfirmed = |worker: &str| {
+fn crashes_count_fully_only_for_tasks_that_are_known_to_have_been_active() {
+    let uncertain = |worker: &str| {
         let mut crash = crash(worker, &["a.0.0.0"]);
-        crash.tasks[0].is_confirmed = false;
+        crash.tasks[0].was_active = false;
         crash
     };
     let mut history = CrashHistory::default();
-    history.record(Millis(0), &unconfirmed("1"));
+    history.record(Millis(0), &uncertain("1"));
     history.record(Millis(1), &crash("2", &["a.0.0.0"]));
-    history.record(Millis(2), &unconfirmed("3"));
+    history.record(Millis(2), &uncertain("3"));
     assert_eq!(history.suspicion(&task("a.0.0.0")), Suspicion::Suspect);
     history.record(Millis(3), &crash("1", &["a.0.0.0"]));
     assert_eq!(history.suspicion(&task("a.0.0.0")), Suspicion::Convicted, "known later");
     let mut history = CrashHistory::default();
     for worker in ["1", "2", "3", "4"] {
         assert_ne!(history.suspicion(&task("a.0.0.0")), Suspicion::Convicted);
-        history.record(Millis(0), &unconfirmed(worker));
+        history.record(Millis(0), &uncertain(worker));
     }
     assert_eq!(history.suspicion(&task("a.0.0.0")), Suspicion::Convicted);
 }
--- a/crates/pool/tests/losses.rs
+++ b/crates/pool/tests/losses.rs
@@ -94,6 +94,29 @@
     panic!("the loss was not reported");
 }
 
+/// Guards against issue 29: a worker that is cut off may crash long after its runs have ended.
+#[test]
+fn a_crash_that_shows_after_the_lease_has_expired_may_have_come_after_the_runs() {
+    let active_runs = |was_silent: bool| {
+        let mut pool = pool_with_runs(WorkerState::Ready);
+        let silent_ms = if was_silent { 2 * LEASE_BOUND_MS } else { 0 };
+        for ms in (20..20 + silent_ms).step_by(20) {
+            pool.poll_reply(Millis(ms), "0", Millis(ms), &PollReply::Lost);
+        }
+        let refused = PollReply::Refused(Refusal::NotListening);
+        pool.poll_reply(Millis(20 + silent_ms), "0", Millis(20 + silent_ms), &refused);
+        let loss = pool.take_actions().into_iter().rev().find_map(|action| match action {
+            Action::ReportLoss(loss) => Some(loss),
+            _ => None,
+        });
+        let loss = loss.expect("the loss is reported");
+        assert_eq!((loss.cause, loss.runs.len()), (LossCause::Refused, 2));
+        loss.runs.iter().filter(|run| run.was_active).count()
+    };
+    assert_eq!(active_runs(false), 2);
+    assert_eq!(active_runs(true), 0);
+}
+
 #[test]
 fn a_worker_that_replies_again_in_the_same_process_is_reported_as_returned() {
     let mut pool = pool_with_runs(WorkerState::Ready);
