Remember that a lost worker was silent first when it shows again as another process

Change: the worker keeps that it was silent until it replies. The test goes through all three now; it failed before with two runs counted at replaced.

--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -142,6 +142,8 @@
     unanswered_polls: u32,
     /// How the loss of this process was reported last; `None` while it replies.
     reported_loss: Option<LossCause>,
+    /// Whether the worker has been silent until its lease expired, and has not replied since.
+    was_silent: bool,
 }
 
 impl ClockReading {
@@ -182,6 +184,7 @@
             last_failed_job: None,
             unanswered_polls: 0,
             reported_loss: None,
+            was_silent: false,
         }
     }
 
@@ -367,12 +370,12 @@
         if self.reported_loss >= Some(cause) {
             return None;
         }
-        let was_silent = self.reported_loss == Some(LossCause::Silent);
+        self.was_silent |= cause == LossCause::Silent;
         let lost_run = |(task, run): (&TaskName, &Run)| LostRun {
             task: task.clone(),
             run: run.run,
             route: Rc::clone(&run.route),
-            was_active: run.is_confirmed && !was_silent,
+            was_active: run.is_confirmed && !self.was_silent,
         };
         let lost = self.runs.iter().filter(|(_, run)| run.state != RunState::Starting);
         let lost = lost.filter(|(task, run)| has_ended(task, run));
@@ -539,6 +542,7 @@
         if self.reported_loss.take().is_some() {
             changes.push(RunUpdate::WorkerReturned(self.life()));
         }
+        self.was_silent = false;
         self.started_at_ms = report.started_at_ms.or(self.started_at_ms);
         changes
     }
--- a/crates/pool/tests/losses.rs
+++ b/crates/pool/tests/losses.rs
@@ -98,23 +98,29 @@
 #[test]
 fn a_crash_that_shows_after_the_lease_has_expired_may_have_come_after_the_runs() {
     let active_runs = |was_silent: bool| {
+        let mut seen = Vec::new();
         let mut pool = pool_with_runs(WorkerState::Ready);
         let silent_ms = if was_silent { 2 * LEASE_BOUND_MS } else { 0 };
         for ms in (20..20 + silent_ms).step_by(20) {
             pool.poll_reply(Millis(ms), "0", Millis(ms), &PollReply::Lost);
         }
+        pool.take_actions();
+        let at_ms = 20 + silent_ms;
         let refused = PollReply::Refused(Refusal::NotListening);
-        pool.poll_reply(Millis(20 + silent_ms), "0", Millis(20 + silent_ms), &refused);
-        let loss = pool.take_actions().into_iter().rev().find_map(|action| match action {
-            Action::ReportLoss(loss) => Some(loss),
-            _ => None,
-        });
-        let loss = loss.expect("the loss is reported");
-        assert_eq!((loss.cause, loss.runs.len()), (LossCause::Refused, 2));
-        loss.runs.iter().filter(|run| run.was_active).count()
+        for (reply, ms) in [(refused, at_ms), (report(2), at_ms + 20)] {
+            pool.poll_reply(Millis(ms), "0", Millis(ms), &reply);
+            for action in pool.take_actions() {
+                if let Action::ReportLoss(loss) = action {
+                    assert_eq!(loss.runs.len(), 2);
+                    let active = loss.runs.iter().filter(|run| run.was_active).count();
+                    seen.push((loss.cause, active));
+                }
+            }
+        }
+        seen
     };
-    assert_eq!(active_runs(false), 2);
-    assert_eq!(active_runs(true), 0);
+    assert_eq!(active_runs(false), [(LossCause::Refused, 2), (LossCause::Replaced, 2)]);
+    assert_eq!(active_runs(true), [(LossCause::Refused, 0), (LossCause::Replaced, 0)]);
 }
 
 #[test]
