Do not hold a crash fully against a task that was being stopped

Cause: runs in the state Stopping were still counted as active when their worker crashed, although they end by the stop.

Change: only a run in the state Running counts as active.

--- a/crates/pool/src/loss.rs
+++ b/crates/pool/src/loss.rs
@@ -98,7 +98,7 @@
     pub run: u32,
     /// Route of the job.
     pub route: Rc<str>,
-    /// Whether the run is known to have been active when the process ended: it had started, and the
-    /// worker had not been silent until its lease expired.
+    /// Whether the run is known to have been active when the process ended: it had started, was not
+    /// being stopped, and the worker had not been silent until its lease expired.
     pub was_active: bool,
 }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -375,7 +375,7 @@
             task: task.clone(),
             run: run.run,
             route: Rc::clone(&run.route),
-            was_active: run.is_confirmed && !self.was_silent,
+            was_active: run.is_confirmed && run.state == RunState::Running && !self.was_silent,
         };
         let lost = self.runs.iter().filter(|(_, run)| run.state != RunState::Starting);
         let lost = lost.filter(|(task, run)| has_ended(task, run));
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -10,7 +10,7 @@
 use pool::catalogue::WorkerEntry;
 use pool::crashes::{Crash, CrashHistory};
 use pool::failover::{Attempt, Decision, decide, outcome_if_too_late};
-use pool::job::{JobSpec, Outcome, PreviousOwner, TaskName};
+use pool::job::{JobSpec, Outcome, PreviousOwner, Reason, TaskName};
 use pool::pool::{Action, LINK_TIMEOUT_MS, Pool, Submission};
 use pool::round_trip::{MAX_TIMEOUT_MS, MIN_TIMEOUT_MS};
 use rand::rngs::SmallRng;
@@ -137,6 +137,8 @@
     pub starts: usize,
     /// Crashes under each task that crashes workers.
     pub crashes: HashMap<TaskName, u32>,
+    /// Processes of workers that ended under each task.
+    ended_processes: HashMap<TaskName, u32>,
     /// Starts of such tasks after [`CRASHES_BEFORE_COUNT`] crashes.
     pub starts_after_crashes: HashMap<TaskName, u32>,
     crash_history: CrashHistory,
@@ -195,6 +197,7 @@
             completed: 0,
             starts: 0,
             crashes: HashMap::new(),
+            ended_processes: HashMap::new(),
             starts_after_crashes: HashMap::new(),
             crash_history: CrashHistory::default(),
             convictions: Vec::new(),
@@ -319,6 +322,7 @@
         let tasks: Vec<TaskName> = self.workers[worker].active.keys().cloned().collect();
         for task in tasks {
             self.record_event(&task.job, format!("{worker} restarts under {task}"));
+            *self.ended_processes.entry(task).or_default() += 1;
         }
     }
 
@@ -730,6 +734,19 @@
         )
     }
 
+    /// Jobs that were given up although under none of their tasks two workers' processes ended.
+    pub fn wrongly_given_up(&self) -> Vec<Rc<str>> {
+        let ended = |job: &str| {
+            let of_job = self.ended_processes.iter().filter(|(task, _)| &*task.job == job);
+            of_job.map(|(_, count)| *count).max().unwrap_or(0)
+        };
+        let is_given_up = |request: &&Request| {
+            request.outcome == Some(Outcome::Failed(Reason::CrashesWorkers))
+                && ended(&request.spec.id) < 2
+        };
+        self.requests.iter().filter(is_given_up).map(|r| Rc::clone(&r.spec.id)).collect()
+    }
+
     /// Events of a job, for the message of a failed test.
     pub fn history_of(&self, job: &str) -> String {
         self.history.get(job).map(|lines| lines.join("\n  ")).unwrap_or_default()
