Adopt the latest run of a task that a new owner finds

Cause: a new owner adopted the first orphaned run of a task in order of the workers' ids, also one that was earlier than the run that the previous owner had named. The earlier one had lapsed, the task was started a third time, and the second run went on: two runs at the same time.

Change: the orphan with the highest run number, and none below the run that the previous owner named, unless it is done.

--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -4,6 +4,7 @@
 //! be running is started again only after its run was found or has certainly ended. See
 //! `docs/design/on-the-platform.md`.
 
+use std::cmp::Reverse;
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
@@ -38,14 +39,24 @@
         }
     }
 
+    /// Adopts the latest run of a task that has been found, since an earlier one may have lapsed.
     fn adopt_task_run(&mut self, number: u64, job: &mut Job, task_index: usize) {
         let name = job.name(task_index);
-        for (id, worker) in &mut self.workers {
-            let Some(orphan) = worker.orphaned_runs.get(&name).copied() else { continue };
+        let mut found: Vec<_> = self
+            .workers
+            .iter_mut()
+            .filter_map(|(id, worker)| Some((*worker.orphaned_runs.get(&name)?, id, worker)))
+            .collect();
+        found.sort_by_key(|(orphan, ..)| Reverse(orphan.run));
+        for (orphan, id, worker) in found {
             let task = &mut job.tasks[task_index];
             let is_latest_run = task.state == TaskState::InDoubt
                 && task.run == orphan.run
                 && task.worker.as_ref() == Some(id);
+            // The run that the previous owner named is later, and may be active elsewhere.
+            if orphan.end != Some(End::Done) && orphan.run < task.run {
+                continue;
+            }
             match orphan.end {
                 None => {
                     let step = &job.spec.steps[task.step as usize];
