Attribute replies, leases and losses to the process of a worker that they concern

- The lease of a start that reaches a process whose clock is not known lasts up to the worker's maximum from its arrival (1,020 ms), the owner counted 938 ms: a worker that was cut off then had two runs of a task.
The longer bound holds after a start without a reply, or whose reply shows a clock that has jumped.
- A reply other_lifetime ended runs that had been started at another address, and one from before the worker was listed again.
Runs keep their address; replies to polls of an earlier record are dropped.
- After such a reply the worker was never polled again, as its poll counted as in flight.
It is polled with back-off now.
- A worker that had announced its end and came back under its id counted as crashed, since its next entry had been read.
- A refused connection was held against runs of the next process while it was in doubt.
- Ends of an unknown process were acknowledged unseen with the number of the process before, and the task ran again.
Nothing is acknowledged while a start is in doubt.

--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -65,6 +65,7 @@
                         run: orphan.run,
                         route: Rc::clone(&job.terms.route),
                         is_suspect: task.is_suspect,
+                        addr: worker.entry.addr,
                         resources: step.task_resources,
                         is_confirmed: true,
                         state: RunState::Running,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -428,6 +428,7 @@
                 run: task.run.saturating_add(1),
                 route: Rc::clone(&job.terms.route),
                 is_suspect: task.is_suspect,
+                addr: worker.entry.addr,
                 resources: step.task_resources,
                 is_confirmed: false,
                 state: RunState::Starting,
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -52,6 +52,7 @@
             StartReply::Lost => {
                 run.state = RunState::InDoubt;
                 run.since = now;
+                worker.assume_longest_lease(now);
                 self.send_stop(id, &call.task, call.run);
             }
             StartReply::Refused(refusal) => self.start_refused(now, id, call, refusal),
@@ -83,13 +84,16 @@
     /// Handles the reply to a poll that was sent at `sent_at`.
     pub fn poll_reply(&mut self, now: Millis, id: &str, sent_at: Millis, reply: &PollReply) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.is_newer_than(sent_at) {
+            return;
+        }
         let changes = match reply {
             PollReply::Report(report) => worker.apply_report(now, sent_at, report),
             PollReply::Refused(Refusal::Fenced) => {
                 self.relinquish();
                 return;
             }
-            PollReply::Refused(Refusal::InstanceMismatch) => worker.restart(now),
+            PollReply::Refused(Refusal::InstanceMismatch) => worker.record_mismatch(now),
             PollReply::Refused(Refusal::NotListening) => worker.record_refused_poll(now),
             PollReply::Refused(_) | PollReply::Lost => worker.record_unanswered_poll(now),
         };
--- a/crates/pool/src/run.rs
+++ b/crates/pool/src/run.rs
@@ -1,5 +1,6 @@
 //! Runs of tasks on a worker, as tracked by the daemon that owns the worker.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
@@ -32,6 +33,8 @@
     pub route: Rc<str>,
     /// Whether a worker has crashed under the task before, so that no other job may share this one.
     pub is_suspect: bool,
+    /// Address that the start was sent to.
+    pub addr: SocketAddr,
     /// Resources that the run occupies on the worker.
     pub resources: Resources,
     /// Whether the worker has confirmed the start, or a report has listed the run.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -1,6 +1,7 @@
 //! State of a worker as seen by the daemon that owns it: resources, lease and runs.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
@@ -20,6 +21,11 @@
 pub const LEASE_BOUND_MS: u64 = LEASE_MS + LEASE_MS / 50 + CLOCK_MARGIN_MS;
 /// Margin for the resolution of clocks, in milliseconds.
 const CLOCK_MARGIN_MS: u64 = 20;
+/// Longest lease that a worker grants, in milliseconds of its clock; the users' `maxHoldMs`. A lease
+/// whose expiry was computed from another process's clock may last that long from its arrival.
+const MAX_LEASE_MS: u64 = 1_000;
+/// Upper bound on a lease of [`MAX_LEASE_MS`] as measured by the owner's clock, in milliseconds.
+const MAX_LEASE_BOUND_MS: u64 = MAX_LEASE_MS + MAX_LEASE_MS / 50 + CLOCK_MARGIN_MS;
 /// How long before its expiry a lease is renewed, in milliseconds.
 pub const RENEW_AHEAD_MS: u64 = 500;
 /// Longest time that a poll may wait at the worker for a run to end, in milliseconds. Less than
@@ -123,6 +129,10 @@
     pub next_poll_at: Option<Millis>,
     /// When the poll in flight was sent; `None` when none is in flight.
     pub poll_sent_at: Option<Millis>,
+    /// Address to which the last poll was sent.
+    polled_addr: SocketAddr,
+    /// When this record was created; replies to earlier polls concern a previous one.
+    created_at: Millis,
     /// Logarithm of the ratio of run time to expected run time, as a moving average.
     log_slowdown: f64,
     clock: Option<ClockReading>,
@@ -144,6 +154,8 @@
     reported_loss: Option<LossCause>,
     /// Whether the worker has been silent until its lease expired, and has not replied since.
     was_silent: bool,
+    /// Whether the process that sent the last report has announced that it will leave.
+    is_leaving: bool,
 }
 
 impl ClockReading {
@@ -161,8 +173,13 @@
 impl Worker {
     /// Creates a worker that has to be polled before tasks are sent to it.
     pub fn new(id: Rc<str>, entry: WorkerEntry, now: Millis) -> Self {
+        let polled_addr = entry.addr;
+        let is_leaving = entry.state == WorkerState::Draining;
         Self {
             id,
+            polled_addr,
+            created_at: now,
+            is_leaving,
             entry,
             listed: true,
             runs: HashMap::new(),
@@ -188,6 +205,11 @@
         }
     }
 
+    /// Whether this record was created after a call had been sent at `sent_at`.
+    pub fn is_newer_than(&self, sent_at: Millis) -> bool {
+        sent_at < self.created_at
+    }
+
     /// Returns the average ratio of run time to expected run time; 1.0 for a worker as fast as
     /// expected.
     pub fn slowdown(&self) -> f64 {
@@ -267,13 +289,12 @@
     }
 
     /// Returns up to which number ended runs may be acknowledged: all that were received, unless the
-    /// numbers may be those of a previous process.
-    pub const fn ack_cursor(&self) -> u64 {
-        if self.process_doubted_at.is_none() && self.unanswered_polls == 0 {
-            self.cursor
-        } else {
-            0
-        }
+    /// numbers may be those of a previous process. A start without a reply may have ended at a
+    /// process that is not known yet.
+    pub fn ack_cursor(&self) -> u64 {
+        let has_start_in_doubt = self.runs.values().any(|run| run.state == RunState::InDoubt);
+        let is_process_known = self.process_doubted_at.is_none() && self.unanswered_polls == 0;
+        if is_process_known && !has_start_in_doubt { self.cursor } else { 0 }
     }
 
     /// Returns the destination of a call to the worker that is given up after `timeout_ms`.
@@ -309,6 +330,7 @@
     /// by which its runs have ended is known here.
     pub fn begin_poll(&mut self, now: Millis) -> Option<u64> {
         self.poll_sent_at = Some(now);
+        self.polled_addr = self.entry.addr;
         self.next_poll_at = None;
         self.acking = self.ack_cursor();
         let is_clock_known = self.unanswered_polls == 0 && self.process_doubted_at.is_none();
@@ -348,9 +370,14 @@
 
     /// Records that a poll was refused because no process listens at the worker's address. The
     /// runs are kept until their lease has expired: a network device may refuse connections in the
-    /// name of a worker that runs on.
+    /// name of a worker that runs on. While the process is in doubt, it is unknown which one the
+    /// runs are at, so that no loss is reported.
     pub fn record_refused_poll(&mut self, now: Millis) -> Vec<RunUpdate> {
-        let loss = self.report_loss(LossCause::Refused);
+        let polled_addr = self.polled_addr;
+        let is_process_known = self.process_doubted_at.is_none();
+        let loss = self.report_loss_of(LossCause::Refused, |_, run| {
+            is_process_known && run.addr == polled_addr
+        });
         loss.into_iter().chain(self.record_unanswered_poll(now)).collect()
     }
 
@@ -385,7 +412,7 @@
         }
         self.reported_loss = Some(cause);
         runs.sort_unstable_by(|a, b| a.task.cmp(&b.task));
-        let was_draining = self.entry.state == WorkerState::Draining;
+        let was_draining = self.is_leaving;
         Some(RunUpdate::WorkerLost(WorkerLoss { life: self.life(), cause, was_draining, runs }))
     }
 
@@ -428,12 +455,26 @@
         let is_doubtful = is_other_process || entry.addr != self.entry.addr;
         self.entry.clone_from(entry);
         self.listed = true;
+        if self.is_entry_of_process() {
+            self.is_leaving = entry.state == WorkerState::Draining;
+        }
         is_doubtful.then(|| {
             self.doubt_process(now);
             self.process_change(entry.started_at_ms, ProcessEvidence::Entry)
         })
     }
 
+    /// Whether the entry is that of the process that sent the last report, as far as is known.
+    fn is_entry_of_process(&self) -> bool {
+        let (named, reported) = (self.entry.started_at_ms, self.started_at_ms);
+        named.is_none() || reported.is_none() || named == reported
+    }
+
+    /// Records that a start may have reached a process whose clock is not known.
+    pub fn assume_longest_lease(&mut self, now: Millis) {
+        self.lease_bound = self.lease_bound.max(now.plus(MAX_LEASE_BOUND_MS));
+    }
+
     /// Polls the worker at once and sends it no tasks meanwhile, because another process may have
     /// taken its address.
     pub fn doubt_process(&mut self, now: Millis) {
@@ -449,6 +490,7 @@
         }
         if self.clock.is_some_and(|reading| reading.has_jumped(clock_ms, asked_at, now)) {
             self.doubt_process(now);
+            self.assume_longest_lease(now);
         }
         self.update_clock(clock_ms, asked_at, now);
     }
@@ -544,6 +586,10 @@
         }
         self.was_silent = false;
         self.started_at_ms = report.started_at_ms.or(self.started_at_ms);
+        if is_other_process {
+            self.is_leaving =
+                self.is_entry_of_process() && self.entry.state == WorkerState::Draining;
+        }
         changes
     }
 
@@ -659,22 +705,28 @@
         };
     }
 
-    /// Resets the state after a reply that another worker's process has taken the address, so that
-    /// the previous runs no longer exist. Returns these runs as interrupted.
-    pub fn restart(&mut self, now: Millis) -> Vec<RunUpdate> {
-        let poll_sent_at = self.poll_sent_at;
-        let change = self.process_change(None, ProcessEvidence::Mismatch);
-        let loss = self.report_loss(LossCause::Replaced);
-        let runs = std::mem::take(&mut self.runs);
-        *self = Self::new(Rc::clone(&self.id), self.entry.clone(), now);
-        self.poll_sent_at = poll_sent_at;
-        let interrupted = runs.into_values().filter_map(|run| {
-            Some(RunUpdate::Ended {
-                job_task: run.task_ref?,
-                end: End::Interrupted,
-                normalized_ms: 0.0,
-            })
-        });
-        std::iter::once(change).chain(loss).chain(interrupted).collect()
+    /// Records a reply that another worker's process has the polled address. The runs that were sent
+    /// to this address have ended; those whose start is still to be answered are decided by its reply.
+    pub fn record_mismatch(&mut self, now: Millis) -> Vec<RunUpdate> {
+        let polled_addr = self.polled_addr;
+        let is_new = self.reported_loss < Some(LossCause::Replaced);
+        let change = is_new.then(|| self.process_change(None, ProcessEvidence::Mismatch));
+        let has_ended =
+            |_: &TaskName, run: &Run| run.addr == polled_addr && run.state != RunState::Starting;
+        let loss = self.report_loss_of(LossCause::Replaced, has_ended);
+        let ended: Vec<TaskName> = self
+            .runs
+            .iter()
+            .filter(|(task, run)| has_ended(task, run))
+            .map(|(task, _)| task.clone())
+            .collect();
+        let mut changes: Vec<RunUpdate> = change.into_iter().chain(loss).collect();
+        for task in ended {
+            let Some(job_task) = self.remove(&task).and_then(|run| run.task_ref) else { continue };
+            changes.push(RunUpdate::Ended { job_task, end: End::Interrupted, normalized_ms: 0.0 });
+        }
+        self.orphaned_runs.clear();
+        changes.extend(self.record_unanswered_poll(now));
+        changes
     }
 }
