Let workers of the soak start again under their id

Its workers kept the clock of the process before when they crashed, their entries named no process and were never published again, and a poll that waited at a process that ended was answered by the next one.

Change: a fault RestartWorker ends a worker's process; when the fault ends, the next one listens under the same id and address, with a start time in Unix milliseconds, another clock and no memory. Its entry is published 0 to 1.5 s later and names the process; in three of ten cases that of the process before is published once more in between. Crashes by tasks go the same way. A connection ends with its process: a call that a silent or slow link holds back no longer reaches the next one. Faults of the link no longer end a crash early.

The check for two runs of a task is unchanged: it asks the workers at each start, and the runs of a process that ended are gone there, so that it spans processes. publish_worker takes the zone from the worker; two tests drop that argument.

--- a/crates/entry/tests/lapse.rs
+++ b/crates/entry/tests/lapse.rs
@@ -93,7 +93,7 @@
     let last = cluster.find_owner(0).await;
     let first = 1 - last;
     for worker in 2..4 {
-        cluster.publish_worker(worker, 1, WorkerState::Draining);
+        cluster.publish_worker(worker, WorkerState::Draining);
     }
     cluster.daemons[first].signal(Signal::TERM);
     pause(1_500).await;
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -340,7 +340,7 @@
 #[actix_rt::test]
 async fn draining_and_unhealthy_workers_get_no_tasks() {
     let cluster = start(1, 1, 3).await;
-    cluster.publish_worker(0, 0, WorkerState::Draining);
+    cluster.publish_worker(0, WorkerState::Draining);
     cluster.workers[1].behaviour.set(Behaviour::Unhealthy);
     pause(800).await;
     let before = cluster.workers[0].started_runs.borrow().len();
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -17,10 +17,11 @@
 use pool::catalogue::{Catalogue, Route, Terms, WorkerEntry, WorkerState};
 use pool::job::{JobSpec, Step};
 use pool::resources::Resources;
+use rand::Rng;
 use standins::metastore::MetaStore;
 use standins::pool_worker_server::PoolWorkerServer;
 
-use crate::proxy::{Link, Proxy};
+use crate::proxy::Proxy;
 
 /// Host of the only route.
 pub const HOST: &str = "jobs.example";
@@ -33,6 +34,10 @@
 const READY_LIMIT: Duration = Duration::from_secs(20);
 /// Time from the crash of a worker until its next process listens.
 const WORKER_RESTART: Duration = Duration::from_secs(3);
+/// Longest time from the start of a worker's process until its entry is in the store.
+const MAX_PUBLICATION_MS: u64 = 1_500;
+/// Time between two publications of a worker's entries.
+const REPUBLICATION: Duration = Duration::from_millis(200);
 
 /// Size of an installation.
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +96,81 @@
     }
 }
 
+/// When the store shows the process of a worker that has started again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Publication {
+    /// Time from the start of the process until its entry is in the store, in milliseconds.
+    pub after_ms: u64,
+    /// Whether the entry of the process before shows once more after it, as from a listing beside a
+    /// read.
+    pub repeats_previous: bool,
+}
+
+impl Publication {
+    /// Draws a publication.
+    pub fn draw(rng: &mut impl Rng) -> Self {
+        Self {
+            after_ms: rng.random_range(0..MAX_PUBLICATION_MS),
+            repeats_previous: rng.random_bool(0.3),
+        }
+    }
+}
+
+/// A worker with its address and entry, which all of its processes have in common.
+#[derive(Debug)]
+pub struct WorkerSite {
+    /// Proxy through which the daemons connect to the worker.
+    pub proxy: Proxy,
+    server: Rc<PoolWorkerServer>,
+    store: Rc<MetaStore>,
+    key: String,
+    zone: Rc<str>,
+}
+
+impl WorkerSite {
+    /// Publishes the entry of the worker's process that started at the given time.
+    pub fn publish(&self, state: WorkerState, started_at_ms: u64) {
+        let entry = WorkerEntry {
+            service: Rc::from("svc"),
+            addr: self.proxy.addr,
+            zone: Rc::clone(&self.zone),
+            state,
+            capacity: capacity(),
+            labels: vec!["a".into(), "r1".into()],
+            started_at_ms: Some(started_at_ms),
+        };
+        self.store.put(WORKER_TOPIC, &self.key, Some(write_entry(&entry)));
+    }
+
+    /// Ends the worker's process.
+    pub fn end_process(&self) {
+        self.server.end_process();
+        self.proxy.link.end_target();
+    }
+
+    /// Starts the next process of the worker, if none runs. Its entry is published later.
+    pub fn start_process(self: &Rc<Self>, publication: Publication) {
+        let previous_ms = self.server.started_at_ms();
+        self.server.start_process();
+        self.proxy.link.start_target();
+        let started_at_ms = self.server.started_at_ms();
+        if started_at_ms == previous_ms {
+            return;
+        }
+        let site = Rc::clone(self);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(Duration::from_millis(publication.after_ms)).await;
+            site.publish(WorkerState::Ready, started_at_ms);
+            if publication.repeats_previous {
+                for listed_ms in [previous_ms, started_at_ms] {
+                    actix_rt::time::sleep(REPUBLICATION).await;
+                    site.publish(WorkerState::Ready, listed_ms);
+                }
+            }
+        });
+    }
+}
+
 /// A running installation.
 #[derive(Debug)]
 pub struct Cluster {
@@ -98,8 +178,8 @@
     pub store: Rc<MetaStore>,
     /// Simulated workers of all zones.
     pub workers: Vec<Rc<PoolWorkerServer>>,
-    /// Proxy of each worker, in the order of `workers`.
-    pub worker_proxies: Vec<Proxy>,
+    /// Site of each worker, in the order of `workers`.
+    pub sites: Vec<Rc<WorkerSite>>,
     /// Daemons of all zones.
     pub daemons: Vec<Daemon>,
     /// Directory of the daemons' settings files and logs.
@@ -183,7 +263,7 @@
             log_dir,
             keep_logs: false,
             workers: Vec::new(),
-            worker_proxies: Vec::new(),
+            sites: Vec::new(),
             daemons: Vec::new(),
             caller: HttpClient::new(),
             program: program.to_owned(),
@@ -216,32 +296,30 @@
     pub async fn add_worker(&mut self, zone: usize) {
         let worker = PoolWorkerServer::start(capacity(), cores(27)).await.unwrap();
         let proxy = Proxy::start(worker.addr).await.unwrap();
-        let link = Rc::clone(&proxy.link);
+        let site = Rc::new(WorkerSite {
+            proxy,
+            server: Rc::clone(&worker),
+            store: Rc::clone(&self.store),
+            key: format!("w{}", self.workers.len()),
+            zone: Rc::from(format!("z{zone}")),
+        });
+        let crashing = Rc::downgrade(&site);
         worker.set_crash_hook(Box::new(move |_| {
-            link.set(Link::Refused);
-            let link = Rc::clone(&link);
+            let Some(site) = crashing.upgrade() else { return };
+            site.end_process();
             actix_rt::spawn(async move {
                 actix_rt::time::sleep(WORKER_RESTART).await;
-                link.set(Link::Normal);
+                site.start_process(Publication::draw(&mut rand::rng()));
             });
         }));
-        self.worker_proxies.push(proxy);
+        self.sites.push(site);
         self.workers.push(worker);
-        self.publish_worker(self.workers.len() - 1, zone, WorkerState::Ready);
+        self.publish_worker(self.workers.len() - 1, WorkerState::Ready);
     }
 
-    /// Publishes the worker list entry of a worker in the metadata store.
-    pub fn publish_worker(&self, number: usize, zone: usize, state: WorkerState) {
-        let entry = WorkerEntry {
-            service: Rc::from("svc"),
-            addr: self.worker_proxies[number].addr,
-            zone: Rc::from(format!("z{zone}")),
-            state,
-            capacity: capacity(),
-            labels: vec!["a".into(), "r1".into()],
-            started_at_ms: None,
-        };
-        self.store.put(WORKER_TOPIC, &format!("w{number}"), Some(write_entry(&entry)));
+    /// Publishes the worker list entry of a worker's process in the metadata store.
+    pub fn publish_worker(&self, number: usize, state: WorkerState) {
+        self.sites[number].publish(state, self.workers[number].started_at_ms());
     }
 
     /// Starts a daemon in a zone, with proxies for its connections.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -6,7 +6,7 @@
 use standins::metastore::StoreBehaviour;
 use standins::pool_worker_server::Behaviour;
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, Publication};
 use crate::proxy::Link;
 
 /// A fault, with the index of the daemon or worker that it affects.
@@ -24,6 +24,8 @@
     WorkerLink(usize, Link),
     /// Behaviour of a worker.
     Behaviour(usize, Behaviour),
+    /// The process of a worker ends. The next one starts when the fault ends.
+    RestartWorker(usize, Publication),
     /// Behaviour of the metadata store.
     StoreBehaviour(StoreBehaviour),
     /// All partitions are assigned to daemons again.
@@ -69,7 +71,7 @@
     let behaviours = [Behaviour::Silent, Behaviour::Unhealthy, Behaviour::LosesReplies];
     let store_behaviours =
         [StoreBehaviour::Silent, StoreBehaviour::Busy, StoreBehaviour::LosesReplies];
-    match rng.random_range(0..10) {
+    match rng.random_range(0..11) {
         0 => Fault::Terminate(daemon, Signal::TERM),
         1 => Fault::Terminate(daemon, Signal::KILL),
         2 => Fault::Pause(daemon),
@@ -79,6 +81,7 @@
         6 => Fault::Behaviour(worker, behaviours[rng.random_range(0..behaviours.len())]),
         7 => Fault::StoreBehaviour(store_behaviours[rng.random_range(0..store_behaviours.len())]),
         8 => Fault::Rebalance,
+        9 => Fault::RestartWorker(worker, Publication::draw(rng)),
         _ => Fault::Compact,
     }
 }
@@ -90,7 +93,8 @@
         Fault::Pause(daemon) => cluster.daemons[daemon].signal(Signal::STOP),
         Fault::PeerLink(daemon, link) => cluster.daemons[daemon].peers_proxy.link.set(link),
         Fault::StoreLink(daemon, link) => cluster.daemons[daemon].store_proxy.link.set(link),
-        Fault::WorkerLink(worker, link) => cluster.worker_proxies[worker].link.set(link),
+        Fault::WorkerLink(worker, link) => cluster.sites[worker].proxy.link.set(link),
+        Fault::RestartWorker(worker, _) => cluster.sites[worker].end_process(),
         Fault::Behaviour(worker, behaviour) => cluster.workers[worker].behaviour.set(behaviour),
         Fault::StoreBehaviour(behaviour) => cluster.store.behaviour.set(behaviour),
         Fault::Rebalance => cluster.store.rebalance(),
@@ -105,7 +109,10 @@
         Fault::Pause(daemon) => cluster.daemons[daemon].signal(Signal::CONT),
         Fault::PeerLink(daemon, _) => cluster.daemons[daemon].peers_proxy.link.set(Link::Normal),
         Fault::StoreLink(daemon, _) => cluster.daemons[daemon].store_proxy.link.set(Link::Normal),
-        Fault::WorkerLink(worker, _) => cluster.worker_proxies[worker].link.set(Link::Normal),
+        Fault::WorkerLink(worker, _) => cluster.sites[worker].proxy.link.set(Link::Normal),
+        Fault::RestartWorker(worker, publication) => {
+            cluster.sites[worker].start_process(publication);
+        }
         Fault::Behaviour(worker, _) => cluster.workers[worker].behaviour.set(Behaviour::Normal),
         Fault::StoreBehaviour(_) => cluster.store.behaviour.set(StoreBehaviour::Normal),
         Fault::Rebalance | Fault::Compact => {}
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -23,10 +23,57 @@
     Silent,
     /// Forwards requests and holds back replies.
     OneWay,
-    /// Closes the open connections and refuses new ones, as if no process listened.
+    /// Closes the open connections and refuses new ones: no process listens.
     Refused,
 }
 
+/// Treatment of all connections of a proxy; may be changed at any time.
+#[derive(Debug, Default)]
+pub struct LinkState {
+    link: Cell<Link>,
+    is_target_down: Cell<bool>,
+    /// How often the target's process has ended. A connection does not outlive its process.
+    ended_processes: Cell<u64>,
+}
+
+impl LinkState {
+    /// Sets how the connections are treated while the target's process runs.
+    pub fn set(&self, link: Link) {
+        self.link.set(link);
+    }
+
+    /// Records that the target's process has ended. Its address refuses connections.
+    pub fn end_target(&self) {
+        self.is_target_down.set(true);
+        self.ended_processes.set(self.ended_processes.get() + 1);
+    }
+
+    /// Records that a process listens at the target again.
+    pub fn start_target(&self) {
+        self.is_target_down.set(false);
+    }
+
+    /// Returns the treatment. Behind a silent link the end of the process does not show.
+    fn get(&self) -> Link {
+        match self.link.get() {
+            Link::Silent => Link::Silent,
+            _ if self.is_target_down.get() => Link::Refused,
+            link => link,
+        }
+    }
+
+    /// Whether a connection is closed that was opened after `ended_processes` had ended.
+    fn closes(&self, ended_processes: u64) -> bool {
+        match self.get() {
+            Link::Silent => false,
+            Link::Reset | Link::Refused => true,
+            Link::Normal | Link::Slow(_) | Link::OneWay => {
+                self.ended_processes.get() != ended_processes
+            }
+        }
+    }
+}
+
 /// Interval at which a connection without traffic checks for a changed [`Link`].
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const BUFFER_BYTES: usize = 16 << 10;
@@ -36,8 +83,8 @@
 pub struct Proxy {
     /// Address on which the proxy listens.
     pub addr: SocketAddr,
-    /// Treatment of all connections of this proxy; may be changed at any time.
-    pub link: Rc<Cell<Link>>,
+    /// Treatment of all connections of this proxy.
+    pub link: Rc<LinkState>,
 }
 
 impl Proxy {
@@ -48,7 +95,7 @@
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let addr = listener.local_addr()?;
-        let link: Rc<Cell<Link>> = Rc::default();
+        let link: Rc<LinkState> = Rc::default();
         actix_rt::spawn(accept(listener, addr, target, Rc::clone(&link)));
         Ok(Self { addr, link })
     }
@@ -59,7 +106,7 @@
     mut listener: TcpListener,
     addr: SocketAddr,
     target: SocketAddr,
-    link: Rc<Cell<Link>>,
+    link: Rc<LinkState>,
 ) {
     loop {
         if link.get() == Link::Refused {
@@ -82,31 +129,33 @@
     }
 }
 
-async fn forward(client: TcpStream, target: SocketAddr, link: Rc<Cell<Link>>) {
+async fn forward(client: TcpStream, target: SocketAddr, link: Rc<LinkState>) {
     while matches!(link.get(), Link::Silent) {
         actix_rt::time::sleep(POLL_INTERVAL).await;
     }
-    if matches!(link.get(), Link::Reset | Link::Refused) {
+    let ended_processes = link.ended_processes.get();
+    if link.closes(ended_processes) {
         return;
     }
     let Ok(server) = TcpStream::connect(target).await else { return };
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
-    let requests = copy(from_client, to_server, Rc::clone(&link), false);
-    let replies = copy(from_server, to_client, link, true);
+    let requests = copy(from_client, to_server, Rc::clone(&link), ended_processes, false);
+    let replies = copy(from_server, to_client, link, ended_processes, true);
     futures_util::future::select(std::pin::pin!(requests), std::pin::pin!(replies)).await;
 }
 
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    link: Rc<Cell<Link>>,
+    link: Rc<LinkState>,
+    ended_processes: u64,
     is_reply: bool,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let read = actix_rt::time::timeout(POLL_INTERVAL, from.read(&mut buffer)).await;
-        if matches!(link.get(), Link::Reset | Link::Refused) {
+        if link.closes(ended_processes) {
             return;
         }
         let length = match read {
@@ -126,7 +175,7 @@
                 Link::Normal | Link::OneWay => break,
             }
         }
-        if to.write_all(&buffer[..length]).await.is_err() {
+        if link.closes(ended_processes) || to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
     }
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -109,8 +109,9 @@
     }
 }
 
-/// Records each run that starts while the same task runs on another worker. The returned list grows
-/// as runs start.
+/// Records each run that starts while the same task runs on another worker. A run ends with its
+/// process, so that what counts is the process that a worker has now. The returned list grows as
+/// runs start.
 fn record_overlaps(cluster: &Cluster) -> Rc<RefCell<Vec<String>>> {
     let overlaps: Rc<RefCell<Vec<String>>> = Rc::default();
     for (at, worker) in cluster.workers.iter().enumerate() {
--- a/crates/standins/src/pool_worker_server.rs
+++ b/crates/standins/src/pool_worker_server.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use actix_rt::net::TcpListener;
 use adapter::worker_calls::{
@@ -17,8 +17,8 @@
 use crate::pool_worker::{PoolWorker, Work, WorkerDefect};
 
 const MAX_BODY_BYTES: usize = 1 << 16;
-/// Amount by which the clock of a worker's process is ahead, in milliseconds.
-const CLOCK_OFFSET_MS: u64 = 50_000;
+/// Amounts by which the clock of a worker's process may be ahead, in milliseconds.
+const CLOCK_OFFSET_RANGE_MS: std::ops::Range<u64> = 0..100_000;
 /// Interval at which a waiting poll checks whether a run has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
 
@@ -48,6 +48,8 @@
     /// Number of polls received.
     pub polls: Cell<u64>,
     worker: RefCell<PoolWorker>,
+    /// Whether no process listens at the address.
+    is_down: Cell<bool>,
     start_hook: RefCell<StartHook>,
     crash_hook: RefCell<StartHook>,
     resources: Resources,
@@ -67,6 +69,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
 /// Whether a task's payload makes the worker crash: `crash` follows the duration.
 fn crashes_worker(call: &StartCall) -> bool {
     call.spec.split_whitespace().nth(1) == Some("crash")
@@ -87,17 +94,20 @@
     /// Returns an error if no port can be bound.
     pub async fn start(capacity: Resources, resources: Resources) -> std::io::Result<Rc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let worker = PoolWorker::new(capacity, 0, 0);
         let server = Rc::new(Self {
             addr: listener.local_addr()?,
             behaviour: Cell::default(),
             started_runs: RefCell::default(),
             polls: Cell::new(0),
-            worker: RefCell::new(PoolWorker::new(capacity, CLOCK_OFFSET_MS, 0)),
+            worker: RefCell::new(worker),
+            is_down: Cell::new(true),
             start_hook: RefCell::default(),
             crash_hook: RefCell::default(),
             resources,
             started: Instant::now(),
         });
+        server.start_process();
         let shared = Rc::clone(&server);
         let handler = move |request| Rc::clone(&shared).handle(request);
         actix_rt::spawn(serve(listener, Limits::with_max_body(MAX_BODY_BYTES), handler));
@@ -109,7 +119,8 @@
         *self.start_hook.borrow_mut() = StartHook(Some(start_hook));
     }
 
-    /// Calls `crash_hook` with the task when the worker crashes under it.
+    /// Calls `crash_hook` with the task when the worker's process has crashed under it. Whoever set
+    /// it starts the next process.
     pub fn set_crash_hook(&self, crash_hook: StartCallback) {
         *self.crash_hook.borrow_mut() = StartHook(Some(crash_hook));
     }
@@ -119,6 +130,30 @@
         self.worker.borrow_mut().defect = defect;
     }
 
+    /// Returns the start time of the worker's last process, in Unix milliseconds.
+    pub fn started_at_ms(&self) -> u64 {
+        self.worker.borrow().started_at_ms
+    }
+
+    /// Ends the worker's process and its runs. Calls get no reply until the next process starts.
+    pub fn end_process(&self) {
+        self.is_down.set(true);
+        self.worker.borrow_mut().active.clear();
+    }
+
+    /// Starts a process that has a clock of its own and knows nothing of the process before. Does
+    /// nothing if one runs.
+    pub fn start_process(&self) {
+        if !self.is_down.replace(false) {
+            return;
+        }
+        let mut worker = self.worker.borrow_mut();
+        // In Unix time, unlike this server's clock, and never the same for two processes.
+        let started_at_ms = unix_ms().max(worker.started_at_ms + 1);
+        worker.restart(self.now_ms(), rand::random_range(CLOCK_OFFSET_RANGE_MS));
+        worker.started_at_ms = started_at_ms;
+    }
+
     /// Whether a run of a task is active.
     pub fn is_running(&self, task: &TaskName) -> bool {
         let mut worker = self.worker.borrow_mut();
@@ -139,6 +174,9 @@
     }
 
     async fn handle(self: Rc<Self>, request: Request) -> Response {
+        if self.is_down.get() {
+            return Response::truncated();
+        }
         match self.behaviour.get() {
             Behaviour::Silent => std::future::pending().await,
             Behaviour::Unhealthy => return Response::text(503, ""),
@@ -169,7 +207,7 @@
                         start_hook(&call.task);
                     }
                     if crashes_worker(&call) {
-                        self.worker.borrow_mut().restart(now_ms, CLOCK_OFFSET_MS);
+                        self.end_process();
                         if let StartHook(Some(crash_hook)) = &*self.crash_hook.borrow() {
                             crash_hook(&call.task);
                         }
@@ -197,10 +235,15 @@
         }
     }
 
-    /// Replies to a poll as soon as a run has ended, or after `wait_ms`.
+    /// Replies to a poll as soon as a run has ended, or after `wait_ms`. A poll that waits gets no
+    /// reply if the process ends.
     async fn report_after(&self, wait_ms: u64) -> Response {
         let deadline_ms = self.now_ms() + wait_ms;
+        let started_at_ms = self.started_at_ms();
         loop {
+            if self.is_down.get() || self.started_at_ms() != started_at_ms {
+                return Response::truncated();
+            }
             let now_ms = self.now_ms();
             self.worker.borrow_mut().advance_to(now_ms);
             if self.worker.borrow().has_unacknowledged_runs() || now_ms >= deadline_ms {
