Stop starts without a reply again at the next process of their worker

Cause: a start without a reply may be carried out seconds later. The process that has taken the worker's place by then knows neither the fence that the stop left nor the clock of the start's expiry, so that it may run beside the task's next run.

Change: such starts are remembered for 12 s, their stops are sent to a new process as soon as it shows, and a run of theirs that a report lists is stopped at once, without the time that is left for adoption.

Not closed: KNOWN-RED 11.

--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -52,7 +52,7 @@
             StartReply::Lost => {
                 run.state = RunState::InDoubt;
                 run.since = now;
-                worker.assume_longest_lease(now);
+                worker.record_unanswered_start(&call.task, call.run, now);
                 self.send_stop(id, &call.task, call.run);
             }
             StartReply::Refused(refusal) => self.start_refused(now, id, call, refusal),
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -43,6 +43,8 @@
 /// Backoff step before an unanswered poll is repeated, and the interval after which a stop of the
 /// same run is repeated, in milliseconds.
 const POLL_RETRY_MS: u64 = 150;
+/// How long a start without a reply may still be carried out, in milliseconds.
+const LATE_START_MS: u64 = 12_000;
 /// Delay before ended runs are acknowledged when nothing else requires a poll, in milliseconds.
 const ACK_DELAY_MS: u64 = 1_500;
 /// How long orphaned runs of a previous owner wait to be adopted by their job, in milliseconds.
@@ -123,6 +125,9 @@
     pub runs: HashMap<TaskName, Run>,
     /// Runs, and ends of runs, that a previous owner started and no job has adopted yet.
     pub orphaned_runs: HashMap<TaskName, OrphanedRun>,
+    /// Starts without a reply in the last [`LATE_START_MS`], with the time at which they were given up.
+    /// The next process of the worker has neither their fences nor the clock of their expiry.
+    unanswered_starts: Vec<(TaskName, u32, Millis)>,
     /// Latest time, on this daemon's clock, at which a run can still be active without a renewal.
     pub lease_bound: Millis,
     /// When the next poll is due; `None` when there is nothing to poll for.
@@ -184,6 +189,7 @@
             listed: true,
             runs: HashMap::new(),
             orphaned_runs: HashMap::new(),
+            unanswered_starts: Vec::new(),
             lease_bound: now,
             next_poll_at: Some(now),
             poll_sent_at: None,
@@ -470,8 +476,17 @@
         named.is_none() || reported.is_none() || named == reported
     }
 
-    /// Records that a start may have reached a process whose clock is not known.
-    pub fn assume_longest_lease(&mut self, now: Millis) {
+    /// Records that a start got no reply: it may have reached a process that is not known, or may
+    /// still do so.
+    pub fn record_unanswered_start(&mut self, task: &TaskName, run: u32, now: Millis) {
+        self.unanswered_starts.retain(|(.., at)| now.since(*at) < LATE_START_MS);
+        self.unanswered_starts.push((task.clone(), run, now));
+        self.assume_longest_lease(now);
+    }
+
+    /// Counts with the longest lease that a worker grants, because the one of the last start was
+    /// computed from a clock that may be that of another process.
+    fn assume_longest_lease(&mut self, now: Millis) {
         self.lease_bound = self.lease_bound.max(now.plus(MAX_LEASE_BOUND_MS));
     }
 
@@ -580,6 +595,11 @@
             self.acking = 0;
             self.orphaned_runs.clear();
             self.log_slowdown = 0.0;
+            let stop = |(task, run, _): &(TaskName, u32, Millis)| RunUpdate::Stop {
+                task: task.clone(),
+                run: *run,
+            };
+            changes.extend(self.unanswered_starts.iter().map(stop));
         }
         if self.reported_loss.take().is_some() {
             changes.push(RunUpdate::WorkerReturned(self.life()));
@@ -663,7 +683,11 @@
             if orphan.end.is_some() {
                 *orphan = new_orphan;
             }
-            if now.since(orphan.seen_at) >= ADOPTION_WINDOW_MS {
+            let is_given_up = self
+                .unanswered_starts
+                .iter()
+                .any(|(given_up, run, _)| given_up == task && *run == active.run);
+            if is_given_up || now.since(orphan.seen_at) >= ADOPTION_WINDOW_MS {
                 changes.push(RunUpdate::Stop { task: task.clone(), run: active.run });
             }
         }
--- a/crates/pool/tests/capacity.rs
+++ b/crates/pool/tests/capacity.rs
@@ -21,6 +21,7 @@
         owner_change_every_ms: 1_900,
         worker_fault_every_ms: 0,
         worker_restart_every_ms: 0,
+        late_calls_outlive_clocks: false,
         failing_runs: 20,
         long_runs: 50,
         crashing_jobs: 20,
--- a/crates/pool/tests/crashing_tasks.rs
+++ b/crates/pool/tests/crashing_tasks.rs
@@ -13,6 +13,7 @@
     owner_change_every_ms: 2_900,
     worker_fault_every_ms: 0,
     worker_restart_every_ms: 0,
+    late_calls_outlive_clocks: false,
     failing_runs: 0,
     long_runs: 0,
     crashing_jobs: 60,
--- a/crates/standins/src/pool_worker.rs
+++ b/crates/standins/src/pool_worker.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Returns the amount by which the worker's clock is ahead, in milliseconds.
+    pub const fn clock_offset_ms(&self) -> u64 {
+        self.clock_offset_ms
+    }
+
     /// Returns the time of the worker's clock at `now_ms` of the external clock.
     pub fn clock(&self, now_ms: u64) -> u64 {
         self.clock_offset_ms + now_ms - now_ms * self.clock_slowdown_permille / 1_000
