End the pause of an unhealthy worker with its process

Suspected by the review, shown by the new test, which failed before: no start for the rest of the pause.

--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -595,6 +595,10 @@
             self.acking = 0;
             self.orphaned_runs.clear();
             self.log_slowdown = 0.0;
+            self.failures = 0;
+            self.last_failed_job = None;
+            self.paused_until = Millis(0);
+            self.pause_ms = MIN_PAUSE_MS;
             let stop = |(task, run, _): &(TaskName, u32, Millis)| RunUpdate::Stop {
                 task: task.clone(),
                 run: *run,
--- a/crates/pool/tests/worker_processes.rs
+++ b/crates/pool/tests/worker_processes.rs
@@ -382,3 +382,18 @@
     pool.poll_reply(Millis(120), "0", Millis(118), &report(1, &[]));
     assert_eq!(starts(&pool.take_actions()), []);
 }
+
+/// A pause for a refusal by an unhealthy process says nothing about the next one.
+#[test]
+fn a_pause_ends_with_the_process_that_it_was_for() {
+    let mut pool = Pool::new(7);
+    let entries = [(Rc::<str>::from("0"), entry(0, 64))];
+    pool.set_workers(Millis(0), entries.iter().map(|(id, entry)| (id, entry)));
+    pool.poll_reply(Millis(1), "0", Millis(0), &report(1, &[]));
+    pool.take_actions();
+    let (_, call) = submit(&mut pool, 100);
+    pool.start_reply(Millis(101), "0", &call, StartReply::Refused(Refusal::Unhealthy));
+    assert_eq!(starts(&pool.take_actions()), []);
+    pool.poll_reply(Millis(150), "0", Millis(149), &report(2, &[]));
+    assert_eq!(starts(&pool.take_actions()), [("0".to_owned(), 2)]);
+}
