Count a crash in full also against a start without a reply

Which of them had started can't be told, and a task that crashes its worker at once never confirms.

Change: only a run that was being stopped, or whose worker had been silent until the lease expired, counts in part; a start that is still to be answered is not counted.

--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -67,7 +67,6 @@
                         is_suspect: task.is_suspect,
                         addr: worker.entry.addr,
                         resources: step.task_resources,
-                        is_confirmed: true,
                         state: RunState::Running,
                         since: orphan.seen_at,
                         sent_at: orphan.seen_at,
--- a/crates/pool/src/crashes.rs
+++ b/crates/pool/src/crashes.rs
@@ -20,7 +20,7 @@
 const CRASHES_UNTIL_CONVICTED: usize = 2;
 /// Crashes under a task that convict it in any company.
 const MAX_CRASHES: usize = 3;
-/// Crashes that convict a task even if it is not known to have been active each time. Less than the
+/// Crashes that convict a task even if it may not have been active each time. Less than the
 /// five starts that a task may have which crashes each of its workers.
 const MAX_UNCERTAIN_CRASHES: usize = 4;
 /// How long crashes are remembered, in milliseconds. Longer than callers resend a request.
@@ -44,7 +44,7 @@
     pub name: TaskName,
     /// Route of its job.
     pub route: Rc<str>,
-    /// Whether its run is known to have been active when the worker crashed.
+    /// Whether its run is taken to have been active when the worker crashed.
     pub was_active: bool,
 }
 
@@ -120,7 +120,7 @@
 struct CrashUnderTask {
     /// Whether no other job had a task on the worker.
     was_alone: bool,
-    /// Whether the task is known to have been active then.
+    /// Whether the task is taken to have been active then.
     was_active: bool,
 }
 
--- a/crates/pool/src/loss.rs
+++ b/crates/pool/src/loss.rs
@@ -98,7 +98,8 @@
     pub run: u32,
     /// Route of the job.
     pub route: Rc<str>,
-    /// Whether the run is known to have been active when the process ended: it had started, was not
-    /// being stopped, and the worker had not been silent until its lease expired.
+    /// Whether the run is taken to have been active when the process ended: it was not being stopped,
+    /// and the worker had not been silent until its lease expired. A task may crash its worker before
+    /// the start is confirmed.
     pub was_active: bool,
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -430,7 +430,6 @@
                 is_suspect: task.is_suspect,
                 addr: worker.entry.addr,
                 resources: step.task_resources,
-                is_confirmed: false,
                 state: RunState::Starting,
                 since: now,
                 sent_at: now,
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -39,7 +39,6 @@
         }
         match reply {
             StartReply::Started { clock_ms } => {
-                run.is_confirmed = true;
                 if run.state == RunState::Starting {
                     run.state = RunState::Running;
                     run.since = now;
--- a/crates/pool/src/run.rs
+++ b/crates/pool/src/run.rs
@@ -37,8 +37,6 @@
     pub addr: SocketAddr,
     /// Resources that the run occupies on the worker.
     pub resources: Resources,
-    /// Whether the worker has confirmed the start, or a report has listed the run.
-    pub is_confirmed: bool,
     /// State as last reported by the worker or requested by this daemon.
     pub state: RunState,
     /// Time at which the run entered its state, or at which its stop was last repeated.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -408,7 +408,7 @@
             task: task.clone(),
             run: run.run,
             route: Rc::clone(&run.route),
-            was_active: run.is_confirmed && run.state == RunState::Running && !self.was_silent,
+            was_active: run.state != RunState::Stopping && !self.was_silent,
         };
         let lost = self.runs.iter().filter(|(_, run)| run.state != RunState::Starting);
         let lost = lost.filter(|(task, run)| has_ended(task, run));
@@ -666,7 +666,6 @@
             let Some(task) = &active.task else { continue };
             if let Some(run) = self.runs.get_mut(task) {
                 if run.run == active.run {
-                    run.is_confirmed = true;
                     run.update_progress(active.percent, now);
                 }
                 if run.state == RunState::Starting && run.run == active.run {
--- a/crates/pool/tests/crash_history.rs
+++ b/crates/pool/tests/crash_history.rs
@@ -143,9 +143,9 @@
     assert!(!history.is_confined("r", Millis(CONFINEMENT_MS)));
 }
 
-/// Guards against issue 29: a start that got no reply, on a worker that had crashed before.
+/// Guards against issue 29: runs that had ended before their worker crashed.
 #[test]
-fn crashes_count_fully_only_for_tasks_that_are_known_to_have_been_active() {
+fn crashes_count_fully_only_for_tasks_that_were_active() {
     let uncertain = |worker: &str| {
         let mut crash = crash(worker, &["a.0.0.0"]);
         crash.tasks[0].was_active = false;
