--- a/crates/pool/tests/worker_processes.rs
+++ b/crates/pool/tests/worker_processes.rs
@@ -97,6 +97,51 @@
     actions.iter().filter_map(of).collect()
 }
 
+/// Submits a job whose task starts on worker 0, and confirms the start.
+fn start_on_worker_0(pool: &mut Pool, at_ms: u64) -> StartCall {
+    let (id, call) = submit(pool, at_ms);
+    assert_eq!(&*id, "0");
+    let started = StartReply::Started { clock_ms: 5_000 + at_ms - 499 };
+    pool.start_reply(Millis(at_ms + 1), &id, &call, started);
+    pool.take_actions();
+    call
+}
+
+/// Actions that show that the pool took a run for ended: a loss, or a further start.
+fn ends_of_runs(pool: &mut Pool) -> Vec<Action> {
+    let actions = pool.take_actions().into_iter();
+    actions.filter(|a| matches!(a, Action::Start(..) | Action::ReportLoss(_))).collect()
+}
+
+/// Guards against issue 28: the entry of a process ended the runs that this process had started.
+#[test]
+fn an_entry_that_is_read_after_the_report_of_its_process_ends_no_runs() {
+    let mut pool = pool_with(0);
+    pool.poll_reply(Millis(500), "0", Millis(499), &report(2, &[]));
+    pool.take_actions();
+    let call = start_on_worker_0(&mut pool, 600);
+    set_entries(&mut pool, 620, Some((2, 100)));
+    assert_eq!(ends_of_runs(&mut pool), []);
+    pool.poll_reply(Millis(640), "0", Millis(630), &report(2, &[&call]));
+    assert_eq!(ends_of_runs(&mut pool), []);
+}
+
+/// The entry of the process before may be read last, from a listing beside a read.
+#[test]
+fn an_entry_of_the_process_before_ends_no_runs() {
+    let mut pool = pool_with(0);
+    set_entries(&mut pool, 400, Some((2, 100)));
+    pool.poll_reply(Millis(500), "0", Millis(499), &report(2, &[]));
+    pool.take_actions();
+    let call = start_on_worker_0(&mut pool, 600);
+    for (at_ms, started_at_ms) in [(620, 1), (700, 2)] {
+        set_entries(&mut pool, at_ms, Some((started_at_ms, 100)));
+        assert_eq!(ends_of_runs(&mut pool), [], "entry of process {started_at_ms}");
+        pool.poll_reply(Millis(at_ms + 9), "0", Millis(at_ms + 5), &report(2, &[&call]));
+        assert_eq!(ends_of_runs(&mut pool), [], "entry of process {started_at_ms}");
+    }
+}
+
 /// The owner knows process A. Process B runs the start and is cut off. B's clock is behind A's, so the
 /// lease is shortened to the maximum, from the arrival on.
 fn restart_while_b_is_cut_off(reply: impl Fn(u64) -> StartReply) -> Vec<String> {
