Let late calls reach the next process of a crashed worker in the simulation, as before

It keeps the clock again, so that the test is as strict as it was; new clocks are in the simulation of restarted workers.

--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -723,7 +723,7 @@
             return;
         }
         self.record_event(&task.job, format!("{worker} crashes under {task}"));
-        self.restart_worker(worker, DOWN_MS, Clock::Anew);
+        self.restart_worker(worker, DOWN_MS, Clock::Kept);
         *self.crashes.entry(task.clone()).or_default() += 1;
     }
 
