--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -110,6 +110,7 @@
             group.is_changing = joined.generation != group.generation;
             group.generation = joined.generation;
             if group.is_changing {
+                log_assignment(joined);
                 self.owners_changed.notify_one();
             }
         }
@@ -499,6 +500,17 @@
     }
 }
 
+/// Logs the partitions of a new assignment. Not all of them are mapped to cells.
+fn log_assignment(joined: &JoinReply) {
+    let partition = |held: &HeldPartition| format!("{}/{}", held.topic, held.partition);
+    let held: Vec<String> = joined.held.iter().map(partition).collect();
+    log::info!(
+        "part=ownership event=assigned generation={} partitions={}",
+        joined.generation,
+        held.join(",")
+    );
+}
+
 fn topic_of(zone: &str) -> String {
     format!("{TOPIC_PREFIX}{zone}")
 }
