Start no task in a zone that operators have evacuated

Cause: operators announce the loss of a zone seconds before by the record evacuate/ZONE in keyed.op. Daemons ignored it, and owners started tasks on the zone's workers until they were gone. Change: daemons fold the records by zone and offset (pool::evacuation). Owners return waiting jobs as not run (Evacuated), let partially started ones start tasks for 500 ms and abort them after that; routers skip evacuated zones. No cell is owned before the first complete listing, and a paused daemon starts nothing until it has read the records again or 500 ms have passed. Daemons without the store learn evacuations with the owners.

--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -42,7 +42,7 @@
         crash: &Crash,
         reporting_cell: Option<&Cell>,
     ) -> bool {
-        let now = self.now();
+        let now = self.now_after_stall_check();
         let crashed_at = Millis(now.0.saturating_sub(age_ms));
         let findings = self.crashes.borrow_mut().record(crashed_at, crash);
         for task in &findings.convicted {
@@ -81,7 +81,7 @@
             life.worker,
             tasks.len()
         );
-        let now = self.now();
+        let now = self.now_after_stall_check();
         for cell in self.other_owned_cells(reporting_cell) {
             if let Some(owned) = self.owned.borrow_mut().get_mut(&cell) {
                 owned.pool.retract_crash(now, life);
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -20,6 +20,9 @@
     cells: Vec<CellDump>,
     /// Cells and the addresses of their owners.
     owners: Vec<(String, String)>,
+    /// Whether this daemon has read which zones are evacuated.
+    knows_evacuations: bool,
+    evacuated_zones: Vec<String>,
     /// Routes that are confined because their tasks crash workers.
     confined_routes: Vec<String>,
     /// Jobs that are not started again because they crash workers.
@@ -78,6 +81,8 @@
             owners: owners
                 .map(|(cell, owner)| (cell.to_string(), owner.addr.to_string()))
                 .collect(),
+            knows_evacuations: self.knows_evacuations.get(),
+            evacuated_zones: to_strings(&self.evacuated_zones()),
             confined_routes: to_strings(&self.crashes.borrow().confined_routes(now)),
             convicted_jobs: to_strings(&self.crashes.borrow().convicted_jobs()),
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod drain;
 pub mod dump;
 pub mod error;
+mod evacuation;
 pub mod logging;
 pub mod metrics;
 pub mod owner;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use prometheus::{
     Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 const LATENCY_BUCKETS_S: &[f64] = &[0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.9, 1.2, 1.5, 2.0];
@@ -40,6 +40,8 @@
     pub cells: IntCounterVec,
     /// Version of the catalogue in force.
     pub catalogue_version: IntGauge,
+    /// Whether each zone is evacuated: 1 if it is, 0 if not.
+    pub zone_evacuated: IntGaugeVec,
     /// Duration of a short call to the store, in seconds.
     pub store_latency_s: Histogram,
     registry: Registry,
@@ -67,6 +69,9 @@
         registry.register(Box::new(ended_runs.clone()))?;
         let catalogue_version = IntGauge::new("entry_catalogue_version", "Version in force.")?;
         registry.register(Box::new(catalogue_version.clone()))?;
+        let zone_evacuated =
+            IntGaugeVec::new(Opts::new("entry_zone_evacuated", "1 if evacuated."), &["zone"])?;
+        registry.register(Box::new(zone_evacuated.clone()))?;
         let orphaned_runs = IntCounter::new("entry_orphans_total", "Runs that no owner knew.")?;
         registry.register(Box::new(orphaned_runs.clone()))?;
         Ok(Self {
@@ -93,6 +98,7 @@
             forwarded: counters("entry_forwarded_total", "Jobs sent on.", &["result"])?,
             cells: counters("entry_cells_total", "Cells gained and lost.", &["change"])?,
             catalogue_version,
+            zone_evacuated,
             store_latency_s,
             registry,
         })
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -58,7 +58,7 @@
         if !self.may_take_job(&submission) {
             return None;
         }
-        let now = self.now();
+        let now = self.now_after_stall_check();
         let (serial, number, receiver) = {
             let mut owned = self.owned.borrow_mut();
             let owned = owned.get_mut(cell)?;
@@ -84,8 +84,13 @@
     }
 
     /// Passes an event to the pool of a cell, unless the event belongs to a previous ownership.
-    pub fn with_pool(&self, cell: &Cell, serial: u64, event: impl FnOnce(&mut Pool, Millis)) {
-        let now = self.now();
+    pub fn with_pool(
+        self: &Rc<Self>,
+        cell: &Cell,
+        serial: u64,
+        event: impl FnOnce(&mut Pool, Millis),
+    ) {
+        let now = self.now_after_stall_check();
         let mut owned = self.owned.borrow_mut();
         let Some(owned) = owned.get_mut(cell).filter(|owned| owned.serial == serial) else {
             return;
@@ -268,7 +273,7 @@
     pub async fn drive_pools(self: Rc<Self>) {
         let mut last_at = self.now();
         loop {
-            let now = self.now();
+            let now = self.now_after_stall_check();
             if now.since(last_at) >= MAX_STALL_MS {
                 log::warn!("part=owner event=stalled for_ms={}", now.since(last_at));
                 self.resettlement.borrow_mut().record_stall(now);
--- a/crates/entry/src/owners.rs
+++ b/crates/entry/src/owners.rs
@@ -109,19 +109,22 @@
         own.chain(known_remote).collect()
     }
 
-    /// Queries a random other daemon for the owners of cells, while the store is unreachable.
+    /// Queries a random other daemon for the owners of cells and the evacuations of zones, while the
+    /// store is unreachable.
     async fn query_peer_for_owners(self: &Rc<Self>) {
         let peers: Vec<SocketAddr> = self.peers.borrow().keys().copied().collect();
         if peers.is_empty() {
             return;
         }
         let addr = peers[rand::random_range(0..peers.len())];
-        if let Ok(Reply::Owners(owners)) =
+        let asked_at = self.now();
+        if let Ok(Reply::Owners(owners, evacuations)) =
             self.links.call(addr, Request::Owners, PEER_TIMEOUT_MS).await
         {
             for ownership in &owners {
                 self.record_owner(ownership);
             }
+            self.learn_evacuations(&evacuations, asked_at, addr);
         }
     }
 
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -216,9 +216,10 @@
     }
 
     /// Returns the cells of the held partitions. Empty while the worker counts are unknown: with
-    /// one cell for the zone, its owner would attract the jobs of all cells.
+    /// one cell for the zone, its owner would attract the jobs of all cells. Also empty while it is
+    /// unknown which zones are evacuated: the owner would start tasks in them.
     fn assigned_cells(&self, held: &[HeldPartition]) -> BTreeSet<Cell> {
-        if !self.knows_worker_counts() {
+        if !self.knows_worker_counts() || !self.knows_evacuations.get() {
             return BTreeSet::new();
         }
         let held: BTreeSet<(&str, u32)> =
@@ -330,7 +331,8 @@
     }
 
     fn start_ownership(self: &Rc<Self>, cell: Cell, token: u64, how: &str) {
-        let pool = Pool::new(token).with_crashes(self.crashes.borrow().clone());
+        let mut pool = Pool::new(token).with_crashes(self.crashes.borrow().clone());
+        self.apply_start_limits(&cell, &mut pool);
         log::info!("part=ownership event=cell_gained cell={cell} token={token} how={how}");
         self.metrics.cells.with_label_values(&["gained"]).inc();
         self.owned
@@ -363,7 +365,9 @@
         let is_own_zone = *cell.zone == *self.settings.zone;
         let overtaken = self.fenced.borrow().get(&cell).is_some_and(|fenced| token <= *fenced);
         // Without the store, a daemon that does not know the workers has no way to read them.
-        let serves = self.phase.get() == Phase::Serving && self.knows_workers.get();
+        let serves = self.phase.get() == Phase::Serving
+            && self.knows_workers.get()
+            && self.knows_evacuations.get();
         if !serves || !is_own_zone || overtaken || self.owned.borrow().contains_key(&cell) {
             return Reply::NotOwner;
         }
@@ -445,7 +449,7 @@
         if !self.knows_workers.get() {
             return;
         }
-        let now = self.now();
+        let now = self.now_after_stall_check();
         let cells = self.cells_in(&cell.zone);
         {
             let directory = self.directory.borrow();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -61,7 +61,10 @@
                 None
             }
             Request::Crashes => Some(Reply::Crashes(self.crashes.borrow().export(self.now()))),
-            Request::Owners => Some(Reply::Owners(self.known_owners())),
+            Request::Owners => {
+                let evacuations = self.evacuations.borrow().iter().collect();
+                Some(Reply::Owners(self.known_owners(), evacuations))
+            }
         }
     }
 
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -6,6 +6,7 @@
 use peers::wire::Protocol;
 use pool::cells::Cell;
 use pool::crashes::Crash;
+use pool::evacuation::ZoneRecord;
 use pool::job::Outcome;
 use pool::loss::WorkerLife;
 use pool::pool::{LINK_TIMEOUT_MS, Submission};
@@ -51,7 +52,8 @@
     /// Take over a cell under this fencing token. Sent by an owner that shuts down and cannot reach
     /// the store.
     TakeOver(Cell, u64),
-    /// Return the known owners of cells. Sent while the store is unreachable.
+    /// Return the known owners of cells and evacuations of zones. Sent while the store is
+    /// unreachable.
     Owners,
     /// Notification that a daemon has started, with the address on which it accepts connections
     /// from other daemons and its zone.
@@ -105,8 +107,8 @@
     NotOwner,
     /// The sender has taken over the cell.
     TakenOver,
-    /// Owners of cells that the sender knows.
-    Owners(Vec<Ownership>),
+    /// Owners of cells and evacuations of zones that the sender knows.
+    Owners(Vec<Ownership>, Vec<ZoneRecord>),
     /// The sender has cancelled the job.
     Cancelled,
     /// No caller of the job is connected to the sender.
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -1,5 +1,6 @@
 //! Routes a job to the owner of a cell, and to further owners if that one refuses the job.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use peers::links::LinkError;
 use pool::catalogue::Terms;
 use pool::cells::Cell;
+use pool::evacuation::RETRY_AFTER_MS;
 use pool::failover::{Attempt, Decision, decide, outcome_if_too_late};
 use pool::job::{JobSpec, Outcome, PreviousOwner, Reason};
 use pool::pool::Submission;
@@ -113,7 +115,9 @@
         let mut refusal =
             Outcome::NotRun { reason: Reason::NoOwner, retry_after_ms: NO_OWNER_RETRY_AFTER_MS };
         let mut search = CellSearch::default();
-        while let Some((cell, may_wait)) = self.next_cell(&mut search) {
+        // Zones that are evacuated by the reply of an owner, which this daemon may not have read yet.
+        let mut refusing_zones = BTreeSet::new();
+        while let Some((cell, may_wait)) = self.next_cell(&mut search, &refusing_zones) {
             trace.cell = Some(cell.clone());
             trace.attempts += 1;
             let attempt = self.submit_to_cell(&cell, request, PreviousOwner::None, may_wait).await;
@@ -123,9 +127,23 @@
                 Decision::SameCell(previous_owner) => {
                     return self.resume_job(&cell, request, previous_owner, trace).await;
                 }
+                Decision::OtherCell(Some(Outcome::NotRun {
+                    reason: Reason::Evacuated, ..
+                })) => {
+                    log::info!(
+                        "part=route event=zone_evacuated job={} cell={cell}",
+                        request.spec.id
+                    );
+                    // The job may have waited there, so all cells of the other zones are asked again.
+                    refusing_zones.insert(Rc::clone(&cell.zone));
+                    search = CellSearch::default();
+                }
                 Decision::OtherCell(refused) => refusal = refused.unwrap_or(refusal),
             }
         }
+        if self.known_zones().iter().all(|zone| self.is_zone_closed(zone, &refusing_zones)) {
+            return Outcome::NotRun { reason: Reason::Evacuated, retry_after_ms: RETRY_AFTER_MS };
+        }
         refusal
     }
 
@@ -230,7 +248,7 @@
             }
             Reply::NotOwner
             | Reply::TakenOver
-            | Reply::Owners(_)
+            | Reply::Owners(..)
             | Reply::WorkerCounts(_)
             | Reply::KeepsCell
             | Reply::Crashes(_)
@@ -251,14 +269,26 @@
         self.is_responsive(addr).then_some(addr)
     }
 
-    fn next_cell(&self, search: &mut CellSearch) -> Option<(Cell, bool)> {
+    /// Returns the next cell to ask, which is none of an evacuated zone.
+    fn next_cell(
+        &self,
+        search: &mut CellSearch,
+        refusing_zones: &BTreeSet<Rc<str>>,
+    ) -> Option<(Cell, bool)> {
         let own_zone = self.settings.zone.as_str();
+        let open_cells = |zone: &str| {
+            let is_closed = self.is_zone_closed(zone, refusing_zones);
+            if is_closed { Vec::new() } else { self.reachable_cells(zone) }
+        };
         let others = || {
             let zones = self.settings.zones.iter().filter(|zone| **zone != own_zone);
-            zones.flat_map(|zone| self.reachable_cells(zone)).collect()
+            zones.flat_map(|zone| open_cells(zone)).collect()
         };
-        let own = self.reachable_cells(own_zone);
-        search.next(&self.loads.borrow(), &own, others, self.now())
+        search.next(&self.loads.borrow(), &open_cells(own_zone), others, self.now())
+    }
+
+    fn is_zone_closed(&self, zone: &str, refusing_zones: &BTreeSet<Rc<str>>) -> bool {
+        refusing_zones.contains(zone) || self.evacuations.borrow().is_evacuated(zone)
     }
 
     /// Returns the cells of a zone whose owner is known and not unresponsive.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -72,6 +72,9 @@
     /// Time after its publication within which a change of the configuration has to be in force, in
     /// milliseconds.
     pub config_apply_ms: u64,
+    /// Time after its publication within which the last task starts in an evacuated zone, in
+    /// milliseconds.
+    pub evacuate_ms: u64,
     /// Maximum duration of a shutdown, in milliseconds.
     pub grace_ms: u64,
     /// Minimum level of log lines.
@@ -87,6 +90,8 @@
 const DEFAULT_OWNERSHIP_MS: u64 = 1_200;
 const DEFAULT_GRACE_MS: u64 = 6_000;
 const DEFAULT_CONFIG_APPLY_MS: u64 = 2_000;
+/// Bound of the users' requirements.
+const DEFAULT_EVACUATE_MS: u64 = 5_000;
 /// The busiest daemon logs about 150 lines per second under the users' daily load.
 const DEFAULT_LOG_LINES_PER_S: u64 = 400;
 
@@ -135,6 +140,12 @@
             DEFAULT_CONFIG_APPLY_MS,
             DURATION_RANGE_MS,
         )?,
+        evacuate_ms: reader.number(
+            "platform",
+            "evacuate_ms",
+            DEFAULT_EVACUATE_MS,
+            DURATION_RANGE_MS,
+        )?,
         grace_ms: reader.seconds("drain", "grace_s", DEFAULT_GRACE_MS)?,
         log_level: reader.level()?,
         log_lines_per_s: reader.number(
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,6 +14,7 @@
 use pool::catalogue::{Catalogue, Directory};
 use pool::cells::Cell;
 use pool::crashes::CrashHistory;
+use pool::evacuation::Evacuations;
 use pool::job::Outcome;
 use pool::owners::Owners;
 use pool::pool::Pool;
@@ -25,6 +26,7 @@
 use crate::cancel::OpenJobs;
 use crate::clock::Clock;
 use crate::error::EntryError;
+use crate::evacuation::OperatorFeed;
 use crate::metrics::Metrics;
 use crate::ownership::GroupState;
 use crate::protocol::EntryProtocol;
@@ -102,6 +104,18 @@
     pub requested_cells: RefCell<BTreeSet<Cell>>,
     /// Crashes of workers in all cells, as far as they are known here.
     pub crashes: RefCell<CrashHistory>,
+    /// Evacuations of zones, as far as they are known here.
+    pub evacuations: RefCell<Evacuations>,
+    /// Whether this daemon has read a complete listing of the operators' records. It acquires no
+    /// cell before.
+    pub knows_evacuations: Value<bool>,
+    /// State of the subscription to the operators' records.
+    pub operator_feed: RefCell<OperatorFeed>,
+    /// When this daemon last drove a pool or passed an event to one.
+    pub last_turn_at: Value<Millis>,
+    /// When this process was last found to have been paused; `None` once the operators' records were
+    /// read after that. It may have missed an evacuation.
+    pub starts_held_since: Value<Option<Millis>>,
     /// Last known load of each cell, from the outcomes of jobs.
     pub loads: RefCell<CellLoads>,
     /// Which other daemons get no requests because they did not reply lately.
@@ -151,8 +165,11 @@
         let caller = HttpClient::new();
         let keys = Rc::new(derive_link_keys(&settings));
         let links = Links::new(incarnation, keys, Rc::default(), BlockedAddrs::default());
+        let clock = Clock::default();
+        let zones = settings.zones.iter().chain([&settings.zone]);
+        let evacuations = Evacuations::new(zones.map(String::as_str));
         Ok(Rc::new(Self {
-            clock: Clock::default(),
+            clock,
             incarnation,
             catalogue: RefCell::default(),
             directory: RefCell::default(),
@@ -173,6 +190,11 @@
             assignment: RefCell::default(),
             requested_cells: RefCell::default(),
             crashes: RefCell::default(),
+            evacuations: RefCell::new(evacuations),
+            knows_evacuations: Value::new(false),
+            operator_feed: RefCell::default(),
+            last_turn_at: Value::new(clock.now()),
+            starts_held_since: Value::new(None),
             loads: RefCell::default(),
             responsiveness: RefCell::default(),
             fenced: RefCell::default(),
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -9,6 +9,7 @@
 use adapter::settings::{CONFIG_KEY, OPERATOR_TOPIC, WORKER_TOPIC};
 use adapter::store::{KeyedRecord, ReadReply, StoreError};
 use dispatch::clock::Millis;
+use pool::evacuation::PARTIAL_START_MS;
 
 use crate::state::Entry;
 
@@ -26,21 +27,42 @@
 /// store, the entries are published again within 2 s.
 const REMOVAL_DELAY_MS: u64 = 2_500;
 
+/// Result of reading on in a topic.
+enum NextRecords {
+    /// The records that follow, if any.
+    Records(Vec<KeyedRecord>),
+    /// The read failed, and the delay before a retry has passed.
+    Failed,
+    /// The topic has to be listed again.
+    Trimmed,
+}
+
 impl Entry {
-    /// Applies the operators' configuration and its changes. Never returns.
+    /// Applies the operators' configuration, the evacuations of zones and their changes. Never
+    /// returns.
     pub async fn watch_catalogue(self: Rc<Self>) {
         loop {
             let Some(mut offset) = self.list_catalogue().await else { continue };
-            while let Some(records) = self.read_next(OPERATOR_TOPIC, &mut offset).await {
-                for record in &records {
-                    self.apply_operator_record(record);
+            loop {
+                let sent_at = self.now();
+                match self.read_next(OPERATOR_TOPIC, &mut offset).await {
+                    NextRecords::Records(records) => {
+                        self.apply_evacuation_records(&records, offset, sent_at);
+                        for record in &records {
+                            self.apply_operator_record(record);
+                        }
+                    }
+                    NextRecords::Failed => {}
+                    NextRecords::Trimmed => break,
                 }
             }
         }
     }
 
-    async fn list_catalogue(&self) -> Option<u64> {
+    async fn list_catalogue(self: &Rc<Self>) -> Option<u64> {
+        let sent_at = self.now();
         let (records, offset) = self.list(OPERATOR_TOPIC).await?;
+        self.apply_evacuation_listing(&records, offset, sent_at);
         for record in &records {
             self.apply_operator_record(record);
         }
@@ -67,7 +89,11 @@
                 self.rejoin.notify_one();
             }
             while self.should_read_workers.get() {
-                let Some(records) = self.read_next(WORKER_TOPIC, &mut offset).await else { break };
+                let records = match self.read_next(WORKER_TOPIC, &mut offset).await {
+                    NextRecords::Records(records) => records,
+                    NextRecords::Failed => Vec::new(),
+                    NextRecords::Trimmed => break,
+                };
                 self.apply_workers(&records, &mut missing_since, log::Level::Info);
                 pause(WORKER_READ_DELAY_MS).await;
             }
@@ -109,25 +135,27 @@
 
     /// Returns how long a read waits at the store for a record, in milliseconds. A dead connection
     /// is detected only after this wait, and a change has to be in force within the configured time.
+    /// An evacuation is in force once the partially started jobs start no further tasks.
     fn read_wait_ms(&self) -> u64 {
         let (min_ms, max_ms) = READ_WAIT_RANGE_MS;
-        self.settings.config_apply_ms.saturating_sub(READ_RESERVE_MS).clamp(min_ms, max_ms)
+        let evacuate_ms = self.settings.evacuate_ms.saturating_sub(PARTIAL_START_MS);
+        let apply_ms = self.settings.config_apply_ms.min(evacuate_ms);
+        apply_ms.saturating_sub(READ_RESERVE_MS).clamp(min_ms, max_ms)
     }
 
-    /// Returns the next records and advances the offset. Returns `None` if the topic has to be
-    /// listed again, and no records after a failure and the delay before a retry.
-    async fn read_next(&self, topic: &str, offset: &mut u64) -> Option<Vec<KeyedRecord>> {
+    /// Returns the next records and advances the offset.
+    async fn read_next(&self, topic: &str, offset: &mut u64) -> NextRecords {
         let began = self.now();
         let reply = self.store.read(topic, *offset, self.read_wait_ms()).await;
         self.record_store_call("read", &reply, began);
         match reply {
             Ok(ReadReply::Records { records, next_offset }) => {
                 *offset = next_offset;
-                Some(records)
+                NextRecords::Records(records)
             }
             Ok(ReadReply::Trimmed) => {
                 log::info!("part=follow event=history_gone topic={topic} offset={offset}");
-                None
+                NextRecords::Trimmed
             }
             Err(error) => {
                 let level = match error {
@@ -136,7 +164,7 @@
                 };
                 log::log!(level, "part=follow event=read_failed topic={topic} why=\"{error}\"");
                 pause(RETRY_DELAY_MS).await;
-                Some(Vec::new())
+                NextRecords::Failed
             }
         }
     }
--- a/crates/entry/tests/messages.rs
+++ b/crates/entry/tests/messages.rs
@@ -3,6 +3,7 @@
 
 use entry::protocol::{Ownership, ReleaseRequest, Reply, Request};
 use pool::cells::Cell;
+use pool::evacuation::ZoneRecord;
 use proptest::prelude::*;
 
 fn valid_messages() -> Vec<Vec<u8>> {
@@ -19,7 +20,10 @@
         Request::Hello(addr, "z0".into()),
         Request::WorkerCounts,
     ];
-    requests.iter().map(|request| postcard::to_allocvec(request).unwrap()).collect()
+    let evacuation = ZoneRecord { zone: "z0".into(), offset: 300, is_evacuated: true };
+    let owners = Reply::Owners(Vec::new(), vec![evacuation]);
+    let requests = requests.iter().map(|request| postcard::to_allocvec(request).unwrap());
+    requests.chain([postcard::to_allocvec(&owners).unwrap()]).collect()
 }
 
 proptest! {
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -18,6 +18,9 @@
         if job.started {
             return None;
         }
+        if let Some(refusal) = self.evacuation_refusal() {
+            return Some(refusal);
+        }
         if self.is_warming_up() {
             // Whether the job can run, and when, is not known yet.
             let is_refused = !may_wait && !self.can_start_now(job, now);
@@ -108,7 +111,8 @@
     /// Returns the load of the cell, from which daemons choose between owners.
     pub fn backlog(&self, now: Millis) -> Backlog {
         let mut backlog = Backlog::default();
-        for worker in self.workers.values().filter(|worker| worker.accepts_tasks(now)) {
+        let usable = self.workers.values().filter(|worker| worker.accepts_tasks(now));
+        for worker in usable.filter(|_| !self.is_evacuated()) {
             backlog.capacity_millicores += worker.entry.capacity.cpu_millicores;
             backlog.free_millicores += worker.free().cpu_millicores;
         }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -119,6 +119,9 @@
     /// The job's route is confined because its tasks crash workers, and the workers left to it are
     /// busy. Jobs of other routes may find free ones.
     RouteConfined,
+    /// Operators have evacuated the zone of the workers. Cells of other zones may have free
+    /// resources.
+    Evacuated,
 }
 
 impl Reason {
@@ -135,6 +138,7 @@
             Self::CrashesWorkers => "crashes_workers",
             Self::WorkerCrashed => "worker_crashed",
             Self::RouteConfined => "route_confined",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cells;
 pub mod crashes;
 pub mod estimate;
+pub mod evacuation;
 pub mod failover;
 pub mod job;
 pub mod loss;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -16,6 +16,7 @@
 use crate::catalogue::{Terms, WorkerEntry};
 use crate::crashes::CrashHistory;
 use crate::estimate::Estimates;
+use crate::evacuation::StartLimits;
 use crate::job::{
     Job, JobSpec, Outcome, PreviousOwner, Progress, Reason, Step, TaskName, TaskState,
 };
@@ -95,6 +96,7 @@
     pub(crate) estimates: Estimates,
     pub(crate) round_trip: RoundTrip,
     pub(crate) warm_up: WarmUp,
+    pub(crate) start_limits: StartLimits,
     pub(crate) crashes: CrashHistory,
     // Whether `set_workers` has been called.
     pub(crate) has_worker_list: bool,
@@ -117,6 +119,7 @@
             estimates: Estimates::default(),
             round_trip: RoundTrip::default(),
             warm_up: WarmUp::NotBegun,
+            start_limits: StartLimits::default(),
             crashes: CrashHistory::default(),
             has_worker_list: false,
             actions: Vec::new(),
@@ -256,6 +259,7 @@
         self.drop_remote_jobs_after_stall(now);
         self.expire_leases(now);
         self.resolve_in_doubt(now);
+        self.abort_evacuated_jobs(now);
         self.update_warm_up(now);
         self.place_queued_jobs(now);
         self.end_expired_jobs(now);
@@ -348,6 +352,7 @@
             .chain(in_doubt_ends)
             .chain(self.workers.values().filter_map(Worker::next_expiry))
             .chain(self.warm_up_limit())
+            .chain(self.next_start_change(now))
             .map(|at| at.max(now))
             .min()
     }
@@ -400,6 +405,9 @@
     }
 
     pub(crate) fn place_job(&mut self, now: Millis, number: u64) {
+        if !self.start_limits.allow_start(now) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&number) else { return };
         for task_index in 0..job.tasks.len() {
             let task = job.tasks[task_index].clone();
@@ -496,7 +504,7 @@
         self.actions.extend(answers);
     }
 
-    fn remove_job(&mut self, number: u64) {
+    pub(crate) fn remove_job(&mut self, number: u64) {
         if let Some(job) = self.jobs.remove(&number) {
             self.forget_id(&job);
         }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use adapter::callers::{WAIT_HEADER, write_job};
-use adapter::config::write_config;
+use adapter::config::{evacuation_key, write_config};
 use adapter::entries::write_entry;
 use adapter::settings::{CONFIG_KEY, OPERATOR_TOPIC, READY_PATH, WORKER_TOPIC};
 use httpedge::client::{CallError, HttpClient, RawRequest};
@@ -289,6 +289,19 @@
         cluster
     }
 
+    /// Requests or withdraws the evacuation of a zone, as operators do.
+    pub fn set_evacuated(&self, zone: usize, is_evacuated: bool) {
+        let key = evacuation_key(&format!("z{zone}"));
+        self.store.put(OPERATOR_TOPIC, &key, is_evacuated.then(|| b"{}".to_vec()));
+    }
+
+    /// Returns how many runs have started on the workers of a zone.
+    pub fn starts_in(&self, zone: usize) -> usize {
+        let zone = format!("z{zone}");
+        let workers = self.sites.iter().zip(&self.workers).filter(|(site, _)| *site.zone == *zone);
+        workers.map(|(_, worker)| worker.started_runs.borrow().len()).sum()
+    }
+
     /// Adds a worker to a zone.
     ///
     /// # Panics
--- a/crates/standins/src/metastore.rs
+++ b/crates/standins/src/metastore.rs
@@ -39,6 +39,12 @@
     records: Vec<KeyedRecord>,
 }
 
+impl Topic {
+    fn end_offset(&self) -> u64 {
+        self.first_offset + self.records.len() as u64
+    }
+}
+
 #[derive(Debug)]
 struct Member {
     topics: BTreeSet<String>,
@@ -153,8 +159,10 @@
 
     /// Appends a record to a topic; `None` as the value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: Option<Vec<u8>>) {
-        let record = KeyedRecord { key: key.to_owned(), value };
-        self.topics.borrow_mut().entry(topic.to_owned()).or_default().records.push(record);
+        let mut topics = self.topics.borrow_mut();
+        let topic = topics.entry(topic.to_owned()).or_default();
+        let record = KeyedRecord { key: key.to_owned(), value, offset: topic.end_offset() };
+        topic.records.push(record);
     }
 
     /// Compacts all topics: only the newest record of each key stays, at a new offset, so that
@@ -239,7 +247,7 @@
             newest.insert(&record.key, record);
         }
         let records = newest.into_values().filter(|record| record.value.is_some()).cloned();
-        let end_offset = topic.first_offset + topic.records.len() as u64;
+        let end_offset = topic.end_offset();
         NewestPage { records: records.collect(), has_more: false, end_offset }
     }
 
@@ -250,7 +258,7 @@
                 let topics = self.topics.borrow();
                 let empty = Topic::default();
                 let topic = topics.get(topic).unwrap_or(&empty);
-                let end_offset = topic.first_offset + topic.records.len() as u64;
+                let end_offset = topic.end_offset();
                 if from < topic.first_offset {
                     return Response::text(410, "");
                 }
