Return load gradually to cold workers and to cells whose workers come back together

Cause: a zone's workers may be down for seconds and come back together, slow at first. All of them were filled at once, their slow runs counted as the workers' and the routes' own times, and tasks started whose callers left first.

--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use dispatch::clock::Millis;
 use pool::run::RunState;
 use pool::worker::Worker;
 use serde::Serialize;
@@ -32,6 +33,10 @@
     cell: String,
     token: u64,
     pending_jobs: usize,
+    /// Number of workers that are still slow after their start.
+    cold_workers: usize,
+    /// Share of the returned capacity that tasks may occupy, in percent; absent without a ramp.
+    ramp_percent: Option<u64>,
     workers: Vec<WorkerDump>,
 }
 
@@ -43,6 +48,8 @@
     free_millicores: u64,
     /// Ratio of measured to expected run time on the worker.
     pace: f64,
+    /// Whether the worker is still slow after its start.
+    is_cold: bool,
     /// Task, run number and state of each run.
     runs: Vec<(String, u32, &'static str)>,
     /// Number of orphaned runs: runs started by a previous owner that were not adopted.
@@ -59,10 +66,12 @@
             cell: cell.to_string(),
             token: owned.pool.token(),
             pending_jobs: owned.pool.pending_jobs(),
+            cold_workers: owned.pool.cold_workers(now),
+            ramp_percent: owned.pool.ramp_percent(),
             workers: owned
                 .pool
                 .workers()
-                .map(|(id, worker)| worker_dump(id, worker, worker.accepts_tasks(now)))
+                .map(|(id, worker)| worker_dump(id, worker, now))
                 .collect(),
         });
         let owners = self.owners.borrow();
@@ -88,7 +97,7 @@
     names.iter().map(ToString::to_string).collect()
 }
 
-fn worker_dump(id: &str, worker: &Worker, takes_work: bool) -> WorkerDump {
+fn worker_dump(id: &str, worker: &Worker, now: Millis) -> WorkerDump {
     let state = |state| match state {
         RunState::Starting => "starting",
         RunState::Running => "running",
@@ -98,9 +107,10 @@
     let runs = worker.runs.iter();
     WorkerDump {
         id: id.to_owned(),
-        takes_work,
+        takes_work: worker.accepts_tasks(now),
         free_millicores: worker.free().cpu_millicores,
         pace: worker.slowdown(),
+        is_cold: worker.is_cold(now),
         runs: runs.map(|(name, run)| (name.to_string(), run.run, state(run.state))).collect(),
         unclaimed: worker.orphaned_runs.len(),
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -38,6 +38,10 @@
     pub forwarded: IntCounterVec,
     /// Cells acquired and lost, by kind of change.
     pub cells: IntCounterVec,
+    /// Workers of the owned cells that are still slow after their start.
+    pub cold_workers: IntGauge,
+    /// Owned cells to which load returns gradually.
+    pub ramping_cells: IntGauge,
     /// Version of the catalogue in force.
     pub catalogue_version: IntGauge,
     /// Duration of a short call to the store, in seconds.
@@ -65,8 +69,12 @@
         registry.register(Box::new(store_latency_s.clone()))?;
         let ended_runs = IntCounter::new("entry_ends_total", "Runs seen to end.")?;
         registry.register(Box::new(ended_runs.clone()))?;
-        let catalogue_version = IntGauge::new("entry_catalogue_version", "Version in force.")?;
-        registry.register(Box::new(catalogue_version.clone()))?;
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let catalogue_version = gauge("entry_catalogue_version", "Version in force.")?;
         let orphaned_runs = IntCounter::new("entry_orphans_total", "Runs that no owner knew.")?;
         registry.register(Box::new(orphaned_runs.clone()))?;
         Ok(Self {
@@ -92,6 +100,8 @@
             store_calls: counters("entry_store_calls_total", "Store calls.", &["call", "result"])?,
             forwarded: counters("entry_forwarded_total", "Jobs sent on.", &["result"])?,
             cells: counters("entry_cells_total", "Cells gained and lost.", &["change"])?,
+            cold_workers: gauge("entry_cold_workers", "Workers slow after their start.")?,
+            ramping_cells: gauge("entry_ramping_cells", "Cells that load returns to.")?,
             catalogue_version,
             store_latency_s,
             registry,
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -11,6 +11,7 @@
 use pool::loss::{ProcessChange, WorkerLoss};
 use pool::pool::{Action, MAX_STALL_MS, Pool, Submission};
 use pool::queue::Backlog;
+use pool::ramp::RampEvent;
 use tokio::sync::oneshot;
 
 use crate::state::Entry;
@@ -152,9 +153,40 @@
                     ownership.cell,
                 );
             }
+            Action::ReportRamp(event) => self.log_ramp(&ownership, event),
         }
     }
 
+    fn log_ramp(&self, ownership: &OwnershipRef, event: RampEvent) {
+        let cell = &ownership.cell;
+        match event {
+            RampEvent::Began { capacity_millicores } => log::info!(
+                "part=owner event=ramp_begun cell={cell} returned_millicores={capacity_millicores} \
+                 cold_workers={}",
+                self.cold_workers_of(cell),
+            ),
+            RampEvent::Ended { capacity_millicores, took_ms } => log::info!(
+                "part=owner event=ramp_ended cell={cell} returned_millicores={capacity_millicores} \
+                 took_ms={took_ms}",
+            ),
+        }
+    }
+
+    fn cold_workers_of(&self, cell: &Cell) -> usize {
+        let now = self.now();
+        self.owned.borrow().get(cell).map_or(0, |owned| owned.pool.cold_workers(now))
+    }
+
+    /// Updates the gauges of the owned cells, which are read far less often than they change.
+    pub fn update_cell_gauges(&self) {
+        let now = self.now();
+        let owned = self.owned.borrow();
+        let cold: usize = owned.values().map(|owned| owned.pool.cold_workers(now)).sum();
+        let ramping = owned.values().filter(|owned| owned.pool.ramp_percent().is_some()).count();
+        self.metrics.cold_workers.set(i64::try_from(cold).unwrap_or(i64::MAX));
+        self.metrics.ramping_cells.set(i64::try_from(ramping).unwrap_or(i64::MAX));
+    }
+
     fn log_process_change(&self, ownership: &OwnershipRef, change: &ProcessChange) {
         let evidence = change.evidence.as_str();
         self.metrics.worker_processes.with_label_values(&[evidence]).inc();
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -448,6 +448,7 @@
         let now = self.now();
         let cells = self.cells_in(&cell.zone);
         {
+            self.directory.borrow_mut().count_down(now);
             let directory = self.directory.borrow();
             let mut owned = self.owned.borrow_mut();
             let Some(owned) = owned.get_mut(cell) else { return };
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -106,7 +106,10 @@
 
 fn answer_operator(entry: &Entry, request: &Request) -> Response {
     match request.path.as_str() {
-        "/metrics" => Response::text(200, entry.metrics.render()),
+        "/metrics" => {
+            entry.update_cell_gauges();
+            Response::text(200, entry.metrics.render())
+        }
         "/state" => Response::json(200, &entry.dump()),
         _ => Response::text(404, "ask for /metrics or /state\n"),
     }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -207,13 +207,13 @@
         };
         missing_since.remove(&record.key);
         let (state, addr, started_at_ms) = (entry.state, entry.addr, entry.started_at_ms);
-        let cpu_millicores = entry.capacity.cpu_millicores;
-        let changed = self.directory.borrow_mut().apply(&record.key, Some(entry));
+        let (cpu_millicores, cold_ms) = (entry.capacity.cpu_millicores, entry.cold_ms);
+        let changed = self.directory.borrow_mut().apply(self.now(), &record.key, Some(entry));
         if changed {
             log::log!(
                 level,
                 "part=follow event=worker worker={} state={state:?} addr={addr} \
-                 started_at={} cpu_millicores={cpu_millicores}",
+                 started_at={} cpu_millicores={cpu_millicores} cold_ms={cold_ms}",
                 record.key,
                 started_at_ms.unwrap_or_default(),
             );
@@ -240,7 +240,7 @@
             if now.since(*since) < REMOVAL_DELAY_MS {
                 return true;
             }
-            if self.directory.borrow_mut().apply(id, None) {
+            if self.directory.borrow_mut().apply(now, id, None) {
                 log::info!("part=follow event=worker_gone worker={id}");
                 changed = true;
             }
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -267,7 +267,10 @@
                     }
                 }
                 // A worker that does not listen has crashed.
-                Action::ReportReturn(_) | Action::ReportProcess(_) | Action::ReportOrphan(..) => {}
+                Action::ReportReturn(_)
+                | Action::ReportProcess(_)
+                | Action::ReportOrphan(..)
+                | Action::ReportRamp(_) => {}
             }
         }
         let due = self.pools[zone].next_due(Millis(self.now_ms));
@@ -433,5 +436,6 @@
         capacity: Resources { cpu_millicores, memory_mb: WORKER_MEMORY_MB, accelerators: 0 },
         labels: Vec::new(),
         started_at_ms: Some(1),
+        cold_ms: 0,
     }
 }
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -7,6 +7,7 @@
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
 use crate::queue::{self, Backlog};
+use crate::resources::Resources;
 use crate::worker::Worker;
 
 /// Upper limit of the tasks that are assumed to fit on one worker. Any number of tasks that
@@ -61,14 +62,34 @@
             let usable = self.workers.values();
             let usable = usable.filter(|worker| worker.accepts_tasks(now));
             let fitting = usable.filter(|worker| placement::is_compatible(worker, need));
+            let mut ramp_fit = self.ramp_fit(need);
             let fitting = fitting.map(|worker| {
-                let count = worker.free().fit_count(step.task_resources);
-                (worker, count.min(MAX_TASKS_PER_WORKER))
+                let count = self.fit_count(worker, need, now);
+                let count = if worker.presence.is_ramping() { count.min(ramp_fit) } else { count };
+                if worker.presence.is_ramping() {
+                    ramp_fit -= count;
+                }
+                (worker, count)
             });
             quarantine.total_fit(fitting) >= u64::from(step.count)
         })
     }
 
+    /// Returns how many tasks can start now on a worker that runs tasks of this kind.
+    fn fit_count(&self, worker: &Worker, need: TaskRequirements<'_>, now: Millis) -> u64 {
+        let count = worker.free().fit_count(need.step.task_resources);
+        let max_cold_runs = placement::max_cold_runs(worker, need, self.cold.factor(), now);
+        count.min(max_cold_runs).min(MAX_TASKS_PER_WORKER)
+    }
+
+    /// Returns how many tasks can start now on the workers that a ramp limits.
+    fn ramp_fit(&self, need: TaskRequirements<'_>) -> u64 {
+        let task = need.step.task_resources;
+        let Some(ramp) = &self.ramp else { return u64::MAX };
+        let room = ramp.room(&self.workers, task);
+        room.checked_div(task.cpu_millicores).unwrap_or(u64::MAX)
+    }
+
     fn can_ever_run(&self, job: &Job, now: Millis) -> bool {
         let possible = |(number, step)| {
             let need = TaskRequirements::of(job, number, step, now);
@@ -86,17 +107,32 @@
         let pending =
             |job: &Job| job.tasks.iter().filter(|task| task.state == TaskState::Pending).count();
         let mut ends_ms = Vec::new();
-        let mut free = 0;
-        let first = job.spec.steps.first().map(|step| step.task_resources).unwrap_or_default();
+        let (mut free, mut ramping_free) = (0, 0);
+        let Some(first) = job.spec.steps.first() else { return 0 };
+        let first = TaskRequirements::of(job, 0, first, now);
         let quarantine = Quarantine::new(&self.workers, &self.crashes, job, now);
         let usable = self.workers.values();
         let usable =
             usable.filter(|worker| worker.accepts_tasks(now) && quarantine.allows(worker, false));
         for worker in usable {
-            free += worker.free().fit_count(first).min(MAX_TASKS_PER_WORKER) as usize;
+            if !placement::is_soon_enough(worker, first, self.cold.factor(), now) {
+                continue;
+            }
+            let count = self.fit_count(worker, first, now);
+            if worker.presence.is_ramping() {
+                ramping_free += count;
+            } else {
+                free += count as usize;
+            }
             ends_ms
                 .extend(worker.runs.values().map(|run| run.remaining_ms(worker.slowdown(), now)));
         }
+        if let Some(ramp) = &self.ramp {
+            let allowed = self.ramp_fit(first).min(ramping_free);
+            free += allowed as usize;
+            let at_next_step = (ramping_free - allowed).min(allowed.max(1)) as usize;
+            ends_ms.extend(std::iter::repeat_n(ramp.next_due().since(now), at_next_step));
+        }
         let ahead: usize = self.jobs.values().filter(is_ahead).map(pending).sum();
         let waiting = ahead + job.spec.task_count();
         let task_ms = job.task_ms.iter().copied().max().unwrap_or(0);
@@ -108,9 +144,19 @@
     /// Returns the load of the cell, from which daemons choose between owners.
     pub fn backlog(&self, now: Millis) -> Backlog {
         let mut backlog = Backlog::default();
+        let mut ramping = Backlog::default();
         for worker in self.workers.values().filter(|worker| worker.accepts_tasks(now)) {
-            backlog.capacity_millicores += worker.entry.capacity.cpu_millicores;
-            backlog.free_millicores += worker.free().cpu_millicores;
+            let part = if worker.presence.is_ramping() { &mut ramping } else { &mut backlog };
+            part.capacity_millicores += worker.entry.capacity.cpu_millicores;
+            if !worker.is_cold(now) || worker.cold_room() > 0 {
+                part.free_millicores += worker.free().cpu_millicores;
+            }
+        }
+        if let Some(ramp) = &self.ramp {
+            let room_millicores = ramp.room(&self.workers, Resources::default());
+            backlog.capacity_millicores +=
+                ramping.capacity_millicores.min(ramp.allowed_millicores());
+            backlog.free_millicores += ramping.free_millicores.min(room_millicores);
         }
         for job in self.jobs.values() {
             let pending = job.tasks.iter().filter(|task| task.state == TaskState::Pending);
--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -12,7 +12,7 @@
 use crate::call::End;
 use crate::job::{Job, PreviousOwner, TaskState};
 use crate::pool::{LINK_TIMEOUT_MS, Pool};
-use crate::run::{Run, RunState};
+use crate::run::{Run, RunState, Timing};
 use crate::worker::LEASE_BOUND_MS;
 
 /// Returns how long runs of the previous owner can continue without being found, in
@@ -71,6 +71,7 @@
                         since: orphan.seen_at,
                         sent_at: orphan.seen_at,
                         expected_ms: step.estimate_ms,
+                        timing: Timing::Adopted,
                         ends_at: None,
                     };
                     worker.place(name.clone(), run);
--- a/crates/pool/src/catalogue.rs
+++ b/crates/pool/src/catalogue.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use dispatch::clock::Millis;
 use serde::{Deserialize, Serialize};
 
 use crate::resources::Resources;
@@ -110,22 +111,36 @@
     pub labels: Vec<String>,
     /// Start time of the worker's process, in Unix milliseconds. A new value shows a restart.
     pub started_at_ms: Option<u64>,
+    /// How much longer the worker stays slow after its start, in milliseconds; zero if it is not.
+    pub cold_ms: u64,
 }
 
+/// Largest difference between two ends of a cold period that count as the same, in milliseconds: an
+/// entry may be read that much later after its publication than the next one.
+const COLD_TOLERANCE_MS: u64 = 1_000;
+
 /// All workers that have published a valid entry.
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<Rc<str>, WorkerEntry>,
+    /// When the workers that announced to be cold stop being so.
+    cold_until: HashMap<Rc<str>, Millis>,
     /// Number of workers in each zone, kept up to date because every request reads it.
     count_by_zone: HashMap<Rc<str>, usize>,
 }
 
 impl Directory {
-    /// Sets a worker's entry, or removes the worker if the entry is `None`. Returns whether the
-    /// directory changed.
-    pub fn apply(&mut self, id: &str, entry: Option<WorkerEntry>) -> bool {
-        if entry.is_some() && self.entries.get(id) == entry.as_ref() {
-            return false;
+    /// Sets a worker's entry as read at `now`, or removes the worker if the entry is `None`. Returns
+    /// whether the directory changed. The countdown of a cold period is no change.
+    pub fn apply(&mut self, now: Millis, id: &str, entry: Option<WorkerEntry>) -> bool {
+        let is_cold_changed = self.update_cold(now, id, entry.as_ref());
+        if let (Some(known), Some(entry), false) =
+            (self.entries.get_mut(id), &entry, is_cold_changed)
+        {
+            known.cold_ms = entry.cold_ms;
+            if known == entry {
+                return false;
+            }
         }
         let is_present = entry.is_some();
         let previous = match entry {
@@ -139,6 +154,39 @@
         is_present || previous.is_some()
     }
 
+    /// Updates the end of a worker's cold period. Returns whether it changed by more than the
+    /// tolerance. Within one period of a process it is only moved forward: the entry that was read
+    /// soonest after its publication is the most exact, and a worker that never counts down is taken
+    /// to be warm at the time that it announced first.
+    fn update_cold(&mut self, now: Millis, id: &str, entry: Option<&WorkerEntry>) -> bool {
+        let known = self.cold_until.get(id).copied();
+        let announced = entry.filter(|entry| entry.cold_ms > 0);
+        let Some(announced) = announced else {
+            self.cold_until.remove(id);
+            return known.is_some_and(|until| until > now.plus(COLD_TOLERANCE_MS));
+        };
+        let previous_start = self.entries.get(id).map(|entry| entry.started_at_ms);
+        let known = known.filter(|_| previous_start == Some(announced.started_at_ms));
+        let until = now.plus(announced.cold_ms);
+        let Some(known) = known else {
+            self.cold_until.insert(Rc::from(id), until);
+            return true;
+        };
+        if until < known {
+            self.cold_until.insert(Rc::from(id), until);
+        }
+        until.plus(COLD_TOLERANCE_MS) < known
+    }
+
+    /// Sets the remaining time of every cold period to what is left at `now`.
+    pub fn count_down(&mut self, now: Millis) {
+        for (id, until) in &self.cold_until {
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.cold_ms = until.since(now);
+            }
+        }
+    }
+
     fn decrement_zone(&mut self, entry: Option<&WorkerEntry>) {
         if let Some(count) = entry.and_then(|entry| self.count_by_zone.get_mut(&entry.zone)) {
             *count -= 1;
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -401,6 +401,11 @@
         self.latest_start_for(self.terms.useful_ms(self.expected_ms).min(self.limit_ms()))
     }
 
+    /// Returns the time after which an answer is of no use to the caller.
+    pub fn useful_until(&self) -> Millis {
+        self.arrived_at.plus(self.terms.useful_ms(self.expected_ms).min(self.limit_ms()))
+    }
+
     fn limit_ms(&self) -> u64 {
         self.deadline.since(self.arrived_at)
     }
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -33,6 +33,21 @@
     /// Time left for the job, in milliseconds: until its latency objective or until its caller
     /// stops waiting, whichever is earlier.
     pub allowed_ms: u64,
+    /// Time for which an answer is of use, in milliseconds.
+    pub useful_ms: u64,
+}
+
+/// What limits the choice of a worker besides its own state and the requirements of the task.
+#[derive(Clone, Copy, Debug)]
+pub struct Conditions<'a> {
+    /// Workers that the job may use.
+    pub quarantine: &'a Quarantine<'a>,
+    /// Whether a worker has crashed under the task before.
+    pub is_suspect: bool,
+    /// Ratio of the run times on cold workers to those on warm ones.
+    pub cold_factor: f64,
+    /// CPU that further tasks may occupy on workers that returned together, in thousandths of a core.
+    pub ramp_room_millicores: u64,
 }
 
 impl<'a> TaskRequirements<'a> {
@@ -47,29 +62,69 @@
             step,
             expected_ms: job.expected_ms,
             allowed_ms: objective_at.min(job.deadline).since(now),
+            useful_ms: job.useful_until().since(now),
         }
     }
 }
 
 /// Chooses the worker with the fewest free cores left after the task is placed, or `None` if no
-/// worker has the resources now. Workers in the rack with the data are preferred, then those that
-/// are fast enough for the time left.
+/// worker has the resources now. Warm workers are preferred, then those in the rack with the data,
+/// then those that are fast enough for the time left.
 pub fn choose<'a>(
     workers: &'a BTreeMap<Rc<str>, Worker>,
     need: TaskRequirements<'_>,
-    quarantine: &Quarantine<'_>,
-    is_suspect: bool,
+    conditions: &Conditions<'_>,
     now: Millis,
 ) -> Option<&'a Rc<str>> {
     let fits = |worker: &Worker| {
-        worker.accepts_tasks(now)
-            && quarantine.allows(worker, is_suspect)
-            && worker.free().can_fit(need.step.task_resources)
+        worker.free().can_fit(need.step.task_resources)
+            && worker.accepts_tasks(now)
             && is_compatible(worker, need)
+            && is_within_ramp(worker, need, conditions)
+            && max_cold_runs(worker, need, conditions.cold_factor, now) > 0
             && is_below_max(worker, need)
+            && conditions.quarantine.allows(worker, conditions.is_suspect)
     };
     let candidates = workers.iter().filter(|(_, worker)| fits(worker));
-    candidates.min_by_key(|(_, worker)| rank(worker, need)).map(|(id, _)| id)
+    candidates.min_by_key(|(_, worker)| rank(worker, need, now)).map(|(id, _)| id)
+}
+
+const fn is_within_ramp(
+    worker: &Worker,
+    need: TaskRequirements<'_>,
+    conditions: &Conditions<'_>,
+) -> bool {
+    let needed_millicores = need.step.task_resources.cpu_millicores;
+    !worker.presence.is_ramping() || needed_millicores <= conditions.ramp_room_millicores
+}
+
+/// Returns how many further tasks a worker may get because it is cold: none if they would end too
+/// late to be of use, and no limit if it is warm.
+pub fn max_cold_runs(
+    worker: &Worker,
+    need: TaskRequirements<'_>,
+    cold_factor: f64,
+    now: Millis,
+) -> u64 {
+    if !worker.is_cold(now) {
+        u64::MAX
+    } else if is_soon_enough(worker, need, cold_factor, now) {
+        worker.cold_room()
+    } else {
+        0
+    }
+}
+
+/// Whether a task is expected to end on the worker while its answer is of use. Not asked of warm
+/// workers, because they refuse nothing for a wrong estimate.
+pub fn is_soon_enough(
+    worker: &Worker,
+    need: TaskRequirements<'_>,
+    cold_factor: f64,
+    now: Millis,
+) -> bool {
+    let expected_ms = need.expected_ms as f64 * worker.slowdown() * cold_factor;
+    !worker.is_cold(now) || expected_ms <= need.useful_ms as f64
 }
 
 /// Whether the worker could run the task if all of its resources were free.
@@ -85,11 +140,11 @@
     max == 0 || worker.runs_of_step(need.job, need.step_number) < max
 }
 
-fn rank(worker: &Worker, need: TaskRequirements<'_>) -> (bool, bool, u64) {
+fn rank(worker: &Worker, need: TaskRequirements<'_>, now: Millis) -> (bool, bool, bool, u64) {
     let rack = need.step.data_rack.as_ref();
     let lacks_data = rack.is_some_and(|rack| !worker.entry.labels.contains(rack));
     let is_too_slow =
         need.expected_ms as f64 * worker.slowdown() * RUN_TIME_MARGIN > need.allowed_ms as f64;
     let left = worker.free().minus(need.step.task_resources);
-    (lacks_data, is_too_slow, left.cpu_millicores)
+    (worker.is_cold(now), lacks_data, is_too_slow, left.cpu_millicores)
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -14,17 +14,19 @@
 use crate::adoption::in_doubt_ms;
 use crate::call::{PollCall, StartCall, StopCall, Target};
 use crate::catalogue::{Terms, WorkerEntry};
+use crate::cold::ColdSlowdown;
 use crate::crashes::CrashHistory;
 use crate::estimate::Estimates;
 use crate::job::{
     Job, JobSpec, Outcome, PreviousOwner, Progress, Reason, Step, TaskName, TaskState,
 };
 use crate::loss::{ProcessChange, WorkerLife, WorkerLoss};
-use crate::placement::{self, TaskRequirements};
+use crate::placement::{self, Conditions, TaskRequirements};
 use crate::quarantine::{Quarantine, is_given_up};
 use crate::queue;
+use crate::ramp::{Departed, Ramp, RampEvent};
 use crate::round_trip::RoundTrip;
-use crate::run::{Run, RunState};
+use crate::run::{Run, RunState, Timing};
 use crate::warm_up::WarmUp;
 use crate::worker::{LEASE_MS, RunUpdate, Worker};
 
@@ -55,6 +57,8 @@
     ReportProcess(ProcessChange),
     /// Record that a worker, named by its id, has an active run that this owner does not know.
     ReportOrphan(Rc<str>, TaskName, u32),
+    /// Record that load begins to return gradually to workers that were gone, or has returned.
+    ReportRamp(RampEvent),
 }
 
 /// A job as it is submitted to the owner of a cell.
@@ -96,6 +100,10 @@
     pub(crate) round_trip: RoundTrip,
     pub(crate) warm_up: WarmUp,
     pub(crate) crashes: CrashHistory,
+    pub(crate) cold: ColdSlowdown,
+    pub(crate) ramp: Option<Ramp>,
+    // Workers that were dropped from the list lately.
+    pub(crate) departed: BTreeMap<Rc<str>, Departed>,
     // Whether `set_workers` has been called.
     pub(crate) has_worker_list: bool,
     pub(crate) actions: Vec<Action>,
@@ -118,6 +126,9 @@
             round_trip: RoundTrip::default(),
             warm_up: WarmUp::NotBegun,
             crashes: CrashHistory::default(),
+            cold: ColdSlowdown::default(),
+            ramp: None,
+            departed: BTreeMap::new(),
             has_worker_list: false,
             actions: Vec::new(),
             last_number: 1,
@@ -177,15 +188,23 @@
         for (id, entry) in entries {
             match self.workers.get_mut(id) {
                 None => {
-                    let worker = Worker::new(Rc::clone(id), entry.clone(), now);
+                    let mut worker = Worker::new(Rc::clone(id), entry.clone(), now);
+                    let departed = self.departed.get(id);
+                    if departed
+                        .is_some_and(|departed| departed.started_at_ms != entry.started_at_ms)
+                    {
+                        worker.presence.record_replacement();
+                    }
                     self.workers.insert(Rc::clone(id), worker);
                 }
                 Some(worker) => changes.extend(worker.update_entry(entry, now)),
             }
         }
         self.expire_leases(now);
+        self.update_departed(now);
         self.workers.retain(|_, worker| worker.listed || worker.may_have_active_runs(now));
         self.apply(now, changes, None);
+        self.record_usable_workers(now);
         self.advance(now);
     }
 
@@ -257,6 +276,7 @@
         self.expire_leases(now);
         self.resolve_in_doubt(now);
         self.update_warm_up(now);
+        self.update_ramp(now);
         self.place_queued_jobs(now);
         self.end_expired_jobs(now);
         self.send_polls(now);
@@ -348,6 +368,7 @@
             .chain(in_doubt_ends)
             .chain(self.workers.values().filter_map(Worker::next_expiry))
             .chain(self.warm_up_limit())
+            .chain(self.ramp.map(|ramp| ramp.next_due()))
             .map(|at| at.max(now))
             .min()
     }
@@ -400,6 +421,7 @@
     }
 
     pub(crate) fn place_job(&mut self, now: Millis, number: u64) {
+        let cold_factor = self.cold.factor();
         let Some(job) = self.jobs.get_mut(&number) else { return };
         for task_index in 0..job.tasks.len() {
             let task = job.tasks[task_index].clone();
@@ -411,9 +433,16 @@
             }
             let step = &job.spec.steps[task.step as usize];
             let need = TaskRequirements::of(job, task.step, step, now);
-            let quarantine = Quarantine::new(&self.workers, &self.crashes, job, now);
-            let chosen =
-                placement::choose(&self.workers, need, &quarantine, task.is_suspect, now).cloned();
+            let conditions = Conditions {
+                quarantine: &Quarantine::new(&self.workers, &self.crashes, job, now),
+                is_suspect: task.is_suspect,
+                cold_factor,
+                ramp_room_millicores: match self.ramp {
+                    None => u64::MAX,
+                    Some(ramp) => ramp.room(&self.workers, step.task_resources),
+                },
+            };
+            let chosen = placement::choose(&self.workers, need, &conditions, now).cloned();
             let Some(id) = chosen else {
                 if task.is_suspect {
                     continue;
@@ -434,6 +463,7 @@
                 since: now,
                 sent_at: now,
                 expected_ms: job.task_ms[task.step as usize],
+                timing: if worker.is_cold(now) { Timing::Cold(cold_factor) } else { Timing::Warm },
                 ends_at: None,
             };
             let call = StartCall {
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -12,7 +12,7 @@
 use crate::crashes::Crash;
 use crate::job::{Outcome, Reason, TaskState};
 use crate::pool::{Action, Pool};
-use crate::run::RunState;
+use crate::run::{Measurement, RunState, Timing};
 use crate::worker::RunUpdate;
 
 /// Increment of the run number after a worker refused a start because it knows a higher one, for
@@ -97,6 +97,7 @@
             PollReply::Refused(_) | PollReply::Lost => worker.record_unanswered_poll(now),
         };
         self.apply(now, changes, Some(id));
+        self.record_usable_worker(now, id);
         self.advance(now);
     }
 
@@ -128,8 +129,10 @@
     pub(crate) fn apply(&mut self, now: Millis, changes: Vec<RunUpdate>, id: Option<&str>) {
         for change in changes {
             match change {
-                RunUpdate::Ended { job_task: (number, at), end, normalized_ms } => {
-                    self.record_run(number, at, end, normalized_ms);
+                RunUpdate::Ended { job_task: (number, at), end, measured } => {
+                    if let Some(measured) = measured {
+                        self.record_run(number, at, end, measured);
+                    }
                     self.task_ended(now, number, at, end);
                 }
                 RunUpdate::Stop { task, run } => {
@@ -160,10 +163,26 @@
         }
     }
 
-    fn record_run(&mut self, number: u64, at: usize, end: End, normalized_ms: f64) {
+    /// Updates the ramp from an ended run, and the estimate that its duration tells about.
+    fn record_run(&mut self, number: u64, at: usize, end: End, measured: Measurement) {
+        if let (Some(ramp), 1..) = (&mut self.ramp, measured.ramp_millicores)
+            && end != End::Interrupted
+        {
+            ramp.record_end(measured.ramp_millicores, end == End::Done);
+        }
         let Some(job) = self.jobs.get(&number).filter(|_| end == End::Done) else { return };
-        let declared_ms = job.spec.steps[job.tasks[at].step as usize].estimate_ms;
-        self.estimates.record_run(&job.terms.route, declared_ms, normalized_ms);
+        match measured.timing {
+            Timing::Warm => {
+                let declared_ms = job.spec.steps[job.tasks[at].step as usize].estimate_ms;
+                let normalized_ms = measured.took_ms as f64 / measured.slowdown;
+                self.estimates.record_run(&job.terms.route, declared_ms, normalized_ms);
+            }
+            Timing::Cold(_) => {
+                let warm_ms = measured.expected_ms as f64 * measured.slowdown;
+                self.cold.record(measured.took_ms, warm_ms);
+            }
+            Timing::Adopted => {}
+        }
     }
 
     fn task_ended(&mut self, now: Millis, number: u64, at: usize, end: End) {
--- a/crates/pool/src/run.rs
+++ b/crates/pool/src/run.rs
@@ -21,6 +21,33 @@
     Stopping,
 }
 
+/// What the duration of a run tells about.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Timing {
+    /// The worker was warm: about its speed, and about the route.
+    Warm,
+    /// The worker was cold, with the expected ratio to the run time when warm: only about the
+    /// slowdown of the cell's cold workers.
+    Cold(f64),
+    /// The run was adopted, so that the time of its start is not known: about nothing.
+    Adopted,
+}
+
+/// What an ended run shows besides its result.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Measurement {
+    /// Time from the start to the report of the end, in milliseconds.
+    pub took_ms: u64,
+    /// Expected run time on a worker of average speed, in milliseconds.
+    pub expected_ms: u64,
+    /// Slowdown of the worker when it is warm.
+    pub slowdown: f64,
+    /// What the duration tells about.
+    pub timing: Timing,
+    /// CPU of the run if its worker was limited by a ramp, otherwise zero.
+    pub ramp_millicores: u64,
+}
+
 /// A run that this daemon started.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -45,6 +72,8 @@
     pub sent_at: Millis,
     /// Expected run time on a worker of average speed, in milliseconds.
     pub expected_ms: u64,
+    /// What the duration of the run tells about.
+    pub timing: Timing,
     /// Expected end, extrapolated from the reported progress; `None` before the progress allows
     /// an estimate.
     pub ends_at: Option<Millis>,
@@ -63,9 +92,13 @@
     }
 
     /// Estimates the remaining run time on a worker with the given slowdown, in milliseconds.
-    /// The slowdown is the ratio of actual to expected run time.
+    /// The slowdown is the ratio of actual to expected run time on the worker when it is warm.
     pub fn remaining_ms(&self, slowdown: f64, now: Millis) -> u64 {
-        let expected_ms = (self.expected_ms as f64 * slowdown) as u64;
+        let cold_factor = match self.timing {
+            Timing::Cold(factor) => factor,
+            Timing::Warm | Timing::Adopted => 1.0,
+        };
+        let expected_ms = (self.expected_ms as f64 * slowdown * cold_factor) as u64;
         let ends_at = self.ends_at.unwrap_or_else(|| self.sent_at.plus(expected_ms));
         if ends_at > now { ends_at.since(now) } else { expected_ms / OVERDUE_DIVISOR }
     }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -8,10 +8,12 @@
 
 use crate::call::{End, Report, Target};
 use crate::catalogue::{WorkerEntry, WorkerState};
+use crate::cold::ColdStart;
 use crate::job::TaskName;
 use crate::loss::{LossCause, LostRun, ProcessChange, ProcessEvidence, WorkerLife, WorkerLoss};
+use crate::ramp::Presence;
 use crate::resources::Resources;
-use crate::run::{OrphanedRun, Run, RunState};
+use crate::run::{Measurement, OrphanedRun, Run, RunState, Timing};
 
 /// Duration of a lease, in milliseconds. It is short enough that every run of a daemon that died
 /// has ended before a caller resends its request (after 1,300 ms in the users' settings).
@@ -72,9 +74,8 @@
         job_task: (u64, usize),
         /// Result of the run.
         end: End,
-        /// Run time divided by the worker's slowdown, in milliseconds; used only if the task
-        /// succeeded.
-        normalized_ms: f64,
+        /// Duration of the run, unless it was interrupted.
+        measured: Option<Measurement>,
     },
     /// A stop has to be sent for a run, for the first time or again.
     Stop {
@@ -140,6 +141,9 @@
     created_at: Millis,
     /// Logarithm of the ratio of run time to expected run time, as a moving average.
     log_slowdown: f64,
+    cold_start: ColdStart,
+    /// Whether the worker was gone, and is limited by a ramp after its return.
+    pub(crate) presence: Presence,
     clock: Option<ClockReading>,
     /// Start time of the process that sent the last report, in Unix milliseconds.
     started_at_ms: Option<u64>,
@@ -180,6 +184,8 @@
     pub fn new(id: Rc<str>, entry: WorkerEntry, now: Millis) -> Self {
         let polled_addr = entry.addr;
         let is_leaving = entry.state == WorkerState::Draining;
+        let mut cold_start = ColdStart::default();
+        cold_start.announce(entry.cold_ms, now);
         Self {
             id,
             polled_addr,
@@ -194,6 +200,8 @@
             next_poll_at: Some(now),
             poll_sent_at: None,
             log_slowdown: 0.0,
+            cold_start,
+            presence: Presence::default(),
             clock: None,
             started_at_ms: None,
             process_doubted_at: None,
@@ -216,12 +224,35 @@
         sent_at < self.created_at
     }
 
-    /// Returns the average ratio of run time to expected run time; 1.0 for a worker as fast as
-    /// expected.
+    /// Returns the average ratio of run time to expected run time while the worker is warm; 1.0 for
+    /// a worker as fast as expected.
     pub fn slowdown(&self) -> f64 {
         self.log_slowdown.exp()
     }
 
+    /// Whether the worker is still slow after its start, as it has announced.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        self.cold_start.is_cold(now)
+    }
+
+    /// Returns how many further runs the worker may have while it is cold.
+    pub fn cold_room(&self) -> u64 {
+        self.cold_start.max_runs().saturating_sub(self.runs.len() as u64)
+    }
+
+    /// Returns the start time of the process that sent the last report, or that the entry names.
+    pub(crate) fn started_at_ms(&self) -> Option<u64> {
+        self.started_at_ms.or(self.entry.started_at_ms)
+    }
+
+    /// Whether the worker is listed as ready, and the process that is known replies.
+    pub(crate) fn is_in_contact(&self) -> bool {
+        self.is_eligible()
+            && self.has_replied()
+            && self.unanswered_polls == 0
+            && self.process_doubted_at.is_none()
+    }
+
     /// Whether the worker has replied to any call since this daemon owns it.
     pub const fn has_replied(&self) -> bool {
         self.clock.is_some()
@@ -261,6 +292,11 @@
         self.entry.capacity.minus(self.used)
     }
 
+    /// Returns the CPU that runs of this daemon use, in thousandths of a core.
+    pub(crate) const fn used_millicores(&self) -> u64 {
+        self.used.cpu_millicores
+    }
+
     /// Returns whether the worker was lost with active runs and has not replied since.
     pub const fn is_lost(&self) -> bool {
         self.reported_loss.is_some()
@@ -368,6 +404,7 @@
     /// whose lease has certainly expired.
     pub fn record_unanswered_poll(&mut self, now: Millis) -> Vec<RunUpdate> {
         self.poll_sent_at = None;
+        self.presence.record_silence(now);
         self.unanswered_polls += 1;
         self.next_poll_at =
             Some(now.plus(POLL_RETRY_MS * u64::from((self.unanswered_polls - 1).min(8))));
@@ -448,7 +485,7 @@
         let loss = self.report_loss(LossCause::Silent);
         let expired = self.runs.values_mut().filter_map(|run| {
             let job_task = run.task_ref.take()?;
-            Some(RunUpdate::Ended { job_task, end: End::Interrupted, normalized_ms: 0.0 })
+            Some(RunUpdate::Ended { job_task, end: End::Interrupted, measured: None })
         });
         loss.into_iter().chain(expired).collect()
     }
@@ -460,6 +497,7 @@
             && entry.started_at_ms != self.started_at_ms;
         let is_doubtful = is_other_process || entry.addr != self.entry.addr;
         self.entry.clone_from(entry);
+        self.cold_start.announce(entry.cold_ms, now);
         self.listed = true;
         if self.is_entry_of_process() {
             self.is_leaving = entry.state == WorkerState::Draining;
@@ -512,6 +550,7 @@
 
     fn update_clock(&mut self, clock_ms: u64, asked_at: Millis, now: Millis) {
         self.unanswered_polls = 0;
+        self.presence.record_reply(now);
         self.clock = Some(ClockReading { clock_ms, asked_at, read_at: now });
     }
 
@@ -532,14 +571,19 @@
     /// Updates the slowdown and the health of the worker from an ended run. Since a job that can
     /// never succeed fails on every worker, failures count against a worker only if different jobs
     /// fail in succession.
-    pub fn record_run(&mut self, job: u64, end: End, took_ms: u64, expected_ms: u64, now: Millis) {
+    fn record_run(&mut self, job: u64, end: End, run: &Run, now: Millis) {
+        if self.is_cold(now) && end != End::Interrupted {
+            self.cold_start.record_end(end == End::Done);
+        }
         match end {
             End::Done => {
                 self.failures = 0;
                 self.pause_ms = MIN_PAUSE_MS;
-                let ratio = took_ms as f64 / expected_ms.max(1) as f64;
-                let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-                self.log_slowdown += SLOWDOWN_WEIGHT * (ratio.ln() - self.log_slowdown);
+                if run.timing == Timing::Warm {
+                    let ratio = now.since(run.sent_at) as f64 / run.expected_ms.max(1) as f64;
+                    let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
+                    self.log_slowdown += SLOWDOWN_WEIGHT * (ratio.ln() - self.log_slowdown);
+                }
             }
             End::Failed if self.last_failed_job != Some(job) => {
                 self.last_failed_job = Some(job);
@@ -595,6 +639,8 @@
             self.acking = 0;
             self.orphaned_runs.clear();
             self.log_slowdown = 0.0;
+            self.cold_start.restart();
+            self.presence.record_replacement();
             self.failures = 0;
             self.last_failed_job = None;
             self.paused_until = Millis(0);
@@ -628,10 +674,9 @@
             if self.runs.get(task).is_some_and(|run| run.run == ended.run) {
                 let Some(run) = self.remove(task) else { continue };
                 let Some(job_task) = run.task_ref else { continue };
-                let took_ms = now.since(run.sent_at);
-                self.record_run(job_task.0, ended.end, took_ms, run.expected_ms, now);
-                let normalized_ms = took_ms as f64 / self.slowdown();
-                changes.push(RunUpdate::Ended { job_task, end: ended.end, normalized_ms });
+                self.record_run(job_task.0, ended.end, &run, now);
+                let measured = Some(self.measure(&run, now));
+                changes.push(RunUpdate::Ended { job_task, end: ended.end, measured });
             } else {
                 let orphan = OrphanedRun { run: ended.run, end: Some(ended.end), seen_at: now };
                 let known = self.orphaned_runs.entry(task.clone()).or_insert(orphan);
@@ -643,6 +688,17 @@
         changes
     }
 
+    fn measure(&self, run: &Run, now: Millis) -> Measurement {
+        let is_ramping = self.presence.is_ramping();
+        Measurement {
+            took_ms: now.since(run.sent_at),
+            expected_ms: run.expected_ms,
+            slowdown: self.slowdown(),
+            timing: run.timing,
+            ramp_millicores: if is_ramping { run.resources.cpu_millicores } else { 0 },
+        }
+    }
+
     /// Removes runs that the report lacks although they were confirmed before the poll was sent.
     fn apply_missing(&mut self, sent_at: Millis, report: &Report) -> Vec<RunUpdate> {
         let missing = |(name, run): (&TaskName, &Run)| {
@@ -655,7 +711,7 @@
         for name in names {
             let Some(run) = self.remove(&name) else { continue };
             let Some(job_task) = run.task_ref else { continue };
-            changes.push(RunUpdate::Ended { job_task, end: End::Interrupted, normalized_ms: 0.0 });
+            changes.push(RunUpdate::Ended { job_task, end: End::Interrupted, measured: None });
         }
         changes
     }
@@ -750,7 +806,7 @@
         let mut changes: Vec<RunUpdate> = change.into_iter().chain(loss).collect();
         for task in ended {
             let Some(job_task) = self.remove(&task).and_then(|run| run.task_ref) else { continue };
-            changes.push(RunUpdate::Ended { job_task, end: End::Interrupted, normalized_ms: 0.0 });
+            changes.push(RunUpdate::Ended { job_task, end: End::Interrupted, measured: None });
         }
         self.orphaned_runs.clear();
         changes.extend(self.record_unanswered_poll(now));
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses only a part of the fixtures")]
 
+pub mod fleet;
 pub mod simulation;
 
 use std::rc::Rc;
@@ -26,6 +27,7 @@
         capacity: Resources { memory_mb: 1_000, ..cores(capacity) },
         labels: vec!["a".into(), format!("r{}", number / 4)],
         started_at_ms: Some(1),
+        cold_ms: 0,
     }
 }
 
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -138,6 +138,7 @@
             capacity: capacity(),
             labels: vec!["a".into(), "r1".into()],
             started_at_ms: Some(started_at_ms),
+            cold_ms: 0,
         };
         self.store.put(WORKER_TOPIC, &self.key, Some(write_entry(&entry)));
     }
