--- a/crates/pool/src/evacuation.rs
+++ b/crates/pool/src/evacuation.rs
@@ -164,7 +164,7 @@
         if is_evacuated {
             self.evacuate(now, now.plus(PARTIAL_START_MS));
         } else if self.start_limits.evacuated_until.take().is_some() {
-            // The ramp of returning workers (pool::ramp) begins here.
+            self.begin_ramp(now);
             self.advance(now);
         }
     }
