Let the holder of a cell's partition delegate the cell to a larger daemon

Cause: the store deals partitions evenly and without weights; one daemon of 0.09 core owned all four cells of its zone. Change: daemons state their capacity (`[capacity]`, third part of the member name). The holder offers its cells to daemons that carry them with at most half of the load (pool::balance), renews the delegations every 300 ms and takes cells back. Fencing tokens are generation * 1024 + step (pool::tokens); a pool continues under a raised token. Daemons that the holder chose stay in the table of owners although the store lists the holder. Measured load (loop turns, CPU time) counts as twice the load. The tests of owners and releases use the first token of a generation where they used the generation.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -13,7 +13,7 @@
 use pool::cells::Cell;
 use pool::pool::Submission;
 
-use crate::state::{Entry, Phase};
+use crate::state::{Entry, OwnedCell, Phase};
 
 /// Time during which new connections of callers may still arrive after the daemon has become
 /// unready, in milliseconds. The platform checks readiness once a second and stops routing callers
@@ -51,14 +51,25 @@
             let release_at = started_at.plus(drain_limit_ms.saturating_sub(RELEASE_RESERVE_MS));
             self.serve_as_last_of_zone(release_at).await;
         }
-        let owned: Vec<(Cell, u64)> = {
+        let (owned, delegated) = {
             let owned = self.owned.borrow();
-            owned.iter().map(|(cell, owned)| (cell.clone(), owned.pool.token())).collect()
+            let delegated = |(cell, owned): (&Cell, &OwnedCell)| {
+                Some((cell.clone(), owned.pool.token(), owned.holder?))
+            };
+            let delegated: Vec<_> = owned.iter().filter_map(delegated).collect();
+            let owned = owned.iter().map(|(cell, owned)| (cell.clone(), owned.pool.token()));
+            (owned.collect::<Vec<(Cell, u64)>>(), delegated)
         };
         for (cell, _) in &owned {
             self.release_cell(cell, "drain");
         }
-        let handover = std::pin::pin!(self.hand_over_and_leave(&owned));
+        let handover = async {
+            let returned = self.return_cells(delegated).await;
+            let left: Vec<(Cell, u64)> =
+                owned.into_iter().filter(|(cell, _)| !returned.contains(cell)).collect();
+            self.hand_over_and_leave(&left).await;
+        };
+        let handover = std::pin::pin!(handover);
         if timeout(Duration::from_millis(HANDOVER_TIMEOUT_MS), handover).await.is_err() {
             log::warn!("part=drain event=handing_cut after_ms={HANDOVER_TIMEOUT_MS}");
         }
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -20,6 +20,13 @@
     cells: Vec<CellDump>,
     /// Cells and the addresses of their owners.
     owners: Vec<(String, String)>,
+    /// Capacity of this daemon in thousandths of a core; `None` if it is unknown.
+    capacity: Option<u64>,
+    is_saturated: bool,
+    /// Addresses of the zone's other responsive daemons, with their capacities.
+    capacities: Vec<(String, u64)>,
+    /// Cells that this daemon holds and has delegated to another one.
+    delegations: Vec<DelegationDump>,
     /// Routes that are confined because their tasks crash workers.
     confined_routes: Vec<String>,
     /// Jobs that are not started again because they crash workers.
@@ -31,10 +38,20 @@
 struct CellDump {
     cell: String,
     token: u64,
+    /// Address of the daemon that delegated the cell to this one.
+    holder: Option<String>,
     pending_jobs: usize,
     workers: Vec<WorkerDump>,
 }
 
+#[derive(Debug)]
+#[derive(Serialize)]
+struct DelegationDump {
+    cell: String,
+    owner: String,
+    token: u64,
+}
+
 #[derive(Debug)]
 #[derive(Serialize)]
 struct WorkerDump {
@@ -58,6 +75,7 @@
         let cells = owned.iter().map(|(cell, owned)| CellDump {
             cell: cell.to_string(),
             token: owned.pool.token(),
+            holder: owned.holder.map(|addr| addr.to_string()),
             pending_jobs: owned.pool.pending_jobs(),
             workers: owned
                 .pool
@@ -65,6 +83,14 @@
                 .map(|(id, worker)| worker_dump(id, worker, worker.accepts_tasks(now)))
                 .collect(),
         });
+        let delegations = self.delegations.borrow();
+        let delegations = delegations.iter().map(|(cell, delegation)| DelegationDump {
+            cell: cell.to_string(),
+            owner: delegation.addr.to_string(),
+            token: delegation.token,
+        });
+        let members = self.zone().members.into_iter();
+        let others = members.filter(|(addr, _)| *addr != self.settings.advertised);
         let owners = self.owners.borrow();
         let is_listed = |cell| owned.contains_key(cell) || cell.partition == 0;
         let owners = owners.iter().filter(|(cell, _)| is_listed(cell));
@@ -78,6 +104,10 @@
             owners: owners
                 .map(|(cell, owner)| (cell.to_string(), owner.addr.to_string()))
                 .collect(),
+            capacity: self.settings.capacity_millicores(),
+            is_saturated: self.is_saturated(),
+            capacities: others.map(|(addr, member)| (addr.to_string(), member.capacity)).collect(),
+            delegations: delegations.collect(),
             confined_routes: to_strings(&self.crashes.borrow().confined_routes(now)),
             convicted_jobs: to_strings(&self.crashes.borrow().convicted_jobs()),
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cli;
 pub mod clock;
 mod crashes;
+pub mod delegation;
 pub mod drain;
 pub mod dump;
 pub mod error;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -38,6 +38,10 @@
     pub forwarded: IntCounterVec,
     /// Cells acquired and lost, by kind of change.
     pub cells: IntCounterVec,
+    /// Offers, transfers and returns of cells between their holders and other daemons, by result.
+    pub delegations: IntCounterVec,
+    /// 1 while this daemon has more work than it can carry, by its own measure.
+    pub saturated: IntGauge,
     /// Version of the catalogue in force.
     pub catalogue_version: IntGauge,
     /// Duration of a short call to the store, in seconds.
@@ -67,6 +71,8 @@
         registry.register(Box::new(ended_runs.clone()))?;
         let catalogue_version = IntGauge::new("entry_catalogue_version", "Version in force.")?;
         registry.register(Box::new(catalogue_version.clone()))?;
+        let saturated = IntGauge::new("entry_saturated", "More work than the VM can carry.")?;
+        registry.register(Box::new(saturated.clone()))?;
         let orphaned_runs = IntCounter::new("entry_orphans_total", "Runs that no owner knew.")?;
         registry.register(Box::new(orphaned_runs.clone()))?;
         Ok(Self {
@@ -92,6 +98,12 @@
             store_calls: counters("entry_store_calls_total", "Store calls.", &["call", "result"])?,
             forwarded: counters("entry_forwarded_total", "Jobs sent on.", &["result"])?,
             cells: counters("entry_cells_total", "Cells gained and lost.", &["change"])?,
+            delegations: counters(
+                "entry_delegations_total",
+                "Delegations of cells by result.",
+                &["result"],
+            )?,
+            saturated,
             catalogue_version,
             store_latency_s,
             registry,
--- a/crates/entry/src/owners.rs
+++ b/crates/entry/src/owners.rs
@@ -9,6 +9,7 @@
 use dispatch::clock::Millis;
 use pool::cells::Cell;
 
+use crate::delegation::Delegation;
 use crate::ownership::{GROUP, PEER_TIMEOUT_MS, TOPIC_PREFIX};
 use crate::protocol::{Ownership, Reply, Request};
 use crate::state::Entry;
@@ -74,12 +75,16 @@
             }
             Some(_) | None => {}
         }
+        let is_overtaken = |known: &Delegation| known.token < *token;
+        if self.delegations.borrow().get(cell).is_some_and(is_overtaken) {
+            self.delegations.borrow_mut().remove(cell);
+        }
         if self.owners.borrow_mut().record(cell, *addr, *token, self.now()) {
             self.responsiveness.borrow_mut().record_reply(*addr);
         }
     }
 
-    fn announce_to(self: &Rc<Self>, addr: SocketAddr, ownership: Ownership) {
+    pub(crate) fn announce_to(self: &Rc<Self>, addr: SocketAddr, ownership: Ownership) {
         let entry = Rc::clone(self);
         actix_rt::spawn(async move {
             let request = Request::AnnounceOwner(ownership);
@@ -116,6 +121,11 @@
             return;
         }
         let addr = peers[rand::random_range(0..peers.len())];
+        Rc::clone(self).query_owners(addr).await;
+    }
+
+    /// Queries another daemon for the owners of cells.
+    pub(crate) async fn query_owners(self: Rc<Self>, addr: SocketAddr) {
         if let Ok(Reply::Owners(owners)) =
             self.links.call(addr, Request::Owners, PEER_TIMEOUT_MS).await
         {
@@ -142,23 +152,22 @@
         self.record_store_call("owners", &rows, started_at);
         let Ok(rows) = rows else { return };
         self.update_empty_zones(&rows);
-        let is_zone_peer = |row: &Owner| {
-            let member = row.member.split_once('|');
-            member.is_some_and(|(_, zone)| zone == self.settings.zone)
-                && row.member != self.member_name()
+        let is_zone_peer = |member: MemberName<'_>| {
+            member.zone == self.settings.zone && member.addr != self.settings.advertised
         };
-        self.has_zone_peers.set(rows.iter().any(is_zone_peer));
+        self.has_zone_peers.set(rows.iter().filter_map(parse_member).any(is_zone_peer));
         let mut listed_owners = Vec::new();
         for row in &rows {
             let Some(zone) = row.topic.strip_prefix(TOPIC_PREFIX) else { continue };
-            let Some(addr) = member_addr(&row.member) else { continue };
-            if let Some((_, zone)) = row.member.split_once('|') {
-                self.add_peer(addr, zone);
-            }
+            let Some(member) = parse_member(row) else { continue };
+            self.add_peer(member.addr, member.zone);
+            let addr = member.addr;
             let cell = Cell { zone: Rc::from(zone), partition: row.partition };
             let addr = self.settled_owner(&cell, addr);
             listed_owners.push((cell, addr));
         }
+        let capacity = |member: MemberName<'_>| Some((member.addr, member.capacity?));
+        self.record_capacities(rows.iter().filter_map(parse_member).filter_map(capacity));
         let owns = |cell: &Cell| self.owned.borrow().contains_key(cell);
         self.owners.borrow_mut().apply_store_rows(listed_owners.into_iter(), owns, started_at);
         state.pause_ms = self.next_read_ms(started_at);
@@ -192,11 +201,8 @@
 
     fn update_empty_zones(&self, rows: &[Owner]) {
         let now = self.now();
-        let zones_with_daemons: BTreeSet<&str> = rows
-            .iter()
-            .filter_map(|row| row.member.split_once('|'))
-            .map(|(_, zone)| zone)
-            .collect();
+        let zones_with_daemons: BTreeSet<&str> =
+            rows.iter().filter_map(parse_member).map(|member| member.zone).collect();
         let mut empty_since = self.empty_zones_since.borrow_mut();
         for zone in self.known_zones() {
             if zones_with_daemons.contains(zone.as_str()) || zone == self.settings.zone {
@@ -208,6 +214,20 @@
     }
 }
 
-fn member_addr(member: &str) -> Option<SocketAddr> {
-    member.split_once('|')?.0.parse().ok()
+/// Name of a daemon in the store's group.
+#[derive(Clone, Copy, Debug)]
+struct MemberName<'a> {
+    addr: SocketAddr,
+    zone: &'a str,
+    /// `None` if the daemon does not state its capacity.
+    capacity: Option<u64>,
+}
+
+/// Parses the name of the member in a row: `ADDR|ZONE` or `ADDR|ZONE|CAPACITY`.
+fn parse_member(row: &Owner) -> Option<MemberName<'_>> {
+    let mut parts = row.member.split('|');
+    let addr = parts.next()?.parse().ok()?;
+    let zone = parts.next()?;
+    let capacity = parts.next().and_then(|capacity| capacity.parse().ok());
+    Some(MemberName { addr, zone, capacity })
 }
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -20,7 +20,7 @@
 /// Prefix of the name of a zone's topic; the zone follows it.
 pub(crate) const TOPIC_PREFIX: &str = "cells.";
 /// Number of membership renewals within the lifetime of an ownership.
-const RENEWALS_PER_TTL: u64 = 4;
+pub(crate) const RENEWALS_PER_TTL: u64 = 4;
 /// Pause between two renewals while the assignment changes, in milliseconds. The store reassigns a
 /// partition only after its previous holder has joined with the new generation.
 const UNSETTLED_RENEWAL_INTERVAL_MS: u64 = 75;
@@ -111,6 +111,7 @@
             group.generation = joined.generation;
             if group.is_changing {
                 log_assignment(joined);
+                self.balance.borrow_mut().record_assignment(self.now());
                 self.owners_changed.notify_one();
             }
         }
@@ -173,11 +174,13 @@
         self.metrics.store_latency_s.observe(self.now().since(started_at) as f64 / 1_000.0);
     }
 
-    /// Returns the name of this daemon in the group. It contains the address, so that other daemons
-    /// can be discovered from the store's list of members. A restarted process has the same name
-    /// and therefore keeps its cells.
+    /// Returns the name of this daemon in the group. It contains the address and the capacity, if
+    /// known, so that other daemons can be discovered from the store's list of members. A restarted
+    /// process has the same name and therefore keeps its cells.
     pub(crate) fn member_name(&self) -> String {
-        format!("{}|{}", self.settings.advertised, self.settings.zone)
+        let capacity = self.settings.capacity_millicores().map(|capacity| format!("|{capacity}"));
+        let (addr, zone) = (self.settings.advertised, &self.settings.zone);
+        format!("{addr}|{zone}{}", capacity.unwrap_or_default())
     }
 
     fn zones_to_serve(&self) -> BTreeSet<String> {
@@ -197,9 +200,12 @@
     fn apply_assignment(self: &Rc<Self>, joined: &JoinReply) -> bool {
         let partitions = self.settings.partitions;
         let may_own = |held: &HeldPartition| is_cell_partition(held.partition, partitions);
-        self.set_may_own(joined.held.iter().any(may_own) || !self.owned.borrow().is_empty());
+        let may_be_chosen = self.balance.borrow().may_be_chosen(&self.zone());
+        let owns_any = !self.owned.borrow().is_empty();
+        self.set_may_own(joined.held.iter().any(may_own) || owns_any || may_be_chosen);
         let assigned = self.assigned_cells(&joined.held);
         self.assignment.replace((joined.generation, assigned.clone()));
+        self.retain_held_delegations();
         let before: Vec<Cell> = self.owned.borrow().keys().cloned().collect();
         let now = self.now();
         let is_handed_over =
@@ -243,20 +249,34 @@
     }
 
     fn acquire_cell(self: &Rc<Self>, cell: Cell, generation: u64) {
-        if self.owned.borrow().contains_key(&cell) {
+        if self.owned.borrow().contains_key(&cell)
+            || self.delegations.borrow().contains_key(&cell)
+            || self.requested_cells.borrow().contains(&cell)
+            || self.token_for(&cell, generation).is_none()
+        {
             return;
         }
-        let fenced = self.fenced.borrow().get(&cell).copied();
-        if fenced.is_some_and(|token| generation <= token) {
+        let last_owner = self.owners.borrow().remote_owner(&cell);
+        let last_owner = last_owner.filter(|addr| self.is_responsive(*addr));
+        let next_owner = self.owner_for(&cell, None);
+        if last_owner.is_none() && next_owner == self.settings.advertised {
+            self.start_assigned(cell, generation, "dealt");
             return;
         }
-        let last_owner = self.owners.borrow().remote_owner(&cell);
-        match last_owner.filter(|addr| self.is_responsive(*addr)) {
-            None => self.start_assigned(cell, generation, "dealt"),
+        self.requested_cells.borrow_mut().insert(cell.clone());
+        match last_owner {
+            None => {
+                let entry = Rc::clone(self);
+                actix_rt::spawn(async move {
+                    entry.delegate_or_own(&cell, next_owner, "dealt").await;
+                    entry.requested_cells.borrow_mut().remove(&cell);
+                });
+            }
+            Some(owner) if self.should_keep_owner(&cell, owner) => {
+                actix_rt::spawn(Rc::clone(self).keep_owner(cell, owner));
+            }
             Some(owner) => {
-                if self.requested_cells.borrow_mut().insert(cell.clone()) {
-                    actix_rt::spawn(Rc::clone(self).request_cell(cell, owner, generation));
-                }
+                actix_rt::spawn(Rc::clone(self).request_cell(cell, owner, generation));
             }
         }
     }
@@ -281,8 +301,7 @@
             Ok(_) => "released",
             Err(_) => "no_reply",
         };
-        let fenced = self.fenced.borrow().get(&cell).is_some_and(|token| generation <= *token);
-        if !fenced && !self.owned.borrow().contains_key(&cell) {
+        if !self.owned.borrow().contains_key(&cell) {
             self.start_assigned(cell, generation, how);
         }
     }
@@ -320,22 +339,24 @@
 
     /// Acquires a cell that the store has assigned with this generation. Refused when the membership
     /// has run out since, because this process was paused.
-    fn start_assigned(self: &Rc<Self>, cell: Cell, generation: u64, how: &str) {
-        if !self.resettlement.borrow().is_member(self.now()) {
-            log::warn!("part=ownership event=assignment_expired cell={cell} token={generation}");
+    pub(crate) fn start_assigned(self: &Rc<Self>, cell: Cell, generation: u64, how: &str) {
+        let Some(token) = self.token_for(&cell, generation) else { return };
+        let now = self.now();
+        if !self.resettlement.borrow().is_member(now) {
+            log::warn!("part=ownership event=assignment_expired cell={cell} token={token}");
             self.metrics.cells.with_label_values(&["expired"]).inc();
             return;
         }
-        self.start_ownership(cell, generation, how);
+        self.record_issued(&cell, token, now);
+        self.start_ownership(cell, token, how);
     }
 
-    fn start_ownership(self: &Rc<Self>, cell: Cell, token: u64, how: &str) {
+    pub(crate) fn start_ownership(self: &Rc<Self>, cell: Cell, token: u64, how: &str) {
         let pool = Pool::new(token).with_crashes(self.crashes.borrow().clone());
         log::info!("part=ownership event=cell_gained cell={cell} token={token} how={how}");
         self.metrics.cells.with_label_values(&["gained"]).inc();
-        self.owned
-            .borrow_mut()
-            .insert(cell.clone(), OwnedCell { serial: self.allocate_serial(), pool });
+        let owned = OwnedCell { serial: self.allocate_serial(), pool, holder: None };
+        self.owned.borrow_mut().insert(cell.clone(), owned);
         self.refresh_workers(&cell);
         let addr = self.settings.advertised;
         self.broadcast(&Request::AnnounceOwner(Ownership { cell, addr, token }));
@@ -360,15 +381,10 @@
     /// Takes over a cell from a daemon that shuts down and cannot reach the store. The fencing
     /// token stays the same, because the previous owner sends no further orders to workers.
     pub fn accept_handover(self: &Rc<Self>, cell: Cell, token: u64) -> Reply {
-        let is_own_zone = *cell.zone == *self.settings.zone;
-        let overtaken = self.fenced.borrow().get(&cell).is_some_and(|fenced| token <= *fenced);
-        // Without the store, a daemon that does not know the workers has no way to read them.
-        let serves = self.phase.get() == Phase::Serving && self.knows_workers.get();
-        if !serves || !is_own_zone || overtaken || self.owned.borrow().contains_key(&cell) {
+        if !self.can_take_over(&cell, token) {
             return Reply::NotOwner;
         }
-        let until = self.now().plus(2 * self.settings.ownership_ms);
-        self.handover_until.borrow_mut().insert(cell.clone(), until);
+        self.extend_handover(&cell);
         self.start_ownership(cell, token, "handed");
         Reply::TakenOver
     }
@@ -420,7 +436,7 @@
         }
         log::warn!("part=ownership event=cell_lost cell={cell} token={token} why=fenced");
         self.metrics.cells.with_label_values(&["fenced"]).inc();
-        self.fenced.borrow_mut().insert(cell.clone(), token);
+        self.fenced.borrow_mut().insert(cell.clone(), (token, self.now()));
         self.remove_cell(cell);
         self.rejoin.notify_one();
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -39,6 +39,7 @@
             }
             Request::Hello(addr, zone) => {
                 self.add_peer(addr, &zone);
+                self.announce_chosen_cells_to(addr);
                 None
             }
             Request::AnnounceOwner(ownership) => {
@@ -47,6 +48,8 @@
             }
             Request::ReleaseCell(request) => Some(self.release_on_request(&request)),
             Request::TakeOver(cell, token) => Some(self.accept_handover(cell, token)),
+            Request::Delegate(request) => Some(self.answer_delegation(&request)),
+            Request::ReturnCell(cell, token) => Some(self.accept_return(&cell, token)),
             Request::CancelJob(job) => {
                 let found = self.open_jobs.cancel(&job);
                 Some(if found { Reply::Cancelled } else { Reply::JobNotFound })
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -68,6 +68,39 @@
     WorkerReturned(WorkerLife),
     /// Return the crashes that the receiver remembers. Sent by a daemon that has just started.
     Crashes,
+    /// Become, remain or cease to be the owner of a cell that the sender holds.
+    Delegate(DelegationRequest),
+    /// Take a cell back that the receiver delegated to the sender under this fencing token. The
+    /// sender shuts down and has released the cell.
+    ReturnCell(Cell, u64),
+}
+
+/// What the holder of a cell's partition asks of the daemon that owns the cell or is to own it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum DelegationStep {
+    /// State whether the receiver could take over the cell. Nothing changes yet.
+    Offer,
+    /// Take over the cell, or raise the token of an ownership to this one without interruption.
+    TakeOver,
+    /// Keep the cell owned under this token.
+    Renew,
+    /// Release the cell if it is owned under a lower token.
+    Release,
+}
+
+/// Request from the holder of a cell's partition to the daemon that it chose as the owner.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub struct DelegationRequest {
+    /// The cell.
+    pub cell: Cell,
+    /// Fencing token of the ownership.
+    pub token: u64,
+    /// Address on which the holder accepts connections from other daemons.
+    pub holder: SocketAddr,
+    /// What the receiver has to do.
+    pub step: DelegationStep,
 }
 
 /// Request to release a cell that the store has assigned to the sender.
@@ -117,4 +150,9 @@
     KeepsCell,
     /// Crashes that the sender remembers, with their age in milliseconds.
     Crashes(Vec<(u64, Crash)>),
+    /// The sender owns the cell under the token of the request, or could take it over.
+    Delegated {
+        /// Whether the sender has measured that it has more work than it can carry.
+        is_saturated: bool,
+    },
 }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -186,6 +186,7 @@
                     self.responsiveness.borrow_mut().record_reply(addr);
                     if result.is_none() {
                         self.owners.borrow_mut().reject(cell, addr);
+                        self.ask_for_owners(addr);
                     }
                     result
                 }
@@ -234,6 +235,7 @@
             | Reply::WorkerCounts(_)
             | Reply::KeepsCell
             | Reply::Crashes(_)
+            | Reply::Delegated { .. }
             | Reply::Cancelled
             | Reply::JobNotFound => {
                 self.metrics.forwarded.with_label_values(&["not_owner"]).inc();
@@ -242,13 +244,18 @@
         }
     }
 
-    /// Returns the address of a cell's owner, or `None` if the owner is unknown or unresponsive.
+    /// Returns the address of a cell's owner, or `None` if the owner is unknown or unresponsive. The
+    /// holder of the cell's partition takes the place of an unresponsive owner that it chose.
     pub fn owner_of(&self, cell: &Cell) -> Option<SocketAddr> {
         if self.owned.borrow().contains_key(cell) {
             return Some(self.settings.advertised);
         }
-        let addr = self.owners.borrow().remote_owner(cell)?;
-        self.is_responsive(addr).then_some(addr)
+        let owners = self.owners.borrow();
+        let addr = owners.remote_owner(cell)?;
+        if self.is_responsive(addr) {
+            return Some(addr);
+        }
+        owners.listed_holder(cell).filter(|addr| self.is_responsive(*addr))
     }
 
     fn next_cell(&self, search: &mut CellSearch) -> Option<(Cell, bool)> {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -67,10 +67,11 @@
     let metrics = listen(settings.metrics, "metrics").await?;
     let entry = Entry::new(settings)?;
     log::info!(
-        "part=daemon event=start name={} zone={} incarnation={}",
+        "part=daemon event=start name={} zone={} incarnation={} capacity={}",
         entry.settings.name,
         entry.settings.zone,
         entry.incarnation,
+        entry.settings.capacity_millicores().unwrap_or_default(),
     );
     serve_callers(&entry, callers, ready);
     serve_peers_and_operators(&entry, peers, metrics);
@@ -78,6 +79,8 @@
     actix_rt::spawn(Rc::clone(&entry).watch_workers());
     actix_rt::spawn(Rc::clone(&entry).maintain_membership());
     actix_rt::spawn(Rc::clone(&entry).watch_owners());
+    actix_rt::spawn(Rc::clone(&entry).maintain_delegations());
+    actix_rt::spawn(Rc::clone(&entry).measure_load());
     actix_rt::spawn(Rc::clone(&entry).drive_pools());
     Ok(entry)
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -69,6 +69,8 @@
     pub partitions: u32,
     /// Time after which a daemon loses its cells without a renewal, in milliseconds.
     pub ownership_ms: u64,
+    /// What this VM can carry; `None` if the platform does not state it.
+    pub capacity: Option<Capacity>,
     /// Time after its publication within which a change of the configuration has to be in force, in
     /// milliseconds.
     pub config_apply_ms: u64,
@@ -80,6 +82,28 @@
     pub log_lines_per_s: u64,
 }
 
+/// What a VM can carry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// CPU time that the daemon may use, in thousandths of a core.
+    pub cpu_millicores: u64,
+    /// CPU time that is of use with the VM's link, in thousandths of a core. Owners of cells are
+    /// chosen by it.
+    pub usable_millicores: u64,
+}
+
+impl Settings {
+    /// Returns the capacity by which owners of cells are chosen, in thousandths of a core.
+    pub fn capacity_millicores(&self) -> Option<u64> {
+        self.capacity.map(|capacity| capacity.usable_millicores)
+    }
+}
+
+const CPU_SHARE_RANGE: RangeInclusive<f64> = 0.001..=1_024.0;
+const CORES_RANGE: RangeInclusive<f64> = 0.001..=1_024.0;
+const LINK_MBPS_RANGE: RangeInclusive<f64> = 0.25..=1_000_000.0;
+/// Thousandths of a core that a link of 1 Mbit/s keeps busy: small VMs of 0.12 core have 25 Mbit/s.
+const CAPACITY_PER_MBPS: f64 = 4.0;
 const PARTITIONS_RANGE: RangeInclusive<u64> = 1..=4_096;
 const DURATION_RANGE_MS: RangeInclusive<u64> = 100..=3_600_000;
 const LOG_LINES_RANGE: RangeInclusive<u64> = 1..=100_000;
@@ -129,6 +153,7 @@
         store: reader.value("platform", "store", ADDRESS_REMEDY)?,
         partitions: reader.number("platform", "partitions", 32, PARTITIONS_RANGE)? as u32,
         ownership_ms: ownership_ms.max(min_ownership_ms),
+        capacity: reader.capacity()?,
         config_apply_ms: reader.number(
             "platform",
             "config_apply_ms",
@@ -201,6 +226,36 @@
         })
     }
 
+    fn decimal(
+        &self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<f64>,
+    ) -> Result<Option<f64>, SettingsError> {
+        let Some(text) = self.text(section, key) else { return Ok(None) };
+        let value: Option<f64> = text.parse().ok();
+        let value = value.filter(|value| range.contains(value));
+        value.map(Some).ok_or_else(|| {
+            let remedy = format!("use a number between {} and {}", range.start(), range.end());
+            self.invalid(section, key, remedy)
+        })
+    }
+
+    /// Returns the capacity of this VM; `None` unless both its share of the cores and their number
+    /// are set.
+    fn capacity(&self) -> Result<Option<Capacity>, SettingsError> {
+        let cpu_share = self.decimal("capacity", "cpu_share", CPU_SHARE_RANGE)?;
+        let cores = self.decimal("capacity", "cores", CORES_RANGE)?;
+        let link_mbps = self.decimal("capacity", "link_mbps", LINK_MBPS_RANGE)?;
+        let (Some(cpu_share), Some(cores)) = (cpu_share, cores) else { return Ok(None) };
+        let link_limit = link_mbps.map_or(f64::INFINITY, |mbps| mbps * CAPACITY_PER_MBPS);
+        let cpu_millicores = cpu_share * cores * 1_000.0;
+        Ok(Some(Capacity {
+            cpu_millicores: (cpu_millicores.round() as u64).max(1),
+            usable_millicores: (cpu_millicores.min(link_limit).round() as u64).max(1),
+        }))
+    }
+
     fn seconds(
         &self,
         section: &'static str,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,6 +11,7 @@
 use dispatch::ticket::{Incarnation, Key, Keyring};
 use httpedge::client::HttpClient;
 use peers::links::{BlockedAddrs, Links};
+use pool::balance::{Balance, MeasuredLoad};
 use pool::catalogue::{Catalogue, Directory};
 use pool::cells::Cell;
 use pool::crashes::CrashHistory;
@@ -24,6 +25,7 @@
 
 use crate::cancel::OpenJobs;
 use crate::clock::Clock;
+use crate::delegation::Delegation;
 use crate::error::EntryError;
 use crate::metrics::Metrics;
 use crate::ownership::GroupState;
@@ -47,6 +49,9 @@
     pub serial: u64,
     /// Scheduler state for the jobs and workers of the cell.
     pub pool: Pool,
+    /// Address of the daemon that chose this one as the owner; `None` if this daemon owns the cell
+    /// because it holds the cell's partition, or after a handover.
+    pub holder: Option<SocketAddr>,
 }
 
 /// Key of a job that another daemon submitted here: the incarnation of that daemon (the id of its
@@ -98,7 +103,22 @@
     pub resettlement: RefCell<Resettlement>,
     /// Generation and cells of the latest assignment by the store.
     pub assignment: RefCell<(u64, BTreeSet<Cell>)>,
-    /// Cells that this daemon has asked another daemon to release and has no reply for yet.
+    /// Daemons to which this one has delegated cells that it holds.
+    pub delegations: RefCell<BTreeMap<Cell, Delegation>>,
+    /// Last fencing token that this daemon issued for each cell.
+    pub issued_tokens: RefCell<HashMap<Cell, u64>>,
+    /// Capacity of each daemon that states it, by the address of the daemon, and when the store
+    /// last listed it.
+    pub capacities: RefCell<BTreeMap<SocketAddr, (u64, Millis)>>,
+    /// Decides which held cells to delegate.
+    pub balance: RefCell<Balance>,
+    /// Load that this daemon has measured of itself; `None` before the first sample, and if its
+    /// capacity is unknown.
+    pub measured_load: RefCell<Option<MeasuredLoad>>,
+    /// When another daemon was last asked for the owners after it denied a cell.
+    pub owners_asked_at: Value<Millis>,
+    /// Cells whose owner this daemon is changing: another daemon has been asked to release them or
+    /// to take them over and has not replied yet.
     pub requested_cells: RefCell<BTreeSet<Cell>>,
     /// Crashes of workers in all cells, as far as they are known here.
     pub crashes: RefCell<CrashHistory>,
@@ -106,9 +126,9 @@
     pub loads: RefCell<CellLoads>,
     /// Which other daemons get no requests because they did not reply lately.
     pub responsiveness: RefCell<Responsiveness>,
-    /// Fencing token at which this daemon was last fenced off each cell. The cell is not acquired
-    /// again with this token or a lower one.
-    pub fenced: RefCell<HashMap<Cell, u64>>,
+    /// Fencing token at which this daemon was last fenced off each cell, and when. The cell is not
+    /// acquired again with this token or a lower one.
+    pub fenced: RefCell<HashMap<Cell, (u64, Millis)>>,
     /// Phase in the life cycle of the daemon.
     pub phase: Value<Phase>,
     /// When the process exits at the latest; `None` until it drains.
@@ -151,8 +171,9 @@
         let caller = HttpClient::new();
         let keys = Rc::new(derive_link_keys(&settings));
         let links = Links::new(incarnation, keys, Rc::default(), BlockedAddrs::default());
+        let clock = Clock::default();
         Ok(Rc::new(Self {
-            clock: Clock::default(),
+            clock,
             incarnation,
             catalogue: RefCell::default(),
             directory: RefCell::default(),
@@ -171,6 +192,12 @@
             empty_zones_since: RefCell::default(),
             resettlement: RefCell::new(Resettlement::new(settings.ownership_ms)),
             assignment: RefCell::default(),
+            delegations: RefCell::default(),
+            issued_tokens: RefCell::default(),
+            capacities: RefCell::default(),
+            balance: RefCell::new(Balance::new(clock.now())),
+            measured_load: RefCell::default(),
+            owners_asked_at: Value::default(),
             requested_cells: RefCell::default(),
             crashes: RefCell::default(),
             loads: RefCell::default(),
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod adoption;
+pub mod balance;
 pub mod call;
 pub mod catalogue;
 pub mod cells;
@@ -27,5 +28,6 @@
 pub mod run;
 pub mod spill;
 mod suspects;
+pub mod tokens;
 mod warm_up;
 pub mod worker;
--- a/crates/pool/src/owners.rs
+++ b/crates/pool/src/owners.rs
@@ -12,6 +12,7 @@
 use dispatch::clock::Millis;
 
 use crate::cells::Cell;
+use crate::tokens::is_chosen;
 
 /// How long an owner is kept after a read of the store first lacked it, in milliseconds. Slightly
 /// longer than an ownership lasts without renewal.
@@ -29,7 +30,8 @@
     /// When a read of the store first lacked the owner; `None` if it is confirmed.
     pub unlisted_since: Option<Millis>,
     /// Address and fencing token of the owner that announced itself before the store listed this
-    /// one.
+    /// one. With the token zero, the holder of the partition that the store lists in place of this
+    /// owner.
     pub displaced: Option<(SocketAddr, u64)>,
 }
 
@@ -57,6 +59,18 @@
         (addr != self.own_addr).then_some(addr)
     }
 
+    /// Returns the address of the daemon that the store lists for a cell in place of its owner, or
+    /// `None` if there is none or it is this daemon.
+    pub fn listed_holder(&self, cell: &Cell) -> Option<SocketAddr> {
+        let (addr, _) = self.cells.get(cell)?.displaced.filter(|(_, token)| *token == 0)?;
+        (addr != self.own_addr).then_some(addr)
+    }
+
+    /// Returns the fencing token with which a cell's owner announced itself, or zero.
+    pub fn token(&self, cell: &Cell) -> u64 {
+        self.cells.get(cell).map_or(0, |owner| owner.token)
+    }
+
     /// Iterates over all known owners in order of cell.
     pub fn iter(&self) -> impl Iterator<Item = (&Cell, &Owner)> {
         self.cells.iter()
@@ -74,12 +88,14 @@
     }
 
     /// Records that a daemon does not own a cell although it is listed as the owner. The owner that
-    /// it displaced, if any, takes its place.
+    /// it displaced, if any, takes its place. An owner that the holder chose is kept beside the
+    /// holder, in case the holder still denies the cell.
     pub fn reject(&mut self, cell: &Cell, addr: SocketAddr) {
         let Some(owner) = self.cells.get_mut(cell).filter(|owner| owner.addr == addr) else {
             return;
         };
         if let Some((addr, token)) = owner.displaced.take() {
+            owner.displaced = (token == 0).then_some((owner.addr, owner.token));
             (owner.addr, owner.token) = (addr, token);
         }
     }
@@ -90,16 +106,25 @@
     }
 
     /// Replaces the table by the owners that the store lists, keeping owners that it lacks for the
-    /// grace period. A row that lists this daemon for a cell that it does not own yet is ignored.
+    /// grace period. A row that lists this daemon for a cell that it does not own yet is ignored,
+    /// unless it confirms an owner that this daemon chose.
     pub fn apply_store_rows(
         &mut self,
         rows: impl Iterator<Item = (Cell, SocketAddr)>,
         owns: impl Fn(&Cell) -> bool,
         now: Millis,
     ) {
-        let is_owner = |(cell, addr): &(Cell, SocketAddr)| *addr != self.own_addr || owns(cell);
         let mut listed = BTreeMap::new();
-        for (cell, addr) in rows.filter(is_owner) {
+        for (cell, addr) in rows {
+            if let Some(chosen) = self.chosen_owner(&cell, addr) {
+                let displaced = Some((addr, 0));
+                let owner = Owner { confirmed_at: now, unlisted_since: None, displaced, ..*chosen };
+                listed.insert(cell, owner);
+                continue;
+            }
+            if addr == self.own_addr && !owns(&cell) {
+                continue;
+            }
             let (token, displaced) = match self.cells.get(&cell) {
                 Some(known) if known.addr == addr => (known.token, known.displaced),
                 Some(known) if known.token > 0 => (0, Some((known.addr, known.token))),
@@ -118,6 +143,13 @@
         self.cells = listed;
     }
 
+    /// Returns the known owner of a cell if a holder chose it and the store lists another daemon.
+    fn chosen_owner(&self, cell: &Cell, listed: SocketAddr) -> Option<&Owner> {
+        let known = self.cells.get(cell)?;
+        let is_other = known.addr != listed && known.addr != self.own_addr;
+        (is_other && is_chosen(known.token)).then_some(known)
+    }
+
     /// Whether the owner of each of `cells` was confirmed at `since` or later.
     pub fn are_confirmed_since(&self, cells: &[Cell], since: Millis) -> bool {
         let is_confirmed =
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -83,6 +83,8 @@
 #[derive(Debug)]
 pub struct Pool {
     token: u64,
+    // When the token was raised last.
+    raised_at: Option<Millis>,
     fenced: bool,
     pub(crate) workers: BTreeMap<Rc<str>, Worker>,
     pub(crate) jobs: HashMap<u64, Job>,
@@ -107,6 +109,7 @@
     pub fn new(token: u64) -> Self {
         Self {
             token,
+            raised_at: None,
             fenced: false,
             workers: BTreeMap::new(),
             jobs: HashMap::new(),
@@ -136,6 +139,20 @@
         self.token
     }
 
+    /// Continues under a higher fencing token. Orders that were sent under the previous one may be
+    /// refused as fenced from now on, which does not end this ownership.
+    pub fn raise_token(&mut self, now: Millis, token: u64) {
+        if token > self.token {
+            self.token = token;
+            self.raised_at = Some(now);
+        }
+    }
+
+    /// Whether a call that was sent at `sent_at` may have had a lower token than the present one.
+    pub(crate) fn is_before_raise(&self, sent_at: Millis) -> bool {
+        self.raised_at.is_some_and(|at| sent_at <= at)
+    }
+
     /// Returns whether this pool has stopped, because a worker reported a later owner or the cell
     /// was given up.
     pub const fn is_fenced(&self) -> bool {
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -61,6 +61,7 @@
 
     /// Handles the reply to a stop.
     pub fn stop_reply(&mut self, now: Millis, id: &str, call: &StopCall, reply: StopReply) {
+        let is_before_raise = call.token < self.token();
         let Some(worker) = self.workers.get_mut(id) else { return };
         match reply {
             StopReply::Stopped => {
@@ -72,6 +73,9 @@
                 }
                 worker.poll_no_later_than(now.plus(POLL_AFTER_STOP_MS));
             }
+            StopReply::Refused(Refusal::Fenced) if is_before_raise => {
+                self.send_stop(id, &call.task, call.run);
+            }
             StopReply::Refused(Refusal::Fenced) => self.relinquish(),
             StopReply::Refused(_) | StopReply::Lost => {
                 worker.poll_no_later_than(now.plus(POLL_AFTER_STOP_MS));
@@ -82,12 +86,17 @@
 
     /// Handles the reply to a poll that was sent at `sent_at`.
     pub fn poll_reply(&mut self, now: Millis, id: &str, sent_at: Millis, reply: &PollReply) {
+        let is_before_raise = self.is_before_raise(sent_at);
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.is_newer_than(sent_at) {
             return;
         }
         let changes = match reply {
             PollReply::Report(report) => worker.apply_report(now, sent_at, report),
+            PollReply::Refused(Refusal::Fenced) if is_before_raise => {
+                worker.repeat_poll(now);
+                Vec::new()
+            }
             PollReply::Refused(Refusal::Fenced) => {
                 self.relinquish();
                 return;
@@ -101,7 +110,7 @@
     }
 
     fn start_refused(&mut self, now: Millis, id: &str, call: &StartCall, refusal: Refusal) {
-        if refusal == Refusal::Fenced {
+        if refusal == Refusal::Fenced && call.token >= self.token() {
             self.relinquish();
             return;
         }
--- a/crates/pool/src/resettle.rs
+++ b/crates/pool/src/resettle.rs
@@ -10,6 +10,8 @@
 
 use dispatch::clock::Millis;
 
+use crate::tokens::generation_of;
+
 /// How long cells are kept after the membership was regained, in milliseconds. Entries of workers
 /// that lapsed with the store are published again within about 2 s, and a new owner needs them.
 pub const KEEP_MS: u64 = 2_500;
@@ -82,7 +84,7 @@
     /// Whether to release the cell: the request is based on a later assignment than this
     /// ownership, and it has settled.
     pub fn is_granted(self) -> bool {
-        let is_later = self.generation > self.token
+        let is_later = self.generation > generation_of(self.token)
             && self.confirmed.is_none_or(|confirmed| self.generation > confirmed);
         is_later && !self.is_settling
     }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -374,6 +374,13 @@
         self.expire_runs(now)
     }
 
+    /// Schedules a poll again that the worker refused because of a lower fencing token than the
+    /// present one.
+    pub const fn repeat_poll(&mut self, now: Millis) {
+        self.poll_sent_at = None;
+        self.next_poll_at = Some(now);
+    }
+
     /// Records that a poll was refused because no process listens at the worker's address. The
     /// runs are kept until their lease has expired: a network device may refuse connections in the
     /// name of a worker that runs on. While the process is in doubt, it is unknown which one the
--- a/crates/pool/tests/owners.rs
+++ b/crates/pool/tests/owners.rs
@@ -6,6 +6,7 @@
 use dispatch::clock::Millis;
 use pool::cells::Cell;
 use pool::owners::Owners;
+use pool::tokens::first_token;
 
 fn cell(partition: u32) -> Cell {
     Cell { zone: Rc::from("a"), partition }
@@ -26,7 +27,7 @@
 #[test]
 fn a_row_for_this_daemon_before_it_owns_the_cell_keeps_the_previous_owner() {
     let mut owners = owners();
-    assert!(owners.record(&cell(0), addr(2), 7, Millis(1_000)));
+    assert!(owners.record(&cell(0), addr(2), first_token(7), Millis(1_000)));
     owners.apply_store_rows([(cell(0), addr(OWN))].into_iter(), |_| false, Millis(1_200));
     assert_eq!(owners.remote_owner(&cell(0)), Some(addr(2)));
     assert!(
@@ -53,10 +54,10 @@
 #[test]
 fn the_higher_token_wins_and_a_row_of_the_store_overrides_both() {
     let mut owners = owners();
-    assert!(owners.record(&cell(0), addr(2), 7, Millis(1_000)));
-    assert!(!owners.record(&cell(0), addr(3), 6, Millis(1_001)));
+    assert!(owners.record(&cell(0), addr(2), first_token(7), Millis(1_000)));
+    assert!(!owners.record(&cell(0), addr(3), first_token(6), Millis(1_001)));
     assert_eq!(owners.remote_owner(&cell(0)), Some(addr(2)));
-    assert!(owners.record(&cell(0), addr(3), 8, Millis(1_002)));
+    assert!(owners.record(&cell(0), addr(3), first_token(8), Millis(1_002)));
     assert_eq!(owners.remote_owner(&cell(0)), Some(addr(3)));
     owners.apply_store_rows([(cell(0), addr(4))].into_iter(), |_| false, Millis(1_003));
     assert_eq!(owners.remote_owner(&cell(0)), Some(addr(4)));
@@ -65,9 +66,9 @@
 #[test]
 fn an_announced_token_is_kept_while_the_store_lists_the_same_daemon() {
     let mut owners = owners();
-    owners.record(&cell(0), addr(2), 7, Millis(1_000));
+    owners.record(&cell(0), addr(2), first_token(7), Millis(1_000));
     owners.apply_store_rows([(cell(0), addr(2))].into_iter(), |_| false, Millis(1_100));
-    assert!(!owners.record(&cell(0), addr(3), 6, Millis(1_200)));
+    assert!(!owners.record(&cell(0), addr(3), first_token(6), Millis(1_200)));
     owners.remove(&cell(0));
     assert!(owners.is_empty());
 }
@@ -77,7 +78,7 @@
 #[test]
 fn the_announced_owner_is_asked_again_when_the_listed_one_denies_the_cell() {
     let mut owners = owners();
-    owners.record(&cell(0), addr(2), 7, Millis(1_000));
+    owners.record(&cell(0), addr(2), first_token(7), Millis(1_000));
     for at_ms in [1_100, 1_400] {
         owners.apply_store_rows([(cell(0), addr(3))].into_iter(), |_| false, Millis(at_ms));
         assert_eq!(owners.remote_owner(&cell(0)), Some(addr(3)), "at {at_ms}");
@@ -88,7 +89,7 @@
         owners.reject(&cell(0), addr(2));
         assert_eq!(owners.remote_owner(&cell(0)), Some(addr(2)), "no other owner is known");
     }
-    assert!(owners.record(&cell(0), addr(3), 8, Millis(1_500)));
+    assert!(owners.record(&cell(0), addr(3), first_token(8), Millis(1_500)));
     owners.reject(&cell(0), addr(3));
     assert_eq!(owners.remote_owner(&cell(0)), Some(addr(3)));
 }
--- a/crates/pool/tests/resettle.rs
+++ b/crates/pool/tests/resettle.rs
@@ -2,6 +2,7 @@
 
 use dispatch::clock::Millis;
 use pool::resettle::{KEEP_MS, ReleaseDecision, Resettlement};
+use pool::tokens::first_token;
 
 const TTL_MS: u64 = 1_200;
 
@@ -60,13 +61,16 @@
 
 #[test]
 fn a_cell_is_released_only_to_a_later_assignment_and_not_while_settling() {
-    let request =
-        ReleaseDecision { generation: 20, token: 10, confirmed: None, is_settling: false };
+    let token = first_token(10);
+    let request = ReleaseDecision { generation: 20, token, confirmed: None, is_settling: false };
+    let last_token = first_token(11) - 1;
     let cases = [
         (request, true),
         (ReleaseDecision { is_settling: true, ..request }, false),
         (ReleaseDecision { generation: 10, ..request }, false),
         (ReleaseDecision { generation: 9, ..request }, false),
+        (ReleaseDecision { generation: 10, token: last_token, ..request }, false),
+        (ReleaseDecision { generation: 11, token: last_token, ..request }, true),
         (ReleaseDecision { confirmed: Some(15), ..request }, true),
         (ReleaseDecision { confirmed: Some(20), ..request }, false),
         (ReleaseDecision { confirmed: Some(25), ..request }, false),
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -189,6 +189,8 @@
     caller: HttpClient,
     program: PathBuf,
     zones: usize,
+    /// Share of a core that each daemon of a zone states; empty if they state none.
+    cpu_shares: Vec<f64>,
 }
 
 impl Drop for Cluster {
@@ -254,6 +256,14 @@
     /// # Panics
     /// Panics if loopback has no free port or a daemon does not become ready.
     pub async fn start(program: &Path, layout: Layout) -> Self {
+        Self::start_with_shares(program, layout, &[]).await
+    }
+
+    /// Like [`Self::start`]; the daemons of each zone state these shares of a core.
+    ///
+    /// # Panics
+    /// Panics if loopback has no free port or a daemon does not become ready.
+    pub async fn start_with_shares(program: &Path, layout: Layout, cpu_shares: &[f64]) -> Self {
         let Layout { zones, daemons, workers } = layout;
         let store = MetaStore::start(32).await.unwrap();
         let log_dir = std::env::temp_dir().join(format!("soak-{:016x}", rand::random::<u64>()));
@@ -268,6 +278,7 @@
             caller: HttpClient::new(),
             program: program.to_owned(),
             zones,
+            cpu_shares: cpu_shares.to_vec(),
         };
         cluster.store.put(OPERATOR_TOPIC, CONFIG_KEY, Some(write_config(&catalogue(3))));
         for zone in 0..zones {
@@ -276,8 +287,8 @@
             }
         }
         for zone in 0..zones {
-            for _ in 0..daemons {
-                let daemon = cluster.start_daemon(zone).await;
+            for number in 0..daemons {
+                let daemon = cluster.start_daemon(zone, number).await;
                 cluster.daemons.push(daemon);
             }
         }
@@ -323,20 +334,23 @@
     }
 
     /// Starts a daemon in a zone, with proxies for its connections.
-    async fn start_daemon(&self, zone: usize) -> Daemon {
+    async fn start_daemon(&self, zone: usize, number: usize) -> Daemon {
         let (callers_addr, ready_addr, peers_addr, metrics_addr) =
             (free_addr(), free_addr(), free_addr(), free_addr());
         let peers_proxy = Proxy::start(peers_addr).await.unwrap();
         let store_proxy = Proxy::start(self.store.addr).await.unwrap();
         let zones: Vec<String> = (0..self.zones).map(|zone| format!("z{zone}")).collect();
+        let share = self.cpu_shares.get(number);
+        let capacity = share.map(|share| format!("[capacity]\ncpu_share = {share}\ncores = 1\n"));
         let text = format!(
             "[daemon]\nname = d-{callers_addr}\nzone = z{zone}\nzones = {}\n\
              [callers]\nlisten = {callers_addr}\n[ready]\nlisten = {ready_addr}\n\
              [peers]\nlisten = {peers_addr}\nadvertise = {}\n\
-             [metrics]\nlisten = {metrics_addr}\n[platform]\nstore = {}\npartitions = 32\n",
+             [metrics]\nlisten = {metrics_addr}\n[platform]\nstore = {}\npartitions = 32\n{}",
             zones.join(","),
             peers_proxy.addr,
             store_proxy.addr,
+            capacity.unwrap_or_default(),
         );
         let settings_path = self.log_dir.join(format!("daemon-{}.ini", self.daemons.len()));
         let mut file = std::fs::File::create(&settings_path).unwrap();
