--- a/crates/entry/tests/delegation.rs
+++ b/crates/entry/tests/delegation.rs
@@ -6,6 +6,7 @@
 
 use rustix::process::Signal;
 use soak::cluster::{Cluster, Layout, job};
+use soak::proxy::Link;
 use standins::metastore::StoreBehaviour;
 
 /// Shares of a core; the last daemon is the large one.
@@ -155,3 +156,35 @@
         cells_of(&cluster, LARGE).await.into_iter().map(|(cell, _)| cell).collect();
     assert_eq!(cells, ["z0/0", "z0/9"], "after the outage");
 }
+
+/// Guards against a cell with two owners, or none, after holder and owner are cut from each other
+/// while both reach the workers: the replies of the owner are lost, or all that is sent to it.
+#[actix_rt::test]
+async fn a_holder_without_replies_takes_the_cells_back_and_their_owner_loses_them() {
+    for link in [Link::OneWay, Link::Silent] {
+        let cluster = start().await;
+        let before = cells_of(&cluster, LARGE).await;
+        cluster.daemons[LARGE].peers_proxy.link.set(link);
+        let began = Instant::now();
+        loop {
+            let small = [cells_of(&cluster, 0).await, cells_of(&cluster, 1).await].concat();
+            let is_taken_back = |(cell, token): &(String, u64)| {
+                before.iter().any(|(known, old_token)| known == cell && old_token < token)
+            };
+            if small.len() == 2 && small.iter().all(is_taken_back) {
+                break;
+            }
+            assert!(began.elapsed() < Duration::from_millis(1_500), "{link:?}: {small:?}");
+            pause(20).await;
+        }
+        while !cells_of(&cluster, LARGE).await.is_empty() {
+            let elapsed = began.elapsed();
+            assert!(elapsed < Duration::from_millis(4_000), "{link:?}: a cell has two owners");
+            pause(50).await;
+        }
+        require_service(&cluster, 1, 1_000, &[0, 1]).await;
+        cluster.daemons[LARGE].peers_proxy.link.set(Link::Normal);
+        wait_for_both_cells(&cluster, LARGE).await;
+        require_service(&cluster, 10_000, 1_000, &[0, 1, 2]).await;
+    }
+}
--- a/crates/entry/tests/messages.rs
+++ b/crates/entry/tests/messages.rs
@@ -1,7 +1,9 @@
 //! Property tests of the messages between daemons: changed and random bytes are rejected or read,
 //! without a panic.
 
-use entry::protocol::{Ownership, ReleaseRequest, Reply, Request};
+use entry::protocol::{
+    DelegationRequest, DelegationStep, Ownership, ReleaseRequest, Reply, Request,
+};
 use pool::cells::Cell;
 use proptest::prelude::*;
 
@@ -15,6 +17,13 @@
             is_settling: true,
         }),
         Request::AnnounceOwner(Ownership { cell: cell.clone(), addr, token: 7 }),
+        Request::Delegate(DelegationRequest {
+            cell: cell.clone(),
+            token: 3_073,
+            holder: addr,
+            step: DelegationStep::TakeOver,
+        }),
+        Request::ReturnCell(cell.clone(), 3_073),
         Request::TakeOver(cell, 7),
         Request::Hello(addr, "z0".into()),
         Request::WorkerCounts,
--- a/crates/pool/tests/capacity.rs
+++ b/crates/pool/tests/capacity.rs
@@ -26,6 +26,7 @@
         long_runs: 50,
         crashing_jobs: 20,
         capacity_change_every_ms: 130,
+        delegation_every_ms: 0,
     };
     let (mut early, mut starts) = (0, 0);
     for seed in 0..40 {
--- a/crates/pool/tests/crashing_tasks.rs
+++ b/crates/pool/tests/crashing_tasks.rs
@@ -18,6 +18,7 @@
     long_runs: 0,
     crashing_jobs: 60,
     capacity_change_every_ms: 0,
+    delegation_every_ms: 0,
 };
 /// Starts of one task after three crashes under it from which on its owners ignore the crashes.
 const MAX_STARTS_AFTER_CRASHES: u32 = 2;
--- a/crates/pool/tests/one_run_at_a_time.rs
+++ b/crates/pool/tests/one_run_at_a_time.rs
@@ -18,6 +18,7 @@
     long_runs: 100,
     crashing_jobs: 0,
     capacity_change_every_ms: 0,
+    delegation_every_ms: 1_700,
 };
 
 fn run(seed: u64, worker_defect: WorkerDefect, daemon_defect: DaemonDefect) -> Simulation {
@@ -76,6 +77,7 @@
         long_runs: 0,
         crashing_jobs: 0,
         capacity_change_every_ms: 0,
+        delegation_every_ms: 0,
     };
     let mut simulation =
         Simulation::new(7, no_faults, WorkerDefect::Nothing, DaemonDefect::Nothing);
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -460,3 +460,33 @@
         assert!(matches!(refused[..], [Outcome::NotRun { reason: Reason::NoWorker, .. }]));
     }
 }
+
+/// Guards against jobs that are interrupted because the holder raises the owner's fencing token:
+/// orders sent before are refused as fenced by workers that have seen the higher token.
+#[test]
+fn orders_that_a_raised_token_overtakes_are_repeated() {
+    let mut pool = pool(1);
+    pool.submit(at(10), submission(job("00000000000000a1", 1, 27, 100), PreviousOwner::None));
+    let start = pool.take_actions().into_iter().find_map(|action| match action {
+        Action::Start(target, call) => Some((target, call)),
+        _ => None,
+    });
+    let (target, start) = start.unwrap();
+    pool.raise_token(at(12), 9);
+    pool.start_reply(at(14), &target.id, &start, StartReply::Refused(Refusal::Fenced));
+    assert!(!pool.is_fenced(), "the order was older than the token");
+    pool.poll_reply(at(14), &target.id, at(11), &PollReply::Refused(Refusal::Fenced));
+    assert!(!pool.is_fenced(), "the poll was older than the token");
+    let actions = pool.take_actions();
+    let is_repeated = |action: &Action| matches!(action, Action::Start(_, call) if call.token == 9);
+    assert!(actions.iter().any(is_repeated), "{actions:?}");
+    let again = actions.into_iter().find_map(|action| match action {
+        Action::Start(target, call) => Some((target, call)),
+        _ => None,
+    });
+    let (target, again) = again.unwrap();
+    pool.raise_token(at(15), 8);
+    assert_eq!(pool.token(), 9, "a lower token changes nothing");
+    pool.start_reply(at(16), &target.id, &again, StartReply::Refused(Refusal::Fenced));
+    assert!(pool.is_fenced(), "a later owner has taken the cell");
+}
--- a/crates/pool/tests/restarted_workers.rs
+++ b/crates/pool/tests/restarted_workers.rs
@@ -18,6 +18,7 @@
     long_runs: 100,
     crashing_jobs: 0,
     capacity_change_every_ms: 0,
+    delegation_every_ms: 0,
 };
 
 fn run(seed: u64, faults: Faults) -> Simulation {
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -68,6 +68,19 @@
     pub crashing_jobs: u32,
     /// Changes of the capacity of a random worker, none of which then refuses a start.
     pub capacity_change_every_ms: u64,
+    /// Delegations of a random cell by the holder of its partition to another daemon.
+    pub delegation_every_ms: u64,
+}
+
+/// What happens after a holder has begun to delegate a cell.
+#[derive(Clone, Copy, Debug)]
+enum DelegationEvent {
+    /// A daemon begins to own the cell under the token.
+    Start(u64),
+    /// The holder owns the cell again under the next token.
+    TakeBack,
+    /// The daemon learns of an owner with a higher token, and releases the cell.
+    Overtaken(usize),
 }
 
 /// Clock of a worker's next process.
@@ -88,6 +101,8 @@
     StopReply(usize, usize, StopCall, StopReply),
     PollReply(usize, usize, u64, PollReply),
     Crash(usize, TaskName),
+    /// Cell and event.
+    Delegation(usize, DelegationEvent),
     /// The entry of the worker's process with the given start time is read.
     Publish(usize, u64),
     Send(usize),
@@ -288,6 +303,11 @@
             let cell = self.rng.random_range(0..CELLS);
             self.change_owner(cell);
         }
+        if faults.delegation_every_ms > 0 && self.now_ms.is_multiple_of(faults.delegation_every_ms)
+        {
+            let cell = self.rng.random_range(0..CELLS);
+            self.delegate(cell);
+        }
         if faults.worker_fault_every_ms > 0
             && self.now_ms.is_multiple_of(faults.worker_fault_every_ms)
         {
@@ -307,6 +327,60 @@
         }
     }
 
+    /// Lets the holder of a cell delegate it in one of three ways: the owner stays and gets a higher
+    /// token; the next owner takes the cell, but its reply is lost, so that the holder takes the
+    /// cell back while that daemon still owns it; or the request arrives only after the holder has
+    /// taken the cell back.
+    fn delegate(&mut self, cell: usize) {
+        let Some(owner) = self.owners[cell] else { return };
+        self.token += 1;
+        let token = self.token;
+        let way = self.rng.random_range(0..3);
+        if way == 0 {
+            self.with_pool(owner, |pool, now| pool.raise_token(now, token));
+            return;
+        }
+        self.release(owner);
+        self.owners[cell] = None;
+        let start_ms = self.rng.random_range(1..if way == 1 { 6 } else { 450 });
+        let take_back_ms =
+            if way == 1 { self.rng.random_range(250..600) } else { self.rng.random_range(1..300) };
+        let start = Event::Delegation(cell, DelegationEvent::Start(token));
+        self.push(self.now_ms + start_ms, start);
+        self.push(self.now_ms + take_back_ms, Event::Delegation(cell, DelegationEvent::TakeBack));
+    }
+
+    fn continue_delegation(&mut self, cell: usize, event: DelegationEvent) {
+        match event {
+            DelegationEvent::Start(token) => {
+                self.start_owner(cell, token);
+                // Half of the announcements of the later owner are lost; the workers then end this
+                // ownership.
+                if self.rng.random_bool(0.5) {
+                    let overtaken = DelegationEvent::Overtaken(self.daemons.len() - 1);
+                    let at_ms = self.now_ms + self.rng.random_range(300..700);
+                    self.push(at_ms, Event::Delegation(cell, overtaken));
+                }
+            }
+            DelegationEvent::TakeBack => self.take_over(cell),
+            DelegationEvent::Overtaken(daemon) => self.release(daemon),
+        }
+    }
+
+    /// Lets a daemon release its cell, as in a planned handover.
+    fn release(&mut self, daemon: usize) {
+        let now = Millis(self.now_ms);
+        if let Some(pool) = &mut self.daemons[daemon].pool {
+            pool.renew_all_leases(now);
+        }
+        self.perform(daemon);
+        if let Some(pool) = &mut self.daemons[daemon].pool {
+            pool.relinquish();
+        }
+        self.perform(daemon);
+        self.daemons[daemon].pool = None;
+    }
+
     /// Shrinks a worker to less than its runs may occupy, or lets it grow again. Its entry shows
     /// the change later.
     fn change_capacity(&mut self) {
@@ -401,16 +475,7 @@
         let Some(owner) = self.owners[cell].take() else { return };
         let pause_ms = match self.rng.random_range(0..5) {
             0 => {
-                let now = Millis(self.now_ms);
-                if let Some(pool) = &mut self.daemons[owner].pool {
-                    pool.renew_all_leases(now);
-                }
-                self.perform(owner);
-                if let Some(pool) = &mut self.daemons[owner].pool {
-                    pool.relinquish();
-                }
-                self.perform(owner);
-                self.daemons[owner].pool = None;
+                self.release(owner);
                 self.rng.random_range(5..400)
             }
             1 => {
@@ -455,7 +520,11 @@
     fn take_over(&mut self, cell: usize) {
         self.takeover_at[cell] = None;
         self.token += 1;
-        let mut pool = Pool::new(self.token).with_crashes(self.crash_history.clone());
+        self.start_owner(cell, self.token);
+    }
+
+    fn start_owner(&mut self, cell: usize, token: u64) {
+        let mut pool = Pool::new(token).with_crashes(self.crash_history.clone());
         let entries: BTreeMap<Rc<str>, WorkerEntry> = self
             .published
             .iter()
@@ -624,6 +693,7 @@
                 );
             }
             Event::Crash(worker, task) => self.crash(worker, &task),
+            Event::Delegation(cell, event) => self.continue_delegation(cell, event),
             Event::Publish(worker, started_at_ms) => self.publish(worker, started_at_ms),
             Event::Start(daemon, worker, call, late) => self.start_run(daemon, worker, call, late),
             Event::Stop(daemon, worker, call, late) => {
