--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -42,6 +42,10 @@
     pub cold_workers: IntGauge,
     /// Owned cells to which load returns gradually.
     pub ramping_cells: IntGauge,
+    /// Offers, transfers and returns of cells between their holders and other daemons, by result.
+    pub delegations: IntCounterVec,
+    /// 1 while this daemon has more work than it can carry, by its own measure.
+    pub saturated: IntGauge,
     /// Version of the catalogue in force.
     pub catalogue_version: IntGauge,
     /// Whether each zone is evacuated: 1 if it is, 0 if not.
@@ -80,6 +84,7 @@
             Ok::<_, prometheus::Error>(gauge)
         };
         let catalogue_version = gauge("entry_catalogue_version", "Version in force.")?;
+        let saturated = gauge("entry_saturated", "More work than the VM can carry.")?;
         let orphaned_runs = IntCounter::new("entry_orphans_total", "Runs that no owner knew.")?;
         registry.register(Box::new(orphaned_runs.clone()))?;
         Ok(Self {
@@ -107,6 +112,12 @@
             cells: counters("entry_cells_total", "Cells gained and lost.", &["change"])?,
             cold_workers: gauge("entry_cold_workers", "Workers slow after their start.")?,
             ramping_cells: gauge("entry_ramping_cells", "Cells that load returns to.")?,
+            delegations: counters(
+                "entry_delegations_total",
+                "Delegations of cells by result.",
+                &["result"],
+            )?,
+            saturated,
             catalogue_version,
             zone_evacuated,
             store_latency_s,
