--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -4,6 +4,7 @@
 
 use soak::cluster::Layout;
 use soak::runner::{RunConfig, run_seed};
+use standins::metastore::StoreDefect;
 use standins::pool_worker::WorkerDefect;
 
 const SPAN_MS: u64 = 5_000;
@@ -17,6 +18,7 @@
             seed,
             span_ms: SPAN_MS,
             planted: WorkerDefect::Nothing,
+            store_defect: StoreDefect::Nothing,
         };
         let report = run_seed(config).await;
         assert!(report.violations.is_empty(), "seed {seed}: {:?}", report.violations);
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -22,8 +22,9 @@
     /// Number of daemons in each zone
     #[options(default = "2", meta = "N")]
     pub daemons: usize,
-    /// Make the workers ignore one rule, which the checks must detect: fences (calls of previous
-    /// owners are rejected), leases (runs end without a lease) or bars (a stopped run cannot start)
+    /// Plant a fault that the checks must detect. Workers ignore a rule: fences (calls of previous
+    /// owners are rejected), leases (runs end without a lease) or bars (a stopped run cannot start).
+    /// New owners forget the evacuated zones: evacuations (the store does not list them)
     #[options(meta = "FAULT")]
     pub plant: Option<String>,
 }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -292,7 +292,11 @@
     /// Requests or withdraws the evacuation of a zone, as operators do.
     pub fn set_evacuated(&self, zone: usize, is_evacuated: bool) {
         let key = evacuation_key(&format!("z{zone}"));
-        self.store.put(OPERATOR_TOPIC, &key, is_evacuated.then(|| b"{}".to_vec()));
+        if is_evacuated {
+            self.store.put(OPERATOR_TOPIC, &key, Some(b"{}".to_vec()));
+        } else {
+            self.store.delete(OPERATOR_TOPIC, &key);
+        }
     }
 
     /// Returns how many runs have started on the workers of a zone.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -32,6 +32,10 @@
     Rebalance,
     /// The store discards its history and keeps only the newest record of each key.
     Compact,
+    /// The store discards its history. The newest record of each key is still listed.
+    Trim,
+    /// Operators evacuate a zone, and withdraw that when the fault ends.
+    Evacuate(usize),
 }
 
 /// A fault with its start and end, in milliseconds since the start of the run.
@@ -45,6 +49,23 @@
     pub ends_at_ms: u64,
 }
 
+/// Generates the evacuations of a run: of one zone, and now and then of others too. They begin early
+/// and last until about the end of the other faults, so that owners change meanwhile.
+pub fn draw_evacuations(rng: &mut SmallRng, zones: usize, span_ms: u64) -> Vec<ScheduledFault> {
+    let first = rng.random_range(0..zones);
+    let mut evacuations = Vec::new();
+    for zone in 0..zones {
+        if zone != first && !rng.random_bool(0.25) {
+            continue;
+        }
+        let starts_at_ms = rng.random_range(0..=span_ms / 4);
+        let ends_at_ms = starts_at_ms + rng.random_range(span_ms * 3 / 4..=span_ms);
+        let fault = Fault::Evacuate(zone);
+        evacuations.push(ScheduledFault { fault, starts_at_ms, ends_at_ms });
+    }
+    evacuations
+}
+
 /// Generates the faults of a run, ordered by start time. Faults may overlap.
 pub fn draw_faults(
     rng: &mut SmallRng,
@@ -71,7 +92,7 @@
     let behaviours = [Behaviour::Silent, Behaviour::Unhealthy, Behaviour::LosesReplies];
     let store_behaviours =
         [StoreBehaviour::Silent, StoreBehaviour::Busy, StoreBehaviour::LosesReplies];
-    match rng.random_range(0..11) {
+    match rng.random_range(0..12) {
         0 => Fault::Terminate(daemon, Signal::TERM),
         1 => Fault::Terminate(daemon, Signal::KILL),
         2 => Fault::Pause(daemon),
@@ -82,6 +103,7 @@
         7 => Fault::StoreBehaviour(store_behaviours[rng.random_range(0..store_behaviours.len())]),
         8 => Fault::Rebalance,
         9 => Fault::RestartWorker(worker, Publication::draw(rng)),
+        10 => Fault::Trim,
         _ => Fault::Compact,
     }
 }
@@ -99,6 +121,8 @@
         Fault::StoreBehaviour(behaviour) => cluster.store.behaviour.set(behaviour),
         Fault::Rebalance => cluster.store.rebalance(),
         Fault::Compact => cluster.store.compact(),
+        Fault::Trim => cluster.store.trim(),
+        Fault::Evacuate(zone) => cluster.set_evacuated(zone, true),
     }
 }
 
@@ -115,6 +139,7 @@
         }
         Fault::Behaviour(worker, _) => cluster.workers[worker].behaviour.set(Behaviour::Normal),
         Fault::StoreBehaviour(_) => cluster.store.behaviour.set(StoreBehaviour::Normal),
-        Fault::Rebalance | Fault::Compact => {}
+        Fault::Evacuate(zone) => cluster.set_evacuated(zone, false),
+        Fault::Rebalance | Fault::Compact | Fault::Trim => {}
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cli;
 pub mod cluster;
+pub mod evacuations;
 pub mod faults;
 pub mod proxy;
 pub mod runner;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,17 +6,22 @@
 use soak::cli::Args;
 use soak::cluster::Layout;
 use soak::runner::{RunConfig, run_seed};
+use standins::metastore::StoreDefect;
 use standins::pool_worker::WorkerDefect;
 
 fn main() -> ExitCode {
     let args = Args::parse_args_default_or_exit();
-    let planted = match args.plant.as_deref() {
-        None => WorkerDefect::Nothing,
-        Some("fences") => WorkerDefect::IgnoresFencingTokens,
-        Some("leases") => WorkerDefect::IgnoresLeases,
-        Some("bars") => WorkerDefect::IgnoresFencedRuns,
+    let (planted, store_defect) = match args.plant.as_deref() {
+        None => (WorkerDefect::Nothing, StoreDefect::Nothing),
+        Some("fences") => (WorkerDefect::IgnoresFencingTokens, StoreDefect::Nothing),
+        Some("leases") => (WorkerDefect::IgnoresLeases, StoreDefect::Nothing),
+        Some("bars") => (WorkerDefect::IgnoresFencedRuns, StoreDefect::Nothing),
+        Some("evacuations") => (WorkerDefect::Nothing, StoreDefect::HidesEvacuations),
         Some(other) => {
-            eprintln!("clementinesoak: invalid --plant {other}; expected fences, leases or bars");
+            eprintln!(
+                "clementinesoak: invalid --plant {other}; expected fences, leases, bars or \
+                 evacuations"
+            );
             return ExitCode::FAILURE;
         }
     };
@@ -35,8 +40,14 @@
     let layout = Layout { zones: args.zones, daemons: args.daemons, workers: 4 };
     let mut failed = Vec::new();
     for seed in args.first..args.first + args.seeds {
-        let config =
-            RunConfig { program: &program, layout, seed, span_ms: args.seconds * 1_000, planted };
+        let config = RunConfig {
+            program: &program,
+            layout,
+            seed,
+            span_ms: args.seconds * 1_000,
+            planted,
+            store_defect,
+        };
         let report = actix_rt::System::new().block_on(run_seed(config));
         println!(
             "seed {seed}: {} jobs, {} completed, {} refused, {} runs, {} faults, {} violations",
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -10,10 +10,12 @@
 use pool::job::JobSpec;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
+use standins::metastore::StoreDefect;
 use standins::pool_worker::WorkerDefect;
 
 use crate::cluster::{Cluster, Layout, job};
-use crate::faults::{ScheduledFault, draw_faults, end_fault, start_fault};
+use crate::evacuations::{AppliedFault, late_starts};
+use crate::faults::{ScheduledFault, draw_evacuations, draw_faults, end_fault, start_fault};
 
 /// Delay until a caller resends a request that was not completed, as the platform does.
 const RESEND_DELAY: Duration = Duration::from_millis(1_300);
@@ -43,6 +45,8 @@
     pub span_ms: u64,
     /// Rule that the workers break on purpose, to show that the checks detect it.
     pub planted: WorkerDefect,
+    /// Rule that the store breaks on purpose.
+    pub store_defect: StoreDefect,
 }
 
 /// Results of the run of one seed.
@@ -81,17 +85,20 @@
     for worker in &cluster.workers {
         worker.set_defect(config.planted);
     }
-    let overlaps = record_overlaps(&cluster);
-    let faults =
+    cluster.store.defect.set(config.store_defect);
+    let starts = Starts::record(&cluster);
+    let mut faults =
         draw_faults(&mut rng, cluster.daemons.len(), cluster.workers.len(), config.span_ms);
+    faults.extend(draw_evacuations(&mut rng, config.layout.zones, config.span_ms));
     let cluster = Rc::new(RefCell::new(cluster));
     let stats = Rc::new(Stats::default());
     let callers = send_jobs(Rc::clone(&cluster), Rc::clone(&stats), rng, config.span_ms);
-    futures_util::future::join(callers, inject_faults(&cluster, &faults)).await;
+    let ((), applied) = futures_util::future::join(callers, inject_faults(&cluster, &faults)).await;
     while stats.pending.get() > 0 {
         actix_rt::time::sleep(Duration::from_millis(50)).await;
     }
-    let mut violations = overlaps.borrow().clone();
+    let mut violations = starts.overlaps.borrow().clone();
+    violations.extend(late_starts(&applied, &starts.times.borrow(), config.layout));
     violations.extend(check_refused_jobs(&cluster.borrow(), &stats));
     violations.extend(check_crashing_jobs(&cluster.borrow(), &stats));
     violations.extend(check_recovery(&cluster).await);
@@ -109,45 +116,83 @@
     }
 }
 
-/// Records each run that starts while the same task runs on another worker. A run ends with its
-/// process, so that what counts is the process that a worker has now. The returned list grows as
-/// runs start.
-fn record_overlaps(cluster: &Cluster) -> Rc<RefCell<Vec<String>>> {
-    let overlaps: Rc<RefCell<Vec<String>>> = Rc::default();
-    for (at, worker) in cluster.workers.iter().enumerate() {
-        let others: Vec<_> = cluster.workers.iter().map(Rc::downgrade).collect();
-        let overlaps = Rc::clone(&overlaps);
-        worker.set_start_hook(Box::new(move |task| {
-            for (other, server) in others.iter().enumerate().filter(|(other, _)| *other != at) {
-                if server.upgrade().is_some_and(|server| server.is_running(task)) {
-                    overlaps
-                        .borrow_mut()
-                        .push(format!("{task} ran on workers {at} and {other} at the same time"));
+/// A run that started on a worker.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// When the run started.
+    pub at: Instant,
+    /// Index of the worker.
+    pub worker: usize,
+    /// Name of the task.
+    pub task: String,
+}
+
+/// Runs that start on the workers, as they start.
+#[derive(Default)]
+struct Starts {
+    times: RefCell<Vec<Start>>,
+    /// Descriptions of the runs that started while the same task ran on another worker.
+    overlaps: RefCell<Vec<String>>,
+}
+
+impl Starts {
+    /// Records the starts of a cluster from now on. A run ends with its process, so that what counts
+    /// is the process that a worker has now.
+    fn record(cluster: &Cluster) -> Rc<Self> {
+        let starts = Rc::new(Self::default());
+        for (at, worker) in cluster.workers.iter().enumerate() {
+            let others: Vec<_> = cluster.workers.iter().map(Rc::downgrade).collect();
+            let starts = Rc::clone(&starts);
+            worker.set_start_hook(Box::new(move |task| {
+                let start = Start { at: Instant::now(), worker: at, task: task.to_string() };
+                starts.times.borrow_mut().push(start);
+                for (other, server) in others.iter().enumerate().filter(|(other, _)| *other != at) {
+                    if server.upgrade().is_some_and(|server| server.is_running(task)) {
+                        starts.overlaps.borrow_mut().push(format!(
+                            "{task} ran on workers {at} and {other} at the same time"
+                        ));
+                    }
                 }
-            }
-        }));
+            }));
+        }
+        starts
     }
-    overlaps
 }
 
-async fn inject_faults(cluster: &Rc<RefCell<Cluster>>, faults: &[ScheduledFault]) {
-    let mut transitions: Vec<(u64, bool, ScheduledFault)> = Vec::new();
-    for scheduled in faults {
-        transitions.push((scheduled.starts_at_ms, true, *scheduled));
-        transitions.push((scheduled.ends_at_ms, false, *scheduled));
+/// Injects the faults, and returns them with the times at which they began and ended.
+async fn inject_faults(
+    cluster: &Rc<RefCell<Cluster>>,
+    faults: &[ScheduledFault],
+) -> Vec<AppliedFault> {
+    let mut transitions: Vec<(u64, bool, usize)> = Vec::new();
+    for (number, scheduled) in faults.iter().enumerate() {
+        transitions.push((scheduled.starts_at_ms, true, number));
+        transitions.push((scheduled.ends_at_ms, false, number));
     }
-    transitions.sort_by_key(|(at_ms, is_start, _)| (*at_ms, *is_start));
+    transitions.sort_unstable();
     let started_at = Instant::now();
-    for (at_ms, is_start, scheduled) in transitions {
+    let mut applied: Vec<AppliedFault> = faults
+        .iter()
+        .map(|scheduled| AppliedFault {
+            fault: scheduled.fault,
+            began_at: started_at,
+            ended_at: started_at,
+        })
+        .collect();
+    for (at_ms, is_start, number) in transitions {
         let at = started_at + Duration::from_millis(at_ms);
         actix_rt::time::sleep(at.saturating_duration_since(Instant::now())).await;
         let mut cluster = cluster.borrow_mut();
+        let fault = faults[number].fault;
         if is_start {
-            start_fault(&mut cluster, scheduled.fault);
+            start_fault(&mut cluster, fault);
+            applied[number].began_at = Instant::now();
         } else {
-            end_fault(&mut cluster, scheduled.fault);
+            applied[number].ended_at = Instant::now();
+            end_fault(&mut cluster, fault);
         }
     }
+    applied
 }
 
 async fn send_jobs(
--- a/crates/standins/src/metastore.rs
+++ b/crates/standins/src/metastore.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::net::TcpListener;
+use adapter::config::evacuation_zone;
 use adapter::store::{
     HeldPartition, JoinReply, KeyedRecord, NewestPage, Owner, StoreCall, read_store_call,
     render_joined, render_newest, render_owners, render_records,
@@ -32,14 +33,43 @@
     LosesReplies,
 }
 
+/// A defect planted in the store, to check that the test detects it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreDefect {
+    /// No defect.
+    #[default]
+    Nothing,
+    /// Listings lack the evacuation records, so that a daemon that starts later, and then becomes an
+    /// owner, knows of no evacuation.
+    HidesEvacuations,
+}
+
 #[derive(Debug, Default)]
 struct Topic {
-    /// Offset of the first record that is kept.
+    /// Offset of the first record that the history retains.
     first_offset: u64,
+    /// History, from `first_offset` on.
     records: Vec<KeyedRecord>,
+    /// Newest record of each key that is not deleted.
+    newest: BTreeMap<String, KeyedRecord>,
 }
 
 impl Topic {
+    fn append(&mut self, key: &str, value: Option<Vec<u8>>) {
+        let record = KeyedRecord { key: key.to_owned(), value, offset: self.end_offset() };
+        if record.value.is_some() {
+            self.newest.insert(key.to_owned(), record.clone());
+        } else {
+            self.newest.remove(key);
+        }
+        self.records.push(record);
+    }
+
+    fn discard_history(&mut self) {
+        self.first_offset = self.end_offset();
+        self.records.clear();
+    }
+
     fn end_offset(&self) -> u64 {
         self.first_offset + self.records.len() as u64
     }
@@ -128,6 +158,8 @@
     pub addr: SocketAddr,
     /// Current behaviour.
     pub behaviour: Cell<StoreBehaviour>,
+    /// Planted defect.
+    pub defect: Cell<StoreDefect>,
     /// Number of calls received.
     pub calls: Cell<u64>,
     partitions: u32,
@@ -146,6 +178,7 @@
         let store = Rc::new(Self {
             addr: listener.local_addr()?,
             behaviour: Cell::default(),
+            defect: Cell::default(),
             calls: Cell::new(0),
             partitions,
             topics: RefCell::default(),
@@ -159,23 +192,31 @@
 
     /// Appends a record to a topic; `None` as the value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: Option<Vec<u8>>) {
-        let mut topics = self.topics.borrow_mut();
-        let topic = topics.entry(topic.to_owned()).or_default();
-        let record = KeyedRecord { key: key.to_owned(), value, offset: topic.end_offset() };
-        topic.records.push(record);
+        self.topics.borrow_mut().entry(topic.to_owned()).or_default().append(key, value);
+    }
+
+    /// Deletes a key: it is no longer listed, and a record without a value is appended.
+    pub fn delete(&self, topic: &str, key: &str) {
+        self.put(topic, key, None);
+    }
+
+    /// Discards the history of all topics, so that reads from before its end get status 410.
+    /// Listings stay the same.
+    pub fn trim(&self) {
+        for topic in self.topics.borrow_mut().values_mut() {
+            topic.discard_history();
+        }
     }
 
     /// Compacts all topics: only the newest record of each key stays, at a new offset, so that
     /// reads from an older offset get status 410.
     pub fn compact(&self) {
         for topic in self.topics.borrow_mut().values_mut() {
-            let mut newest: BTreeMap<String, KeyedRecord> = BTreeMap::new();
-            for record in topic.records.drain(..) {
-                topic.first_offset += 1;
-                newest.insert(record.key.clone(), record);
-            }
+            topic.discard_history();
             topic.first_offset += 1;
-            topic.records.extend(newest.into_values());
+            for (key, record) in std::mem::take(&mut topic.newest) {
+                topic.append(&key, record.value);
+            }
         }
     }
 
@@ -242,11 +283,10 @@
         let topics = self.topics.borrow();
         let empty = Topic::default();
         let topic = topics.get(topic).unwrap_or(&empty);
-        let mut newest: BTreeMap<&str, &KeyedRecord> = BTreeMap::new();
-        for record in &topic.records {
-            newest.insert(&record.key, record);
-        }
-        let records = newest.into_values().filter(|record| record.value.is_some()).cloned();
+        let is_hidden = |key: &str| {
+            self.defect.get() == StoreDefect::HidesEvacuations && evacuation_zone(key).is_some()
+        };
+        let records = topic.newest.values().filter(|record| !is_hidden(&record.key)).cloned();
         let end_offset = topic.end_offset();
         NewestPage { records: records.collect(), has_more: false, end_offset }
     }
