Test that a moved job is not started again in an evacuated zone

Cause: with the line taken out that tells a new owner of the evacuation, all tests of entry passed. Change: a job whose owner shuts down and whose worker is lost during the evacuation is answered 504.

--- a/crates/entry/tests/evacuation.rs
+++ b/crates/entry/tests/evacuation.rs
@@ -119,6 +119,28 @@
     assert_eq!(cluster.starts_in(0), 0);
 }
 
+// Guards against a new owner that starts tasks of the jobs that moved to it, long after the record: here
+// one whose worker is lost.
+#[actix_rt::test]
+async fn a_moved_job_is_not_started_again_in_an_evacuated_zone() {
+    let cluster = start(2, 2, 2).await;
+    let owner = cluster.find_owner(0).await;
+    let job = job(1, 1, 3_000, "3000");
+    let disturb = async {
+        pause(200).await;
+        cluster.set_evacuated(0, true);
+        pause(1_200).await;
+        cluster.daemons[owner].signal(Signal::TERM);
+        pause(500).await;
+        let busy = cluster.workers.iter().position(|worker| worker.active_count() == 1);
+        cluster.sites[busy.expect("the run continues")].end_process();
+    };
+    let (answer, ()) = join(cluster.submit(1 - owner, &job), disturb).await;
+    let (status, body) = answer.unwrap();
+    assert_eq!((status, cluster.count_starts(&job)), (504, 1), "{body}");
+    assert!(body.contains("evacuated"), "{body}");
+}
+
 // Guards against a paused daemon that wakes after the evacuation and starts the jobs that reach it
 // before it has read the record.
 #[actix_rt::test]
