Run the soak with uneven daemons on even seeds

Cause: delegations had been played only in the simulation and in single failures. Change: with even seeds, the daemons of each zone state unequal shares of a core.

--- a/crates/entry/tests/delegation.rs
+++ b/crates/entry/tests/delegation.rs
@@ -179,7 +179,7 @@
         }
         while !cells_of(&cluster, LARGE).await.is_empty() {
             let elapsed = began.elapsed();
-            assert!(elapsed < Duration::from_millis(4_000), "{link:?}: a cell has two owners");
+            assert!(elapsed < Duration::from_secs(4), "{link:?}: a cell has two owners");
             pause(50).await;
         }
         require_service(&cluster, 1, 1_000, &[0, 1]).await;
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -21,6 +21,9 @@
 const CALLER_WAIT_MS: u64 = 2_500;
 /// Number of times that a caller sends a job before it gives up.
 const MAX_SENDS: u32 = 4;
+/// Shares of a core that the daemons of each zone state with even seeds, so that they delegate cells
+/// to each other.
+const UNEVEN_CPU_SHARES: [f64; 4] = [0.1, 0.5, 0.1, 0.5];
 /// One job in this many crashes the workers that start its tasks.
 const CRASHING_JOB_INTERVAL: u64 = 40;
 /// Starts of a task that crashes workers from which on its owners ignore the crashes: three more
@@ -77,7 +80,8 @@
 /// Runs one seed and returns the results.
 pub async fn run_seed(config: RunConfig<'_>) -> RunReport {
     let mut rng = SmallRng::seed_from_u64(config.seed);
-    let cluster = Cluster::start(config.program, config.layout).await;
+    let cpu_shares = if config.seed.is_multiple_of(2) { &UNEVEN_CPU_SHARES[..] } else { &[] };
+    let cluster = Cluster::start_with_shares(config.program, config.layout, cpu_shares).await;
     for worker in &cluster.workers {
         worker.set_defect(config.planted);
     }
