Simulate several cells and routers a zone, with waves out of phase between zones

The simulation had one cell and one daemon a zone, so that no daemon's view of the cells was older than its own last reply, and work that is refused beside free workers did not show. Scenarios may now set cells_a_zone, routers_a_zone, wave_period_ms and wave_amplitude; the report counts the refusals that some cell could have started at that time, and the submissions.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -29,8 +29,12 @@
         for (seed, report) in seeds.iter().zip(&reports) {
             for (kind, counts) in &report.kinds {
                 println!(
-                    "{file},{seed},{kind},{},{},{},{}",
-                    counts.arrived, counts.in_time, counts.late, counts.refused
+                    "{file},{seed},{kind},{},{},{},{},{}",
+                    counts.arrived,
+                    counts.in_time,
+                    counts.late,
+                    counts.refused,
+                    counts.refused_despite_room
                 );
             }
         }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -18,6 +18,8 @@
     },
     /// No owner admitted the job.
     Refused,
+    /// No owner admitted the job, although some cell could have started all its tasks at that time.
+    RefusedDespiteRoom,
     /// The job was admitted, but a task failed or it was aborted, for example because it was late.
     Failed,
 }
@@ -35,6 +37,8 @@
     pub late: u64,
     /// Jobs that no owner admitted.
     pub refused: u64,
+    /// Those of the refused jobs that some cell could have started when they were refused.
+    pub refused_despite_room: u64,
 }
 
 impl Counts {
@@ -43,6 +47,7 @@
         self.in_time += other.in_time;
         self.late += other.late;
         self.refused += other.refused;
+        self.refused_despite_room += other.refused_despite_room;
     }
 
     /// Returns the share of jobs completed within their latency objective.
@@ -58,6 +63,10 @@
     pub kinds: Vec<(String, Counts)>,
     /// Number of calls to workers, including lost ones.
     pub calls: u64,
+    /// Number of times that a job was sent to the owner of a cell.
+    pub submissions: u64,
+    /// Number of these times in which the cell was in another zone.
+    pub submissions_to_other_zones: u64,
     /// Number of workers that crashed.
     pub crashes: u64,
     /// Upper bound on the share of jobs completed in time: the share that fits if all cores run
@@ -69,7 +78,14 @@
     /// Returns a report with empty counts and the bound for the given jobs.
     pub fn new(scenario: &Scenario, jobs: &[GeneratedJob]) -> Self {
         let named = scenario.kinds.iter().map(|kind| (kind.name.clone(), Counts::default()));
-        Self { kinds: named.collect(), calls: 0, crashes: 0, bound: bound(scenario, jobs) }
+        Self {
+            kinds: named.collect(),
+            calls: 0,
+            submissions: 0,
+            submissions_to_other_zones: 0,
+            crashes: 0,
+            bound: bound(scenario, jobs),
+        }
     }
 
     /// Counts a job by its final status. Jobs that crash workers cannot be completed and are left
@@ -86,6 +102,10 @@
                 counts.late += 1;
             }
             Status::Refused => counts.refused += 1,
+            Status::RefusedDespiteRoom => {
+                counts.refused += 1;
+                counts.refused_despite_room += 1;
+            }
             Status::Completed { .. } | Status::Failed => {}
         }
     }
@@ -97,6 +117,8 @@
             counts.add(other);
         }
         self.calls += other.calls;
+        self.submissions += other.submissions;
+        self.submissions_to_other_zones += other.submissions_to_other_zones;
         self.crashes += other.crashes;
     }
 
@@ -140,22 +162,30 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:20} {:>7} {:>8} {:>7} {:>8}",
-            "kind", "asked", "in time", "late", "refused"
+            "{:20} {:>7} {:>8} {:>7} {:>8} {:>12}",
+            "kind", "asked", "in time", "late", "refused", "despite room"
         )?;
         let total = ("all".to_owned(), self.total());
         for (name, counts) in self.kinds.iter().chain([&total]) {
             let share = |count: u64| count as f64 / counts.arrived.max(1) as f64;
             writeln!(
                 f,
-                "{name:20} {:>7} {:>8.4} {:>7.4} {:>8.4}",
+                "{name:20} {:>7} {:>8.4} {:>7.4} {:>8.4} {:>12.4}",
                 counts.arrived,
                 share(counts.in_time),
                 share(counts.late),
                 share(counts.refused),
+                share(counts.refused_despite_room),
             )?;
         }
-        let per_job = self.calls as f64 / self.total().arrived.max(1) as f64;
-        write!(f, "bound {:.4}, calls a job {per_job:.2}", self.bound)
+        let per_job = |count: u64| count as f64 / self.total().arrived.max(1) as f64;
+        write!(
+            f,
+            "bound {:.4}, calls a job {:.2}, submissions a job {:.2}, to other zones {:.2}",
+            self.bound,
+            per_job(self.calls),
+            per_job(self.submissions),
+            per_job(self.submissions_to_other_zones),
+        )
     }
 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -60,11 +60,25 @@
     pub factor: f64,
 }
 
+/// A sinusoidal oscillation of the arrival rate of each zone. The phases of the zones are spread
+/// evenly over the period, so that the rate over all zones stays constant.
+#[derive(Clone, Copy, Debug)]
+pub struct Wave {
+    /// Period of the oscillation, in milliseconds.
+    pub period_ms: u64,
+    /// Largest deviation from the mean rate, as a share of it, from 0 to 1.
+    pub amplitude: f64,
+}
+
 /// Workers and load of a simulation.
 #[derive(Clone, Debug)]
 pub struct Scenario {
-    /// Number of zones. Each zone has one cell.
+    /// Number of zones.
     pub zones: usize,
+    /// Number of cells that the workers of each zone are divided into.
+    pub cells: usize,
+    /// Number of daemons of each zone that receive jobs.
+    pub routers: usize,
     /// CPU of each worker of a zone, in thousandths of a core. All zones have the same workers.
     pub workers_millicores: Vec<u64>,
     /// Slowdowns of the workers: actual run time over the run time of the task. The list repeats if
@@ -76,6 +90,8 @@
     pub span_ms: u64,
     /// Burst of arrivals; `None` if the rate stays constant.
     pub burst: Option<Burst>,
+    /// Oscillation of the arrival rates of the zones; `None` if they stay equal.
+    pub wave: Option<Wave>,
     /// Share of the calls to workers that are lost, from 0 to 1.
     pub lost_share: f64,
     /// Error of the declared run times, as the standard deviation of their logarithm.
@@ -159,13 +175,20 @@
         for_ms: load.number_or("burst_for_ms", 0)?,
         factor: load.number_or("burst_factor", 1.0)?,
     };
+    let wave = Wave {
+        period_ms: load.number_or("wave_period_ms", 0)?,
+        amplitude: load.share("wave_amplitude")?,
+    };
     Ok(Scenario {
         zones: installation.number("zones")?,
+        cells: installation.number_or("cells_a_zone", 1)?,
+        routers: installation.number_or("routers_a_zone", 1)?,
         workers_millicores: sizes.collect(),
         slowdowns: installation.numbers("paces")?,
         kinds,
         span_ms: load.number("span_ms")?,
         burst: Some(burst).filter(|burst| burst.for_ms > 0),
+        wave: Some(wave).filter(|wave| wave.period_ms > 0),
         lost_share: load.number_or("lost_share", 0.0)?,
         declared_spread: load.number_or("declared_spread", 0.4)?,
     })
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -1,7 +1,8 @@
 //! Simulates a scenario in virtual time.
 //!
-//! Each zone has one [`Pool`], which schedules jobs on simulated workers exactly as in the daemon.
-//! Messages and timers are events in a queue that is ordered by time.
+//! Each cell has a [`Pool`], which schedules jobs on simulated workers exactly as in the daemon. Each
+//! zone has a number of daemons that receive jobs and choose cells, each with its own knowledge of
+//! the cells' loads. Messages and timers are events in a queue that is ordered by time.
 
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -60,17 +61,17 @@
 enum Event {
     /// The daemon that received a job chooses the next owner to ask.
     FindOwner(usize),
-    /// A job arrives at an owner.
-    Submit { job: usize, zone: usize, may_wait: bool },
+    /// A job arrives at the owner of a cell.
+    Submit { job: usize, cell: usize, may_wait: bool },
     /// An owner's answer arrives at the daemon that received the job.
-    Answer { job: usize, zone: usize, outcome: Outcome, backlog: Backlog },
+    Answer { job: usize, cell: usize, outcome: Outcome, backlog: Backlog },
     /// A call arrives at a worker.
     WorkerCall(usize, WorkerCall),
     /// A worker's reply arrives at its owner.
     Reply(usize, Reply),
     /// A run of a worker may have ended, or its pending poll may have reached its deadline.
     CheckPoll(usize),
-    /// A timer of an owner expires.
+    /// A timer of a cell's owner expires.
     Advance(usize),
     /// A worker crashes under the first task of a job, unless the task has been stopped.
     Crash(usize, TaskName),
@@ -89,6 +90,7 @@
     scenario: &'a Scenario,
     jobs: &'a [GeneratedJob],
     by_id: HashMap<Rc<str>, usize>,
+    /// State of each cell, ordered by zone.
     pools: Vec<Pool>,
     advance_at_ms: Vec<Option<u64>>,
     workers: Vec<PoolWorker>,
@@ -96,6 +98,7 @@
     /// Until when no process listens at each worker's address.
     down_until_ms: Vec<u64>,
     searches: Vec<CellSearch>,
+    /// What each daemon knows of the cells' loads, ordered by zone.
     loads: Vec<CellLoads>,
     submitted: HashMap<(usize, u64), usize>,
     events: BTreeMap<(u64, u64), Event>,
@@ -114,7 +117,7 @@
 
 impl<'a> Simulation<'a> {
     fn new(scenario: &'a Scenario, jobs: &'a [GeneratedJob], rng: SmallRng) -> Self {
-        let zones = scenario.zones;
+        let cells = scenario.zones * scenario.cells;
         let by_id = jobs.iter().enumerate().map(|(at, job)| (Rc::clone(&job.spec.id), at));
         let mut simulation = Self {
             now_ms: 0,
@@ -123,18 +126,18 @@
             jobs,
             by_id: by_id.collect(),
             pools: Vec::new(),
-            advance_at_ms: vec![None; zones],
+            advance_at_ms: vec![None; cells],
             workers: Vec::new(),
             pending_polls: Vec::new(),
             down_until_ms: Vec::new(),
             searches: jobs.iter().map(|_| CellSearch::default()).collect(),
-            loads: (0..zones).map(|_| CellLoads::default()).collect(),
+            loads: (0..scenario.zones * scenario.routers).map(|_| CellLoads::default()).collect(),
             submitted: HashMap::new(),
             events: BTreeMap::new(),
             last_sequence: 0,
             report: Report::new(scenario, jobs),
         };
-        for zone in 0..zones {
+        for zone in 0..scenario.zones {
             simulation.add_zone(zone);
         }
         for (at, job) in jobs.iter().enumerate() {
@@ -158,10 +161,13 @@
             self.pending_polls.push(None);
             self.down_until_ms.push(0);
         }
-        let mut pool = Pool::new(1);
-        pool.set_workers(Millis(0), entries.iter().map(|(id, entry)| (id, entry)));
-        self.pools.push(pool);
-        self.perform_actions(zone);
+        for number in 0..self.scenario.cells {
+            let workers = entries.iter().skip(number).step_by(self.scenario.cells);
+            let mut pool = Pool::new(1);
+            pool.set_workers(Millis(0), workers.map(|(id, entry)| (id, entry)));
+            self.pools.push(pool);
+            self.perform_actions(zone * self.scenario.cells + number);
+        }
     }
 
     fn run(&mut self) {
@@ -183,34 +189,77 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::FindOwner(job) => self.find_owner(job),
-            Event::Submit { job, zone, may_wait } => self.submit(job, zone, may_wait),
-            Event::Answer { job, zone, outcome, backlog } => {
-                self.handle_answer(job, zone, &outcome, backlog);
+            Event::Submit { job, cell, may_wait } => self.submit(job, cell, may_wait),
+            Event::Answer { job, cell, outcome, backlog } => {
+                self.handle_answer(job, cell, &outcome, backlog);
             }
             Event::WorkerCall(worker, call) => self.handle_call(worker, call),
             Event::Reply(worker, reply) => self.handle_reply(worker, reply),
             Event::CheckPoll(worker) => self.check_poll(worker),
-            Event::Advance(zone) => self.advance(zone),
+            Event::Advance(cell) => self.advance(cell),
             Event::Crash(worker, task) => self.crash(worker, &task),
         }
     }
 
     fn find_owner(&mut self, job: usize) {
+        let router = self.router_of(job);
         let home = self.jobs[job].zone;
-        let others = || (0..self.pools.len()).filter(|zone| *zone != home).map(cell).collect();
-        let (now, own) = (Millis(self.now_ms), [cell(home)]);
-        let next = self.searches[job].next(&self.loads[home], &own, others, now);
+        let other_zones = (0..self.scenario.zones).filter(|zone| *zone != home);
+        let others: Vec<Cell> = other_zones.flat_map(|zone| self.cells_of(zone)).collect();
+        let (now, own) = (Millis(self.now_ms), self.cells_of(home));
+        let next = self.searches[job].next(&self.loads[router], &own, || others.clone(), now);
         match next {
-            None => self.report.record(&self.jobs[job], Status::Refused),
+            None => {
+                let has_room = self.pools.iter().any(|pool| self.has_room(pool, job));
+                let status = if has_room { Status::RefusedDespiteRoom } else { Status::Refused };
+                self.report.record(&self.jobs[job], status);
+            }
             Some((cell, may_wait)) => {
-                let zone = cell.partition as usize;
-                let at_ms = self.now_ms + link_delay_ms(home, zone);
-                self.push(at_ms, Event::Submit { job, zone, may_wait });
+                let cell = cell.partition as usize;
+                self.report.submissions += 1;
+                self.report.submissions_to_other_zones += u64::from(self.zone_of(cell) != home);
+                let at_ms = self.now_ms + link_delay_ms(home, self.zone_of(cell));
+                self.push(at_ms, Event::Submit { job, cell, may_wait });
             }
         }
     }
 
-    fn submit(&mut self, job: usize, zone: usize, may_wait: bool) {
+    /// Returns whether all tasks of a job could start at once in a cell: no other task waits there,
+    /// and the free cores suffice.
+    fn has_room(&self, pool: &Pool, job: usize) -> bool {
+        let now = Millis(self.now_ms);
+        let step = &self.jobs[job].spec.steps[0];
+        let usable = pool.workers().filter(|(_, worker)| worker.accepts_tasks(now));
+        let fitting = usable.map(|(_, worker)| worker.free().fit_count(step.task_resources));
+        pool.backlog(now).queued_work == 0 && fitting.sum::<u64>() >= u64::from(step.count)
+    }
+
+    /// Returns the index of the daemon that received a job.
+    fn router_of(&self, job: usize) -> usize {
+        self.jobs[job].zone * self.scenario.routers + self.jobs[job].router
+    }
+
+    /// Returns the index of the daemon that owns a cell.
+    const fn owner_of(&self, cell: usize) -> usize {
+        let number = cell % self.scenario.cells;
+        self.zone_of(cell) * self.scenario.routers + number % self.scenario.routers
+    }
+
+    const fn zone_of(&self, cell: usize) -> usize {
+        cell / self.scenario.cells
+    }
+
+    fn cells_of(&self, zone: usize) -> Vec<Cell> {
+        let cells = self.scenario.cells;
+        (zone * cells..(zone + 1) * cells).map(|cell| self.cell(cell)).collect()
+    }
+
+    /// Returns a cell by its index, which is also its partition.
+    fn cell(&self, cell: usize) -> Cell {
+        Cell { zone: Rc::from(self.zone_of(cell).to_string()), partition: cell as u32 }
+    }
+
+    fn submit(&mut self, job: usize, cell: usize, may_wait: bool) {
         let generated = &self.jobs[job];
         let submission = Submission {
             spec: generated.spec.clone(),
@@ -219,20 +268,22 @@
             limit_ms: CALLER_WAIT_MS.max(generated.objective_ms()),
             previous_owner: PreviousOwner::None,
             may_wait,
-            is_remote: zone != generated.zone,
+            is_remote: self.owner_of(cell) != self.router_of(job),
         };
-        let number = self.pools[zone].submit(Millis(self.now_ms), submission);
-        self.submitted.insert((zone, number), job);
-        self.perform_actions(zone);
+        let number = self.pools[cell].submit(Millis(self.now_ms), submission);
+        self.submitted.insert((cell, number), job);
+        self.perform_actions(cell);
     }
 
     fn age_ms(&self, job: usize) -> u64 {
         self.now_ms - WARM_UP_MS - self.jobs[job].at_ms
     }
 
-    fn handle_answer(&mut self, job: usize, zone: usize, outcome: &Outcome, backlog: Backlog) {
+    fn handle_answer(&mut self, job: usize, cell: usize, outcome: &Outcome, backlog: Backlog) {
         let generated = &self.jobs[job];
-        self.loads[generated.zone].record(&cell(zone), outcome, backlog, Millis(self.now_ms));
+        let router = self.router_of(job);
+        let name = self.cell(cell);
+        self.loads[router].record(&name, outcome, backlog, Millis(self.now_ms));
         let status = match outcome {
             Outcome::Completed => Status::Completed { after_ms: self.age_ms(job) },
             Outcome::NotRun { .. } => return self.find_owner(job),
@@ -241,47 +292,47 @@
         self.report.record(generated, status);
     }
 
-    fn advance(&mut self, zone: usize) {
+    fn advance(&mut self, cell: usize) {
         // An earlier time may have been scheduled since.
-        if self.advance_at_ms[zone] != Some(self.now_ms) {
+        if self.advance_at_ms[cell] != Some(self.now_ms) {
             return;
         }
-        self.advance_at_ms[zone] = None;
-        self.pools[zone].advance(Millis(self.now_ms));
-        self.perform_actions(zone);
+        self.advance_at_ms[cell] = None;
+        self.pools[cell].advance(Millis(self.now_ms));
+        self.perform_actions(cell);
     }
 
-    fn perform_actions(&mut self, zone: usize) {
-        for action in self.pools[zone].take_actions() {
+    fn perform_actions(&mut self, cell: usize) {
+        for action in self.pools[cell].take_actions() {
             match action {
                 Action::Start(target, call) => self.send(&target, WorkerCall::Start(call)),
                 Action::Stop(target, call) => self.send(&target, WorkerCall::Stop(call)),
                 Action::Poll(target, call) => {
                     self.send(&target, WorkerCall::Poll(call, Millis(self.now_ms)));
                 }
-                Action::Answer(number, outcome) => self.send_answer(zone, number, outcome),
+                Action::Answer(number, outcome) => self.send_answer(cell, number, outcome),
                 Action::ReportLoss(loss) => {
                     if let Some(crash) = Crash::from_loss(&loss) {
                         self.report.crashes += 1;
-                        self.share_crash(zone, &crash);
+                        self.share_crash(cell, &crash);
                     }
                 }
                 // A worker that does not listen has crashed.
                 Action::ReportReturn(_) | Action::ReportProcess(_) | Action::ReportOrphan(..) => {}
             }
         }
-        let due = self.pools[zone].next_due(Millis(self.now_ms));
+        let due = self.pools[cell].next_due(Millis(self.now_ms));
         let Some(due_ms) = due.map(|due| due.0.max(self.now_ms + 1)) else { return };
-        if self.advance_at_ms[zone].is_none_or(|at_ms| due_ms < at_ms) {
-            self.advance_at_ms[zone] = Some(due_ms);
-            self.push(due_ms, Event::Advance(zone));
+        if self.advance_at_ms[cell].is_none_or(|at_ms| due_ms < at_ms) {
+            self.advance_at_ms[cell] = Some(due_ms);
+            self.push(due_ms, Event::Advance(cell));
         }
     }
 
-    fn share_crash(&mut self, reporting_zone: usize, crash: &Crash) {
-        for zone in (0..self.pools.len()).filter(|zone| *zone != reporting_zone) {
-            self.pools[zone].record_crash(Millis(self.now_ms), 0, crash);
-            self.perform_actions(zone);
+    fn share_crash(&mut self, reporting_cell: usize, crash: &Crash) {
+        for cell in (0..self.pools.len()).filter(|cell| *cell != reporting_cell) {
+            self.pools[cell].record_crash(Millis(self.now_ms), 0, crash);
+            self.perform_actions(cell);
         }
     }
 
@@ -311,11 +362,11 @@
         self.push(self.now_ms + LINK_DELAY_MS, Event::Reply(worker, reply));
     }
 
-    fn send_answer(&mut self, zone: usize, number: u64, outcome: Outcome) {
-        let Some(job) = self.submitted.remove(&(zone, number)) else { return };
-        let backlog = self.pools[zone].backlog(Millis(self.now_ms));
-        let at_ms = self.now_ms + link_delay_ms(zone, self.jobs[job].zone);
-        self.push(at_ms, Event::Answer { job, zone, outcome, backlog });
+    fn send_answer(&mut self, cell: usize, number: u64, outcome: Outcome) {
+        let Some(job) = self.submitted.remove(&(cell, number)) else { return };
+        let backlog = self.pools[cell].backlog(Millis(self.now_ms));
+        let at_ms = self.now_ms + link_delay_ms(self.zone_of(cell), self.jobs[job].zone);
+        self.push(at_ms, Event::Answer { job, cell, outcome, backlog });
     }
 
     /// Sends a call to a worker. A lost call never arrives, and the owner sees it time out.
@@ -402,21 +453,21 @@
     }
 
     fn handle_reply(&mut self, worker: usize, reply: Reply) {
-        let zone = worker / self.scenario.workers_millicores.len();
+        let cell = self.cell_of_worker(worker);
         let (now, id) = (Millis(self.now_ms), worker.to_string());
-        let pool = &mut self.pools[zone];
+        let pool = &mut self.pools[cell];
         match reply {
             Reply::Start(call, reply) => pool.start_reply(now, &id, &call, reply),
             Reply::Stop(call, reply) => pool.stop_reply(now, &id, &call, reply),
             Reply::Poll(reply, sent_at) => pool.poll_reply(now, &id, sent_at, &reply),
         }
-        self.perform_actions(zone);
+        self.perform_actions(cell);
     }
-}
 
-/// Returns the only cell of a zone. Its partition is the zone's number.
-fn cell(zone: usize) -> Cell {
-    Cell { zone: Rc::from(zone.to_string()), partition: zone as u32 }
+    const fn cell_of_worker(&self, worker: usize) -> usize {
+        let workers = self.scenario.workers_millicores.len();
+        worker / workers * self.scenario.cells + worker % workers % self.scenario.cells
+    }
 }
 
 /// Returns the delay of a message between the daemons of two zones. Within a zone it is zero.
--- a/crates/lab/src/workload.rs
+++ b/crates/lab/src/workload.rs
@@ -37,6 +37,8 @@
     pub kind: usize,
     /// Zone whose daemon receives the job.
     pub zone: usize,
+    /// Index in its zone of the daemon that receives the job.
+    pub router: usize,
     /// Arrival time, in milliseconds after the arrivals start.
     pub at_ms: u64,
     /// Job as sent by the caller, with a declared run time that deviates from the true ones.
@@ -117,7 +119,8 @@
     let crashes_workers = kind.crashing_share > 0.0 && rng.random_bool(kind.crashing_share);
     GeneratedJob {
         kind: kind_index,
-        zone: rng.random_range(0..scenario.zones),
+        zone: choose_zone(scenario, at_ms, rng),
+        router: if scenario.routers > 1 { rng.random_range(0..scenario.routers) } else { 0 },
         at_ms,
         spec,
         terms,
@@ -126,6 +129,21 @@
     }
 }
 
+/// Samples the zone of a job with probabilities in proportion to the zones' arrival rates.
+fn choose_zone(scenario: &Scenario, at_ms: u64, rng: &mut SmallRng) -> usize {
+    let Some(wave) = scenario.wave else { return rng.random_range(0..scenario.zones) };
+    let rate = |zone: usize| {
+        let phase = zone as f64 / scenario.zones as f64 + at_ms as f64 / wave.period_ms as f64;
+        1.0 + wave.amplitude * (phase * std::f64::consts::TAU).sin()
+    };
+    let mut sample = rng.random_range(0.0..(0..scenario.zones).map(rate).sum::<f64>());
+    let is_chosen = |zone: &usize| {
+        sample -= rate(*zone);
+        sample < 0.0
+    };
+    (0..scenario.zones).find(is_chosen).unwrap_or(scenario.zones - 1)
+}
+
 /// Samples a log-normal distribution with the given mean, where `sigma` is the standard deviation
 /// of the logarithm. Samples above `mean * max_factor` are clamped to it.
 fn log_normal(mean: f64, sigma: f64, max_factor: f64, rng: &mut SmallRng) -> f64 {
--- a/crates/lab/tests/loads.rs
+++ b/crates/lab/tests/loads.rs
@@ -101,7 +101,7 @@
 
 #[test]
 fn every_job_has_exactly_one_status() {
-    for name in ["calm", "full", "over", "lost"] {
+    for name in ["calm", "full", "over", "lost", "waves"] {
         let scenario = scenario(name);
         let arrived: u64 = run(&scenario, 1).total().arrived;
         let mut rng = rand::SeedableRng::seed_from_u64(1);
