Choose cells by their known free capacity, and pass reports on with each answer

A daemon knew of another cell only what its owner had reported with the last answer, without its age and without what had been sent since, and two full cells of the own zone used up all attempts, so that work was refused beside free workers. Backlogs now carry a histogram of the free cores by worker; the load table keeps ages, deducts what was sent since, and learns up to 8 reports on other cells from each answer. Up to four owners with known room are asked for an immediate start, cells known to be full are not, and the queue is chosen by expected start over all zones.

The existing tests of the order of cells take the new types and keep their bounds.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -173,10 +173,11 @@
         let cell = trace.cell.as_ref().map(ToString::to_string).unwrap_or_default();
         let load = trace.backlog.filter(|_| status != OK).map(|load| {
             format!(
-                " free_millicores={} capacity_millicores={} queue_ms={}",
+                " free_millicores={} capacity_millicores={} queue_ms={} known_ms={}",
                 load.free_millicores,
                 load.capacity_millicores,
                 load.wait_ms(),
+                trace.known_ms.map_or_else(|| "-".to_owned(), |known_ms| known_ms.to_string()),
             )
         });
         log::info!(
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -36,6 +36,8 @@
     pub store_calls: IntCounterVec,
     /// Jobs forwarded to other daemons, by result.
     pub forwarded: IntCounterVec,
+    /// Offers of jobs to owners of cells, this daemon included, by what the cell was chosen by.
+    pub offers: IntCounterVec,
     /// Cells acquired and lost, by kind of change.
     pub cells: IntCounterVec,
     /// Version of the catalogue in force.
@@ -91,6 +93,7 @@
             convictions: counters("entry_convictions_total", "Crash convictions.", &["of"])?,
             store_calls: counters("entry_store_calls_total", "Store calls.", &["call", "result"])?,
             forwarded: counters("entry_forwarded_total", "Jobs sent on.", &["result"])?,
+            offers: counters("entry_offers_total", "Offers of jobs to cells.", &["basis"])?,
             cells: counters("entry_cells_total", "Cells gained and lost.", &["change"])?,
             catalogue_version,
             store_latency_s,
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -83,6 +83,16 @@
         owned.get(cell).map(|owned| owned.pool.backlog(now)).unwrap_or_default()
     }
 
+    /// Updates what this daemon knows of the loads of the cells that it owns itself.
+    pub fn refresh_owned_loads(&self) {
+        let now = self.now();
+        let owned = self.owned.borrow();
+        let mut loads = self.loads.borrow_mut();
+        for (cell, owned) in owned.iter() {
+            loads.record_backlog(cell, owned.pool.backlog(now), now);
+        }
+    }
+
     /// Passes an event to the pool of a cell, unless the event belongs to a previous ownership.
     pub fn with_pool(&self, cell: &Cell, serial: u64, event: impl FnOnce(&mut Pool, Millis)) {
         let now = self.now();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -74,7 +74,10 @@
         };
         let submission = Submission { is_remote: true, ..submission };
         let result = self.run_locally(&cell, submission, on_submit).await;
-        result.map_or(Reply::NotOwner, |(outcome, backlog)| Reply::Outcome(outcome, backlog))
+        let Some((outcome, backlog)) = result else { return Reply::NotOwner };
+        self.refresh_owned_loads();
+        let reports = self.loads.borrow().reports(&cell, self.now());
+        Reply::Outcome(outcome, backlog, reports)
     }
 
     fn cancel_for_peer(self: &Rc<Self>, from: Incarnation, job: Rc<str>) {
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -7,9 +7,10 @@
 use pool::cells::Cell;
 use pool::crashes::Crash;
 use pool::job::Outcome;
+use pool::load_table::LoadReport;
 use pool::loss::WorkerLife;
 use pool::pool::{LINK_TIMEOUT_MS, Submission};
-use pool::queue::Backlog;
+use pool::queue::{Backlog, or_default};
 use serde::{Deserialize, Serialize};
 
 use crate::worker_counts::ZoneCount;
@@ -97,8 +98,8 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 pub enum Reply {
-    /// Outcome of a job, and the load of the cell after it.
-    Outcome(Outcome, Backlog),
+    /// Outcome of a job, the load of the cell after it, and what the sender knows of other cells.
+    Outcome(Outcome, Backlog, #[serde(deserialize_with = "or_default")] Vec<LoadReport>),
     /// The request is refused: the sender does not own the cell, does not accept the handover or
     /// does not know the numbers of workers. As the reply to [`Request::ReleaseCell`]: the sender
     /// does not own the cell, or has just released it.
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -10,9 +10,10 @@
 use pool::cells::Cell;
 use pool::failover::{Attempt, Decision, decide, outcome_if_too_late};
 use pool::job::{JobSpec, Outcome, PreviousOwner, Reason};
+use pool::load_table::{Demand, LoadReport, SentJob};
 use pool::pool::Submission;
 use pool::queue::Backlog;
-use pool::spill::CellSearch;
+use pool::spill::{CellSearch, Offer};
 
 use crate::protocol::{Reply, Request, RunRequest};
 use crate::state::Entry;
@@ -51,6 +52,9 @@
     pub attempts: usize,
     /// Load of the cell that replied last; `None` before the first reply.
     pub backlog: Option<Backlog>,
+    /// Age of the oldest report by which a cell was passed over because it had no room for the job,
+    /// in milliseconds; `None` if no cell was.
+    pub known_ms: Option<u64>,
 }
 
 /// Cancels a forwarded job at its owner if no reply has arrived when it is dropped, because nobody
@@ -77,7 +81,29 @@
     }
 }
 
+/// Deducts a job from the known free capacity of the cell that it was sent to, until the owner has
+/// answered or nobody waits for the answer any more.
+struct DeductionGuard<'a> {
+    entry: &'a Entry,
+    cell: &'a Cell,
+    job: SentJob,
+}
+
+impl Drop for DeductionGuard<'_> {
+    fn drop(&mut self) {
+        self.entry.loads.borrow_mut().record_answer(self.cell, self.job);
+    }
+}
+
 impl JobRequest {
+    /// Returns the search for a cell that accepts the job.
+    fn search(&self) -> CellSearch {
+        let declared_ms = self.spec.critical_path_ms(|step| step.estimate_ms);
+        let useful_ms = self.terms.useful_ms(declared_ms).min(self.limit_ms);
+        let latest_start = self.arrived_at.plus(useful_ms.saturating_sub(declared_ms));
+        CellSearch::new(Demand::of(&self.spec), latest_start, rand::random())
+    }
+
     /// Returns how long the job may wait for an owner, counted from its arrival, in milliseconds:
     /// as long as an answer can still be of use to its caller.
     fn owner_wait_ms(&self) -> u64 {
@@ -112,8 +138,10 @@
     async fn try_owners(self: &Rc<Self>, request: &JobRequest, trace: &mut Trace) -> Outcome {
         let mut refusal =
             Outcome::NotRun { reason: Reason::NoOwner, retry_after_ms: NO_OWNER_RETRY_AFTER_MS };
-        let mut search = CellSearch::default();
-        while let Some((cell, may_wait)) = self.next_cell(&mut search) {
+        let mut search = request.search();
+        while let Some(Offer { cell, may_wait, basis }) = self.next_cell(&mut search) {
+            self.metrics.offers.with_label_values(&[basis.as_str()]).inc();
+            trace.known_ms = search.known_ms();
             trace.cell = Some(cell.clone());
             trace.attempts += 1;
             let attempt = self.submit_to_cell(&cell, request, PreviousOwner::None, may_wait).await;
@@ -176,8 +204,12 @@
             may_wait,
             is_remote: false,
         };
+        let demand = Demand::of(&request.spec);
+        let sent = self.loads.borrow_mut().record_sent(cell, demand, self.now());
+        let deduction = DeductionGuard { entry: self, cell, job: sent };
         let result = if self.owned.borrow().contains_key(cell) {
-            self.run_locally(cell, submission, |_, _| {}).await
+            let result = self.run_locally(cell, submission, |_, _| {}).await;
+            result.map(|(outcome, backlog)| (outcome, backlog, Vec::new()))
         } else {
             let Some(addr) = self.owner_of(cell) else { return Attempt::NotStarted };
             let message = RunRequest { cell: cell.clone(), submission };
@@ -204,11 +236,14 @@
                 }
             }
         };
-        let Some((outcome, backlog)) = result else {
+        drop(deduction);
+        let Some((outcome, backlog, reports)) = result else {
             self.loads.borrow_mut().record_unowned(cell, self.now());
             return Attempt::NotStarted;
         };
-        self.loads.borrow_mut().record(cell, &outcome, backlog, self.now());
+        let (mut loads, now) = (self.loads.borrow_mut(), self.now());
+        loads.record(cell, demand, &outcome, backlog, now);
+        loads.record_reports(&reports, now);
         Attempt::Outcome(outcome)
     }
 
@@ -216,7 +251,7 @@
         self: &Rc<Self>,
         addr: SocketAddr,
         message: RunRequest,
-    ) -> Result<Option<(Outcome, Backlog)>, LinkError> {
+    ) -> Result<Option<(Outcome, Backlog, Vec<LoadReport>)>, LinkError> {
         let job = Rc::clone(&message.submission.spec.id);
         let left_ms = message.submission.limit_ms.saturating_sub(message.submission.age_ms);
         let wait_ms = left_ms + REPLY_MARGIN_MS;
@@ -224,9 +259,9 @@
         let reply = self.links.call(addr, Request::Run(Box::new(message)), wait_ms).await;
         guard.is_finished = reply.is_ok();
         match reply? {
-            Reply::Outcome(outcome, backlog) => {
+            Reply::Outcome(outcome, backlog, reports) => {
                 self.metrics.forwarded.with_label_values(&["answered"]).inc();
-                Ok(Some((outcome, backlog)))
+                Ok(Some((outcome, backlog, reports)))
             }
             Reply::NotOwner
             | Reply::TakenOver
@@ -251,14 +286,13 @@
         self.is_responsive(addr).then_some(addr)
     }
 
-    fn next_cell(&self, search: &mut CellSearch) -> Option<(Cell, bool)> {
+    fn next_cell(&self, search: &mut CellSearch) -> Option<Offer> {
+        self.refresh_owned_loads();
         let own_zone = self.settings.zone.as_str();
-        let others = || {
-            let zones = self.settings.zones.iter().filter(|zone| **zone != own_zone);
-            zones.flat_map(|zone| self.reachable_cells(zone)).collect()
-        };
+        let zones = self.settings.zones.iter().filter(|zone| **zone != own_zone);
+        let others: Vec<Cell> = zones.flat_map(|zone| self.reachable_cells(zone)).collect();
         let own = self.reachable_cells(own_zone);
-        search.next(&self.loads.borrow(), &own, others, self.now())
+        search.next(&self.loads.borrow(), &own, &others, self.now())
     }
 
     /// Returns the cells of a zone whose owner is known and not unresponsive.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,11 +15,11 @@
 use pool::cells::Cell;
 use pool::crashes::CrashHistory;
 use pool::job::Outcome;
+use pool::load_table::LoadTable;
 use pool::owners::Owners;
 use pool::pool::Pool;
 use pool::resettle::Resettlement;
 use pool::responsiveness::Responsiveness;
-use pool::spill::CellLoads;
 use tokio::sync::{Notify, oneshot};
 
 use crate::cancel::OpenJobs;
@@ -102,8 +102,8 @@
     pub requested_cells: RefCell<BTreeSet<Cell>>,
     /// Crashes of workers in all cells, as far as they are known here.
     pub crashes: RefCell<CrashHistory>,
-    /// Last known load of each cell, from the outcomes of jobs.
-    pub loads: RefCell<CellLoads>,
+    /// Last known load of each cell, from the outcomes of jobs and reports of other daemons.
+    pub loads: RefCell<LoadTable>,
     /// Which other daemons get no requests because they did not reply lately.
     pub responsiveness: RefCell<Responsiveness>,
     /// Fencing token at which this daemon was last fenced off each cell. The cell is not acquired
@@ -173,7 +173,7 @@
             assignment: RefCell::default(),
             requested_cells: RefCell::default(),
             crashes: RefCell::default(),
-            loads: RefCell::default(),
+            loads: RefCell::new(LoadTable::new(settings.zones.iter().map(String::as_str))),
             responsiveness: RefCell::default(),
             fenced: RefCell::default(),
             phase: Value::new(Phase::Serving),
--- a/crates/entry/tests/messages.rs
+++ b/crates/entry/tests/messages.rs
@@ -1,9 +1,15 @@
 //! Property tests of the messages between daemons: changed and random bytes are rejected or read,
 //! without a panic.
 
+use dispatch::clock::Millis;
 use entry::protocol::{Ownership, ReleaseRequest, Reply, Request};
 use pool::cells::Cell;
+use pool::free_cores::FreeCores;
+use pool::job::{Outcome, Reason};
+use pool::load_table::{Demand, LoadReport, LoadTable};
+use pool::queue::Backlog;
 use proptest::prelude::*;
+use serde::{Deserialize, Serialize};
 
 fn valid_messages() -> Vec<Vec<u8>> {
     let cell = Cell { zone: "z0".into(), partition: 9 };
@@ -43,6 +49,24 @@
         let _ = postcard::from_bytes::<Reply>(&bytes);
     }
 
+    /// Guards against reports of a faulty daemon that end the process or fill its memory.
+    #[test]
+    fn incorrect_load_reports_cause_no_panic_and_no_growth(
+        reports in prop::collection::vec(prop::collection::vec(any::<u8>(), 24..30), 0..400),
+        tasks in any::<u64>(),
+        task_millicores in any::<u64>(),
+    ) {
+        let mut loads = LoadTable::new(["a", "b"]);
+        let (cell, demand) = (Cell { zone: "a".into(), partition: 0 }, Demand { tasks, task_millicores });
+        for bytes in &reports {
+            let Ok(report) = postcard::from_bytes::<LoadReport>(bytes) else { continue };
+            loads.record_reports(&[report], Millis(9));
+            loads.record_sent(&cell, demand, Millis(9));
+        }
+        loads.fit(&cell, demand, Millis(9));
+        prop_assert!(loads.len() <= 257, "{} cells", loads.len());
+    }
+
     #[test]
     fn random_bytes_cause_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let _ = postcard::from_bytes::<Request>(&bytes);
@@ -55,3 +79,54 @@
     assert!(postcard::from_bytes::<Request>(&[0x7f]).is_err());
     assert!(postcard::from_bytes::<Reply>(&[0x7f]).is_err());
 }
+
+/// The replies of the version before, which end after the queued work.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+enum PreviousReply {
+    Outcome(Outcome, PreviousBacklog),
+}
+
+#[derive(Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+struct PreviousBacklog {
+    capacity_millicores: u64,
+    free_millicores: u64,
+    queued_work: u64,
+}
+
+/// Guards against answers that are lost in a rolling update, in which both versions run.
+#[test]
+fn outcomes_are_read_by_and_from_the_version_before() {
+    let outcome = Outcome::NotRun { reason: Reason::Busy, retry_after_ms: 200 };
+    let backlog =
+        PreviousBacklog { capacity_millicores: 640_000, free_millicores: 7, queued_work: 300 };
+    let bytes = postcard::to_allocvec(&PreviousReply::Outcome(outcome.clone(), backlog)).unwrap();
+    let Reply::Outcome(read, backlog, reports) = postcard::from_bytes(&bytes).unwrap() else {
+        panic!("another reply was read");
+    };
+    assert_eq!((&read, backlog.free_millicores, backlog.queued_work), (&outcome, 7, 300));
+    assert_eq!((backlog.free, reports.len()), (None, 0));
+
+    let free = FreeCores::new([(16_000, 8_000)].into_iter());
+    let backlog = Backlog { free: Some(free), ..backlog };
+    let bytes = postcard::to_allocvec(&Reply::Outcome(outcome, backlog, reports)).unwrap();
+    let PreviousReply::Outcome(_, read) = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!((read.free_millicores, read.queued_work), (7, 300));
+}
+
+/// Guards against reports that burden narrow links: 8 in each reply, of 24 bytes each.
+#[test]
+fn a_load_report_takes_at_most_24_bytes() {
+    let (mut loads, cell) = (LoadTable::new(["a", "b"]), Cell { zone: "b".into(), partition: 27 });
+    let backlog = Backlog {
+        capacity_millicores: 1,
+        queued_work: u64::MAX,
+        free: Some(FreeCores::new([(u64::MAX, u64::MAX); 300].into_iter())),
+        ..Backlog::default()
+    };
+    loads.record_backlog(&cell, backlog, Millis(100));
+    let reports = loads.reports(&Cell { partition: 0, ..cell }, Millis(599));
+    assert_eq!(reports.len(), 1);
+    assert!(postcard::to_allocvec(&reports[0]).unwrap().len() <= 24);
+}
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -15,10 +15,11 @@
 use pool::cells::Cell;
 use pool::crashes::Crash;
 use pool::job::{Outcome, PreviousOwner, TaskName};
+use pool::load_table::{Demand, LoadReport, LoadTable, SentJob};
 use pool::pool::{Action, Pool, Submission};
 use pool::queue::Backlog;
 use pool::resources::Resources;
-use pool::spill::{CellLoads, CellSearch};
+use pool::spill::{CellSearch, Offer};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use standins::pool_worker::{PoolWorker, STOP_DELAY_MS, Work};
@@ -64,7 +65,7 @@
     /// A job arrives at the owner of a cell.
     Submit { job: usize, cell: usize, may_wait: bool },
     /// An owner's answer arrives at the daemon that received the job.
-    Answer { job: usize, cell: usize, outcome: Outcome, backlog: Backlog },
+    Answer { job: usize, cell: usize, outcome: Outcome, load: (Backlog, Vec<LoadReport>) },
     /// A call arrives at a worker.
     WorkerCall(usize, WorkerCall),
     /// A worker's reply arrives at its owner.
@@ -98,8 +99,10 @@
     /// Until when no process listens at each worker's address.
     down_until_ms: Vec<u64>,
     searches: Vec<CellSearch>,
+    /// Deduction of each job that has been sent to an owner and not been answered.
+    sent: Vec<Option<SentJob>>,
     /// What each daemon knows of the cells' loads, ordered by zone.
-    loads: Vec<CellLoads>,
+    loads: Vec<LoadTable>,
     submitted: HashMap<(usize, u64), usize>,
     events: BTreeMap<(u64, u64), Event>,
     last_sequence: u64,
@@ -118,6 +121,7 @@
 impl<'a> Simulation<'a> {
     fn new(scenario: &'a Scenario, jobs: &'a [GeneratedJob], rng: SmallRng) -> Self {
         let cells = scenario.zones * scenario.cells;
+        let zones: Vec<String> = (0..scenario.zones).map(|zone| zone.to_string()).collect();
         let by_id = jobs.iter().enumerate().map(|(at, job)| (Rc::clone(&job.spec.id), at));
         let mut simulation = Self {
             now_ms: 0,
@@ -130,8 +134,11 @@
             workers: Vec::new(),
             pending_polls: Vec::new(),
             down_until_ms: Vec::new(),
-            searches: jobs.iter().map(|_| CellSearch::default()).collect(),
-            loads: (0..scenario.zones * scenario.routers).map(|_| CellLoads::default()).collect(),
+            searches: jobs.iter().map(new_search).collect(),
+            sent: vec![None; jobs.len()],
+            loads: (0..scenario.zones * scenario.routers)
+                .map(|_| LoadTable::new(zones.iter().map(String::as_str)))
+                .collect(),
             submitted: HashMap::new(),
             events: BTreeMap::new(),
             last_sequence: 0,
@@ -190,8 +197,8 @@
         match event {
             Event::FindOwner(job) => self.find_owner(job),
             Event::Submit { job, cell, may_wait } => self.submit(job, cell, may_wait),
-            Event::Answer { job, cell, outcome, backlog } => {
-                self.handle_answer(job, cell, &outcome, backlog);
+            Event::Answer { job, cell, outcome, load } => {
+                self.handle_answer(job, cell, &outcome, load);
             }
             Event::WorkerCall(worker, call) => self.handle_call(worker, call),
             Event::Reply(worker, reply) => self.handle_reply(worker, reply),
@@ -207,14 +214,17 @@
         let other_zones = (0..self.scenario.zones).filter(|zone| *zone != home);
         let others: Vec<Cell> = other_zones.flat_map(|zone| self.cells_of(zone)).collect();
         let (now, own) = (Millis(self.now_ms), self.cells_of(home));
-        let next = self.searches[job].next(&self.loads[router], &own, || others.clone(), now);
+        self.refresh_owned_cells(router);
+        let next = self.searches[job].next(&self.loads[router], &own, &others, now);
         match next {
             None => {
                 let has_room = self.pools.iter().any(|pool| self.has_room(pool, job));
                 let status = if has_room { Status::RefusedDespiteRoom } else { Status::Refused };
                 self.report.record(&self.jobs[job], status);
             }
-            Some((cell, may_wait)) => {
+            Some(Offer { cell, may_wait, .. }) => {
+                let demand = Demand::of(&self.jobs[job].spec);
+                self.sent[job] = Some(self.loads[router].record_sent(&cell, demand, now));
                 let cell = cell.partition as usize;
                 self.report.submissions += 1;
                 self.report.submissions_to_other_zones += u64::from(self.zone_of(cell) != home);
@@ -224,6 +234,18 @@
         }
     }
 
+    /// Updates what a daemon knows of the cells that it owns itself.
+    fn refresh_owned_cells(&mut self, router: usize) {
+        let now = Millis(self.now_ms);
+        for cell in 0..self.pools.len() {
+            if self.owner_of(cell) != router {
+                continue;
+            }
+            let (name, backlog) = (self.cell(cell), self.pools[cell].backlog(now));
+            self.loads[router].record_backlog(&name, backlog, now);
+        }
+    }
+
     /// Returns whether all tasks of a job could start at once in a cell: no other task waits there,
     /// and the free cores suffice.
     fn has_room(&self, pool: &Pool, job: usize) -> bool {
@@ -279,11 +301,22 @@
         self.now_ms - WARM_UP_MS - self.jobs[job].at_ms
     }
 
-    fn handle_answer(&mut self, job: usize, cell: usize, outcome: &Outcome, backlog: Backlog) {
+    fn handle_answer(
+        &mut self,
+        job: usize,
+        cell: usize,
+        outcome: &Outcome,
+        (backlog, reports): (Backlog, Vec<LoadReport>),
+    ) {
         let generated = &self.jobs[job];
+        let (name, demand) = (self.cell(cell), Demand::of(&generated.spec));
         let router = self.router_of(job);
-        let name = self.cell(cell);
-        self.loads[router].record(&name, outcome, backlog, Millis(self.now_ms));
+        let loads = &mut self.loads[router];
+        if let Some(sent) = self.sent[job].take() {
+            loads.record_answer(&name, sent);
+        }
+        loads.record(&name, demand, outcome, backlog, Millis(self.now_ms));
+        loads.record_reports(&reports, Millis(self.now_ms));
         let status = match outcome {
             Outcome::Completed => Status::Completed { after_ms: self.age_ms(job) },
             Outcome::NotRun { .. } => return self.find_owner(job),
@@ -364,9 +397,12 @@
 
     fn send_answer(&mut self, cell: usize, number: u64, outcome: Outcome) {
         let Some(job) = self.submitted.remove(&(cell, number)) else { return };
-        let backlog = self.pools[cell].backlog(Millis(self.now_ms));
+        let (now, owner) = (Millis(self.now_ms), self.owner_of(cell));
+        self.refresh_owned_cells(owner);
+        let reports = self.loads[owner].reports(&self.cell(cell), now);
+        let load = (self.pools[cell].backlog(now), reports);
         let at_ms = self.now_ms + link_delay_ms(self.zone_of(cell), self.jobs[job].zone);
-        self.push(at_ms, Event::Answer { job, cell, outcome, backlog });
+        self.push(at_ms, Event::Answer { job, cell, outcome, load });
     }
 
     /// Sends a call to a worker. A lost call never arrives, and the owner sees it time out.
@@ -470,6 +506,14 @@
     }
 }
 
+fn new_search(job: &GeneratedJob) -> CellSearch {
+    let declared_ms = job.spec.critical_path_ms(|step| step.estimate_ms);
+    let useful_ms = job.terms.useful_ms(declared_ms).min(CALLER_WAIT_MS.max(job.objective_ms()));
+    let latest_start = Millis(WARM_UP_MS + job.at_ms + useful_ms.saturating_sub(declared_ms));
+    let seed = u64::from_str_radix(&job.spec.id, 16).expect("job ids are hexadecimal numbers");
+    CellSearch::new(Demand::of(&job.spec), latest_start, seed)
+}
+
 /// Returns the delay of a message between the daemons of two zones. Within a zone it is zero.
 const fn link_delay_ms(from: usize, to: usize) -> u64 {
     if from == to { 0 } else { LINK_DELAY_MS }
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -2,6 +2,7 @@
 
 use dispatch::clock::Millis;
 
+use crate::free_cores::FreeCores;
 use crate::job::{Job, Outcome, Reason, TaskState};
 use crate::placement::{self, TaskRequirements};
 use crate::pool::Pool;
@@ -108,10 +109,15 @@
     /// Returns the load of the cell, from which daemons choose between owners.
     pub fn backlog(&self, now: Millis) -> Backlog {
         let mut backlog = Backlog::default();
-        for worker in self.workers.values().filter(|worker| worker.accepts_tasks(now)) {
-            backlog.capacity_millicores += worker.entry.capacity.cpu_millicores;
-            backlog.free_millicores += worker.free().cpu_millicores;
+        let usable = self.workers.values().filter(|worker| worker.accepts_tasks(now));
+        let sizes: Vec<(u64, u64)> = usable
+            .map(|worker| (worker.entry.capacity.cpu_millicores, worker.free().cpu_millicores))
+            .collect();
+        for (capacity, free) in &sizes {
+            backlog.capacity_millicores = backlog.capacity_millicores.saturating_add(*capacity);
+            backlog.free_millicores = backlog.free_millicores.saturating_add(*free);
         }
+        backlog.free = Some(FreeCores::new(sizes.into_iter()));
         for job in self.jobs.values() {
             let pending = job.tasks.iter().filter(|task| task.state == TaskState::Pending);
             let work = pending.map(|task| {
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -8,8 +8,9 @@
 //! the first to be refused.
 
 use dispatch::clock::Millis;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
+use crate::free_cores::FreeCores;
 use crate::job::Job;
 
 /// Share of the cores that tasks can occupy. The rest is lost to fragmentation.
@@ -25,6 +26,21 @@
     pub free_millicores: u64,
     /// Expected work of the queued tasks, in millicore-milliseconds.
     pub queued_work: u64,
+    /// Free cores of the workers, worker by worker; `None` from a daemon of a version that does not
+    /// report them. Such a daemon's message ends before this field.
+    #[serde(deserialize_with = "or_default")]
+    pub free: Option<FreeCores>,
+}
+
+/// Deserializes the last field of a message, or returns its default if the message ends before it,
+/// because a daemon of an earlier version sent it.
+///
+/// # Errors
+/// Never fails; the signature is that of [`Deserialize::deserialize`].
+pub fn or_default<'de, T: Deserialize<'de> + Default, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<T, D::Error> {
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 impl Backlog {
@@ -37,6 +53,12 @@
         }
         (self.queued_work as f64 / usable) as u64
     }
+
+    /// Estimates the time until the queued work is done, in milliseconds. Zero if nothing is queued,
+    /// and at least one otherwise.
+    pub fn queue_ms(&self) -> u64 {
+        if self.queued_work == 0 { 0 } else { self.wait_ms().max(1) }
+    }
 }
 
 /// Returns the sort key of a job in the queue. Jobs that can still meet their objective come first,
--- a/crates/pool/src/spill.rs
+++ b/crates/pool/src/spill.rs
@@ -2,154 +2,219 @@
 //!
 //! Callers load the zones unevenly, and a burst can fill one zone while others have free workers.
 //! A job is first offered for immediate start of all its tasks, to cells in the same zone before
-//! cells in other zones. It is queued at a cell only if none of the cells asked can start it at
-//! once.
+//! cells in other zones. Cells that are known to have room come first and cells that are known to
+//! have none are passed over, see [`LoadTable`]. The job is queued at a cell only if none of the
+//! cells asked can start it at once.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
 
 use dispatch::clock::Millis;
 
 use crate::cells::Cell;
-use crate::job::{Outcome, Reason};
-use crate::queue::Backlog;
+use crate::load_table::{Demand, Fit, LoadTable, TRANSIT_MS};
 
-/// Maximum number of owners asked for one job in each phase: first for an immediate start, then
-/// with queueing allowed.
+/// Maximum number of owners asked for one job in each phase if nothing is known of their free
+/// capacity: first for an immediate start, then with queueing allowed.
 const MAX_ATTEMPTS_PER_PHASE: usize = 2;
-/// How long after a refusal the owner of a cell in another zone is not asked again for any job, in
-/// milliseconds.
+/// Maximum number of owners asked for an immediate start if they are known to have free capacity.
+/// Four refusals from other zones take about 10 ms, a ninth of the time that the most urgent kind
+/// of job has to spare.
+const MAX_KNOWN_ATTEMPTS: usize = 4;
+/// How long after a refusal the owner of a cell in another zone is not asked again for any job with
+/// the same demand or more, in milliseconds.
 const REFUSAL_BACKOFF_MS: u64 = 40;
-
-/// How long a cell is not asked after no owner was found for it, in milliseconds.
-const UNOWNED_BACKOFF_MS: u64 = 50;
-
-/// Last known load of a cell.
-#[derive(Clone, Copy, Debug, Default)]
-struct CellLoad {
-    /// Backlog that the cell's owner reported last.
-    backlog: Backlog,
-    /// When the owner last refused a job in either phase, so could not start all its tasks at once.
-    busy_at: Option<Millis>,
-    /// When the daemon listed as the owner last denied owning the cell, or could not be reached.
-    unowned_at: Option<Millis>,
-    /// When the owner last refused a job for another reason than [`Reason::Busy`], so that queueing
-    /// would not have helped.
-    refused_at: Option<Millis>,
-}
-
-impl CellLoad {
-    fn is_unowned(&self, now: Millis) -> bool {
-        self.unowned_at.is_some_and(|at| now.since(at) < UNOWNED_BACKOFF_MS)
-    }
-
-    fn refused_recently(&self, may_wait: bool, backoff_ms: u64, now: Millis) -> bool {
-        let refused_at = if may_wait { self.refused_at } else { self.busy_at };
-        refused_at.is_some_and(|at| now.since(at) < backoff_ms)
-    }
+/// Time that an answer from another zone takes longer than one from the same zone, in milliseconds.
+const OTHER_ZONE_MS: u64 = 2 * TRANSIT_MS;
+
+/// What a cell was chosen by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Basis {
+    /// The cell probably has room for the job.
+    KnownFree,
+    /// It is not known whether the cell has room.
+    Unknown,
+    /// The job may wait, and the cell's queue is the shortest.
+    Queue,
 }
 
-/// Last known load of each cell, as reported by the cells' owners.
-#[derive(Debug, Default)]
-pub struct CellLoads {
-    cells: HashMap<Cell, CellLoad>,
-}
-
-impl CellLoads {
-    /// Records the outcome of a job and the backlog that the cell's owner reported with it.
-    pub fn record(&mut self, cell: &Cell, outcome: &Outcome, backlog: Backlog, now: Millis) {
-        let load = self.cells.entry(cell.clone()).or_default();
-        load.backlog = backlog;
-        match outcome {
-            // Says nothing about the chances of other routes.
-            Outcome::NotRun { reason: Reason::RouteConfined, .. } => {}
-            Outcome::NotRun { reason: Reason::Busy, .. } => load.busy_at = Some(now),
-            Outcome::NotRun { .. } => {
-                load.busy_at = Some(now);
-                load.refused_at = Some(now);
-            }
-            _ => {}
+impl Basis {
+    /// Returns the name under which the basis is counted.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::KnownFree => "known_free",
+            Self::Unknown => "unknown",
+            Self::Queue => "queue",
         }
     }
+}
 
-    /// Returns the backlog that a cell's owner reported last, or `None` if it has not replied yet.
-    pub fn backlog(&self, cell: &Cell) -> Option<Backlog> {
-        self.cells.get(cell).map(|load| load.backlog)
-    }
-
-    /// Records that no owner was found for a cell, so that jobs are sent to other cells for a while.
-    pub fn record_unowned(&mut self, cell: &Cell, now: Millis) {
-        self.cells.entry(cell.clone()).or_default().unowned_at = Some(now);
-    }
-
-    /// Returns the cell of `cells` with the least waiting work, then the most free cores, without
-    /// those already asked and those that refused less than `backoff_ms` ago.
-    fn least_loaded(
-        &self,
-        cells: impl Iterator<Item = Cell>,
-        search: &CellSearch,
-        backoff_ms: u64,
-        now: Millis,
-    ) -> Option<Cell> {
-        let usable = cells.filter(|cell| {
-            let load = self.cells.get(cell).copied().unwrap_or_default();
-            let refused = load.refused_recently(search.may_wait, backoff_ms, now);
-            !refused && !load.is_unowned(now) && !search.asked.contains(cell)
-        });
-        usable.min_by_key(|cell| {
-            let backlog = self.cells.get(cell).map(|load| load.backlog).unwrap_or_default();
-            (backlog.queued_work, Reverse(backlog.free_millicores))
-        })
-    }
+/// A cell to offer a job to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Offer {
+    /// The cell.
+    pub cell: Cell,
+    /// Whether the job may be queued there.
+    pub may_wait: bool,
+    /// What the cell was chosen by.
+    pub basis: Basis,
 }
 
 /// State of the search for an owner that accepts a job: the phase and the cells asked in it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CellSearch {
+    demand: Demand,
+    /// Latest time at which the job can start and still be of use to its caller.
+    latest_start: Millis,
+    /// Random number of the job, which distributes jobs over cells with room.
+    seed: u64,
     may_wait: bool,
     asked: Vec<Cell>,
+    /// Age of the oldest report by which a cell was passed over, in milliseconds.
+    known_ms: Option<u64>,
 }
 
+/// Preference of a cell for an immediate start; lower values are better.
+type Rank = (u8, u64, Reverse<u64>);
+
 impl CellSearch {
-    /// Returns the next cell to ask and whether the job may be queued there, or `None` if no cell is
-    /// left. `same_zone` and `other_zones` are the cells of this daemon's zone and of the other
-    /// zones that have a reachable owner.
+    /// Creates the search for a job with this demand, of use to its caller only if it starts until
+    /// `latest_start`. `seed` is a random number.
+    pub const fn new(demand: Demand, latest_start: Millis, seed: u64) -> Self {
+        Self { demand, latest_start, seed, may_wait: false, asked: Vec::new(), known_ms: None }
+    }
+
+    /// Returns the next cell to ask, or `None` if no cell is left. `same_zone` and `other_zones` are
+    /// the cells of this daemon's zone and of the other zones that have a reachable owner.
     ///
-    /// Attempts at cells for which no owner was found, as [`CellLoads::record_unowned`] says, do not
+    /// Attempts at cells for which no owner was found, as [`LoadTable::record_unowned`] says, do not
     /// count towards the maximum.
     pub fn next(
         &mut self,
-        loads: &CellLoads,
+        loads: &LoadTable,
         same_zone: &[Cell],
-        other_zones: impl Fn() -> Vec<Cell>,
+        other_zones: &[Cell],
         now: Millis,
-    ) -> Option<(Cell, bool)> {
-        let mut cell = self.next_in_phase(loads, same_zone, &other_zones, now);
-        if cell.is_none() && !self.may_wait {
+    ) -> Option<Offer> {
+        if !self.may_wait {
+            let full = same_zone.iter().chain(other_zones);
+            let full = full.filter(|cell| loads.fit(cell, self.demand, now) == Fit::Full);
+            self.known_ms =
+                full.filter_map(|cell| loads.age_ms(cell, now)).max().max(self.known_ms);
+            if let Some((cell, basis)) = self.next_for_start(loads, same_zone, other_zones, now) {
+                self.asked.push(cell.clone());
+                return Some(Offer { cell, may_wait: false, basis });
+            }
             self.may_wait = true;
             self.asked.clear();
-            cell = self.next_in_phase(loads, same_zone, &other_zones, now);
         }
-        cell.map(|cell| (cell, self.may_wait))
+        let cell = self.next_for_queueing(loads, same_zone, other_zones, now)?;
+        self.asked.push(cell.clone());
+        Some(Offer { cell, may_wait: true, basis: Basis::Queue })
     }
 
-    fn next_in_phase(
-        &mut self,
-        loads: &CellLoads,
+    /// Returns the age of the oldest report by which a cell was passed over because it had no room for
+    /// the job, in milliseconds, or `None` if no cell was.
+    pub const fn known_ms(&self) -> Option<u64> {
+        self.known_ms
+    }
+
+    fn next_for_start(
+        &self,
+        loads: &LoadTable,
+        same_zone: &[Cell],
+        other_zones: &[Cell],
+        now: Millis,
+    ) -> Option<(Cell, Basis)> {
+        let attempts = self.attempts(loads, now);
+        let rank = |cell: &Cell, is_other_zone: bool| -> Option<(Rank, Basis)> {
+            let fit = loads.fit(cell, self.demand, now);
+            let order = |own: u8, other: u8| if is_other_zone { other } else { own };
+            let (queue_ms, free) = loads.queue(cell);
+            let by_load = (queue_ms, Reverse(free));
+            let (class, (first, second), basis) = match fit {
+                Fit::Fits { times } => {
+                    let distance = self.distance(cell, times);
+                    (order(0, 3), (distance, Reverse(0)), Basis::KnownFree)
+                }
+                Fit::MayFit => (order(1, 4), by_load, Basis::Unknown),
+                // Own cells that had room are asked first although the report is old: at low load
+                // reports are rare, and an answer from the own zone costs less.
+                Fit::Unknown { was_full: false } => (order(2, 5), by_load, Basis::Unknown),
+                Fit::Unknown { was_full: true } => (order(6, 7), by_load, Basis::Unknown),
+                Fit::Full => return None,
+            };
+            let max = match basis {
+                Basis::KnownFree => MAX_KNOWN_ATTEMPTS,
+                Basis::Unknown | Basis::Queue => MAX_ATTEMPTS_PER_PHASE,
+            };
+            (attempts < max).then_some(((class, first, second), basis))
+        };
+        let has_time = |is_other_zone: bool| {
+            let answer_ms = if is_other_zone { OTHER_ZONE_MS } else { 0 };
+            attempts == 0 || now.plus(answer_ms) <= self.latest_start
+        };
+        let candidates = self.candidates(loads, same_zone, other_zones, now);
+        let ranked = candidates.filter(|(_, is_other_zone)| has_time(*is_other_zone)).filter_map(
+            |(cell, is_other_zone)| {
+                rank(cell, is_other_zone).map(|(rank, basis)| (rank, cell, basis))
+            },
+        );
+        let best = ranked.min_by(|(left, ..), (right, ..)| left.cmp(right));
+        best.map(|(_, cell, basis)| (cell.clone(), basis))
+    }
+
+    fn next_for_queueing(
+        &self,
+        loads: &LoadTable,
         same_zone: &[Cell],
-        other_zones: impl Fn() -> Vec<Cell>,
+        other_zones: &[Cell],
         now: Millis,
     ) -> Option<Cell> {
-        let is_owned =
-            |cell: &&Cell| loads.cells.get(*cell).is_none_or(|load| !load.is_unowned(now));
-        if self.asked.iter().filter(is_owned).count() >= MAX_ATTEMPTS_PER_PHASE {
+        if self.attempts(loads, now) >= MAX_ATTEMPTS_PER_PHASE {
             return None;
         }
-        let in_same_zone = loads.least_loaded(same_zone.iter().cloned(), self, 0, now);
-        let in_other_zones =
-            || loads.least_loaded(other_zones().into_iter(), self, REFUSAL_BACKOFF_MS, now);
-        let cell = in_same_zone.or_else(in_other_zones)?;
-        self.asked.push(cell.clone());
-        Some(cell)
+        let candidates = self.candidates(loads, same_zone, other_zones, now);
+        let best = candidates.min_by_key(|(cell, is_other_zone)| {
+            let (queue_ms, free) = loads.queue(cell);
+            let answer_ms = if *is_other_zone { OTHER_ZONE_MS } else { 0 };
+            (queue_ms.saturating_add(answer_ms), Reverse(free))
+        });
+        best.map(|(cell, _)| cell.clone())
+    }
+
+    /// Returns the number of owners asked in this phase.
+    fn attempts(&self, loads: &LoadTable, now: Millis) -> usize {
+        self.asked.iter().filter(|cell| !loads.is_unowned(cell, now)).count()
+    }
+
+    /// Returns the cells that may be asked, and whether they are in another zone, own zone first.
+    fn candidates<'a>(
+        &'a self,
+        loads: &'a LoadTable,
+        same_zone: &'a [Cell],
+        other_zones: &'a [Cell],
+        now: Millis,
+    ) -> impl Iterator<Item = (&'a Cell, bool)> {
+        let same_zone = same_zone.iter().map(|cell| (cell, false));
+        let cells = same_zone.chain(other_zones.iter().map(|cell| (cell, true)));
+        cells.filter(move |(cell, is_other_zone)| {
+            let backoff_ms = if *is_other_zone { REFUSAL_BACKOFF_MS } else { 0 };
+            let refused = loads.refused_recently(cell, self.demand, self.may_wait, backoff_ms, now);
+            !refused && !loads.is_unowned(cell, now) && !self.asked.contains(cell)
+        })
+    }
+
+    /// Returns a random number that is smaller the more often the job fits into the cell, so that the
+    /// daemons of a zone, which have similar information, do not all choose the same cell. The cell
+    /// with the smallest number is chosen with a probability in proportion to `times`.
+    fn distance(&self, cell: &Cell, times: u64) -> u64 {
+        let mixed = (self.seed ^ u64::from(cell.partition)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let zone = cell
+            .zone
+            .bytes()
+            .fold(mixed, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3));
+        let uniform = ((zone ^ (zone >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 11) as f64;
+        let uniform = (uniform + 1.0) / (1_u64 << 53) as f64;
+        (-uniform.ln() / times as f64 * 1e12) as u64
     }
 }
--- a/crates/pool/tests/queue.rs
+++ b/crates/pool/tests/queue.rs
@@ -37,6 +37,7 @@
         capacity_millicores: 64_000,
         free_millicores: 0,
         queued_work: waiting_ms * 54_400,
+        free: None,
     };
     let cases = [
         (400, 0, true),
@@ -57,7 +58,8 @@
 #[test]
 fn less_urgent_class_is_refused_at_a_shorter_wait() {
     // The job has to start within 420 ms to meet its objective of 620 ms.
-    let load = Backlog { capacity_millicores: 64_000, free_millicores: 0, queued_work: 1 };
+    let load =
+        Backlog { capacity_millicores: 64_000, free_millicores: 0, queued_work: 1, free: None };
     let longest_ms = [(0, 336), (1, 168), (2, 112), (9, 112)];
     for (priority, longest_ms) in longest_ms {
         let terms = Terms { priority, ..terms("r", 300, 2) };
--- a/crates/pool/tests/spill.rs
+++ b/crates/pool/tests/spill.rs
@@ -4,9 +4,11 @@
 
 use dispatch::clock::Millis;
 use pool::cells::Cell;
+use pool::free_cores::FreeCores;
 use pool::job::{Outcome, Reason};
+use pool::load_table::{Demand, LoadTable};
 use pool::queue::Backlog;
-use pool::spill::{CellLoads, CellSearch};
+use pool::spill::{Basis, CellSearch};
 
 fn cell(zone: &str, partition: u32) -> Cell {
     Cell { zone: Rc::from(zone), partition }
@@ -17,32 +19,52 @@
 }
 
 fn backlog(free: u64, queued_work: u64) -> Backlog {
-    Backlog { capacity_millicores: 640_000, free_millicores: free, queued_work }
+    Backlog { capacity_millicores: 640_000, free_millicores: free, queued_work, free: None }
+}
+
+/// A backlog with a summary of the free cores of workers of 16 cores.
+fn with_free(free: &[u64]) -> Backlog {
+    let workers = free.iter().map(|free| (16_000, *free));
+    Backlog { free: Some(FreeCores::new(workers)), ..backlog(free.iter().sum(), 0) }
+}
+
+const DEMAND: Demand = Demand { tasks: 2, task_millicores: 8_000 };
+
+fn new_search() -> CellSearch {
+    CellSearch::new(DEMAND, Millis(10_000), 1)
 }
 
 /// Runs a search in which every cell refuses with `reason`, and returns the cells asked.
 fn asked(
-    loads: &mut CellLoads,
+    loads: &mut LoadTable,
     same_zone: &[Cell],
     other_zones: &[Cell],
     reason: Reason,
 ) -> Vec<(Cell, bool)> {
-    let mut search = CellSearch::default();
+    let mut search = new_search();
     let mut asked = Vec::new();
-    while let Some((cell, may_wait)) =
-        search.next(loads, same_zone, || other_zones.to_vec(), Millis(100))
-    {
-        loads.record(&cell, &refused(reason), backlog(0, 0), Millis(100));
-        asked.push((cell, may_wait));
+    while let Some(offer) = search.next(loads, same_zone, other_zones, Millis(100)) {
+        loads.record(&offer.cell, DEMAND, &refused(reason), backlog(0, 0), Millis(100));
+        asked.push((offer.cell, offer.may_wait));
     }
     asked
 }
 
+fn next(
+    search: &mut CellSearch,
+    loads: &LoadTable,
+    same_zone: &[Cell],
+    other_zones: &[Cell],
+) -> Option<(Cell, bool)> {
+    let offer = search.next(loads, same_zone, other_zones, Millis(100));
+    offer.map(|offer| (offer.cell, offer.may_wait))
+}
+
 #[test]
 fn a_job_asks_its_own_zone_then_another_and_then_is_queued() {
     let (same_zone, other_zones) = ([cell("a", 0)], [cell("b", 0), cell("c", 0)]);
-    let mut loads = CellLoads::default();
-    loads.record(&other_zones[1], &Outcome::Completed, backlog(54_000, 0), Millis(50));
+    let mut loads = LoadTable::default();
+    loads.record(&other_zones[1], DEMAND, &Outcome::Completed, backlog(54_000, 0), Millis(50));
     let asked = asked(&mut loads, &same_zone, &other_zones, Reason::Busy);
     let expected = [(cell("a", 0), false), (cell("c", 0), false), (cell("a", 0), true)];
     assert_eq!(asked[..3], expected);
@@ -62,12 +84,12 @@
         (Reason::RouteConfined, 70, true),
     ];
     for (reason, at_ms, is_asked) in cases {
-        let mut loads = CellLoads::default();
-        loads.record(&other_zones[0], &refused(reason), backlog(0, 0), Millis(at_ms));
-        let mut search = CellSearch::default();
-        let first = search.next(&loads, &same_zone, || other_zones.to_vec(), Millis(100));
+        let mut loads = LoadTable::default();
+        loads.record(&other_zones[0], DEMAND, &refused(reason), backlog(0, 0), Millis(at_ms));
+        let mut search = new_search();
+        let first = next(&mut search, &loads, &same_zone, &other_zones);
         assert_eq!(first, Some((cell("a", 0), false)));
-        let second = search.next(&loads, &same_zone, || other_zones.to_vec(), Millis(100));
+        let second = next(&mut search, &loads, &same_zone, &other_zones);
         assert_eq!(second == Some((cell("b", 0), false)), is_asked, "{reason:?} at {at_ms}");
     }
 }
@@ -75,10 +97,10 @@
 #[test]
 fn cells_are_ordered_by_waiting_work_and_then_free_cores() {
     let same_zone = [cell("a", 0), cell("a", 9), cell("a", 18)];
-    let mut loads = CellLoads::default();
-    loads.record(&same_zone[0], &Outcome::Completed, backlog(90_000, 5), Millis(50));
-    loads.record(&same_zone[1], &Outcome::Completed, backlog(30_000, 0), Millis(50));
-    loads.record(&same_zone[2], &Outcome::Completed, backlog(60_000, 0), Millis(50));
+    let mut loads = LoadTable::default();
+    loads.record(&same_zone[0], DEMAND, &Outcome::Completed, backlog(90_000, 5), Millis(50));
+    loads.record(&same_zone[1], DEMAND, &Outcome::Completed, backlog(30_000, 0), Millis(50));
+    loads.record(&same_zone[2], DEMAND, &Outcome::Completed, backlog(60_000, 0), Millis(50));
     let asked = asked(&mut loads, &same_zone, &[], Reason::Busy);
     assert_eq!(asked[0], (cell("a", 18), false));
     assert_eq!(asked[1], (cell("a", 9), false));
@@ -86,7 +108,7 @@
 
 #[test]
 fn a_search_without_owned_cells_asks_none() {
-    assert!(asked(&mut CellLoads::default(), &[], &[], Reason::Busy).is_empty());
+    assert!(asked(&mut LoadTable::default(), &[], &[], Reason::Busy).is_empty());
 }
 
 /// During rebalances many cells of a zone have no owner for a moment, while others have free
@@ -94,19 +116,75 @@
 #[test]
 fn cells_without_an_owner_are_passed_over_until_an_owner_is_found() {
     let same_zone: Vec<Cell> = (0..6).map(|partition| cell("a", partition)).collect();
-    let mut loads = CellLoads::default();
-    let mut search = CellSearch::default();
+    let mut loads = LoadTable::default();
+    let mut search = new_search();
     let mut asked = Vec::new();
-    while let Some((cell, _)) = search.next(&loads, &same_zone, Vec::new, Millis(100)) {
+    while let Some(offer) = search.next(&loads, &same_zone, &[], Millis(100)) {
+        let cell = offer.cell;
         asked.push(cell.partition);
         if cell.partition < 4 {
             loads.record_unowned(&cell, Millis(100));
         } else {
-            loads.record(&cell, &refused(Reason::Busy), backlog(0, 0), Millis(100));
+            loads.record(&cell, DEMAND, &refused(Reason::Busy), backlog(0, 0), Millis(100));
         }
     }
     assert_eq!(asked, [0, 1, 2, 3, 4, 5, 4, 5], "two owners are asked in each phase");
-    let mut search = CellSearch::default();
-    let next = search.next(&loads, &same_zone, Vec::new, Millis(151));
-    assert!(next.is_some_and(|(cell, _)| cell.partition < 4), "the back-off has not ended");
+    let mut search = new_search();
+    let next = search.next(&loads, &same_zone, &[], Millis(151));
+    assert!(next.is_some_and(|offer| offer.cell.partition < 4), "the back-off has not ended");
+}
+
+/// Guards against refusals while another cell has free workers: attempts at cells that are known to
+/// be full used up the attempts of the first phase, and no other zone was asked.
+#[test]
+fn full_cells_are_passed_over_and_up_to_four_cells_with_room_are_asked() {
+    let same_zone: Vec<Cell> = (0..4).map(|partition| cell("a", partition)).collect();
+    let other_zones: Vec<Cell> = (0..6).map(|partition| cell("b", partition)).collect();
+    let mut loads = LoadTable::default();
+    for cell in &same_zone {
+        loads.record_backlog(cell, with_free(&[7_900, 8_000, 3_000]), Millis(60));
+    }
+    for cell in &other_zones {
+        loads.record_backlog(cell, with_free(&[16_000]), Millis(80));
+    }
+    let mut search = new_search();
+    let mut asked = Vec::new();
+    while let Some(offer) = search.next(&loads, &same_zone, &other_zones, Millis(100)) {
+        asked.push((offer.cell.zone.to_string(), offer.basis));
+    }
+    let first_phase: Vec<_> = asked.iter().filter(|(_, basis)| *basis != Basis::Queue).collect();
+    assert_eq!(first_phase, [&("b".to_owned(), Basis::KnownFree); 4]);
+    assert_eq!(asked.len(), 6, "the job may wait at two further cells");
+    assert_eq!(search.known_ms(), Some(40), "age of the reports on the full cells");
+}
+
+/// Guards against jobs that are lost because the search for a cell with room takes their time.
+#[test]
+fn no_further_cell_of_another_zone_is_asked_when_the_time_is_over() {
+    let other_zones: Vec<Cell> = (0..3).map(|partition| cell("b", partition)).collect();
+    let mut loads = LoadTable::default();
+    for cell in &other_zones {
+        loads.record_backlog(cell, with_free(&[16_000]), Millis(80));
+    }
+    for (latest_start, expected) in [(103, 1), (104, 3)] {
+        let mut search = CellSearch::new(DEMAND, Millis(latest_start), 1);
+        let offers = std::iter::from_fn(|| search.next(&loads, &[], &other_zones, Millis(100)));
+        let asked = offers.take_while(|offer| !offer.may_wait).count();
+        assert_eq!(asked, expected, "latest start at {latest_start}");
+    }
+}
+
+/// Guards against a stampede: all daemons of a zone with the same information chose the same cell.
+#[test]
+fn jobs_are_distributed_over_cells_in_proportion_to_their_room() {
+    let same_zone = [cell("a", 0), cell("a", 9)];
+    let mut loads = LoadTable::default();
+    loads.record_backlog(&same_zone[0], with_free(&[16_000; 3]), Millis(90));
+    loads.record_backlog(&same_zone[1], with_free(&[16_000; 1]), Millis(90));
+    let chosen = (0..4_000).filter(|seed| {
+        let mut search = CellSearch::new(DEMAND, Millis(10_000), *seed);
+        next(&mut search, &loads, &same_zone, &[]) == Some((cell("a", 0), false))
+    });
+    let share = chosen.count() as f64 / 4_000.0;
+    assert!((0.70..0.80).contains(&share), "{share}");
 }
