Simulate notices of free capacity and moves of queued jobs

A job that is queued at one cell and that another could start is withdrawn, which the pool confirms only if no task was sent (Pool::withdraw), and goes there, at most twice.

--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -67,6 +67,10 @@
     pub submissions: u64,
     /// Number of these times in which the cell was in another zone.
     pub submissions_to_other_zones: u64,
+    /// Number of requests to withdraw a queued job.
+    pub withdrawals: u64,
+    /// Number of notices that a cell has room again.
+    pub notices: u64,
     /// Number of workers that crashed.
     pub crashes: u64,
     /// Upper bound on the share of jobs completed in time: the share that fits if all cores run
@@ -83,6 +87,8 @@
             calls: 0,
             submissions: 0,
             submissions_to_other_zones: 0,
+            withdrawals: 0,
+            notices: 0,
             crashes: 0,
             bound: bound(scenario, jobs),
         }
@@ -119,6 +125,8 @@
         self.calls += other.calls;
         self.submissions += other.submissions;
         self.submissions_to_other_zones += other.submissions_to_other_zones;
+        self.withdrawals += other.withdrawals;
+        self.notices += other.notices;
         self.crashes += other.crashes;
     }
 
@@ -181,11 +189,14 @@
         let per_job = |count: u64| count as f64 / self.total().arrived.max(1) as f64;
         write!(
             f,
-            "bound {:.4}, calls a job {:.2}, submissions a job {:.2}, to other zones {:.2}",
+            "bound {:.4}, calls a job {:.2}, submissions a job {:.2}, to other zones {:.2}, \
+             withdrawals {:.3}, notices {:.3}",
             self.bound,
             per_job(self.calls),
             per_job(self.submissions),
             per_job(self.submissions_to_other_zones),
+            per_job(self.withdrawals),
+            per_job(self.notices),
         )
     }
 }
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -5,6 +5,7 @@
 //! the cells' loads. Messages and timers are events in a queue that is ordered by time.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
@@ -14,7 +15,8 @@
 use pool::catalogue::{WorkerEntry, WorkerState};
 use pool::cells::Cell;
 use pool::crashes::Crash;
-use pool::job::{Outcome, PreviousOwner, TaskName};
+use pool::free_notice::RefusedDaemons;
+use pool::job::{Outcome, PreviousOwner, Reason, TaskName};
 use pool::load_table::{Demand, LoadReport, LoadTable, SentJob};
 use pool::pool::{Action, Pool, Submission};
 use pool::queue::Backlog;
@@ -66,6 +68,10 @@
     Submit { job: usize, cell: usize, may_wait: bool },
     /// An owner's answer arrives at the daemon that received the job.
     Answer { job: usize, cell: usize, outcome: Outcome, load: (Backlog, Vec<LoadReport>) },
+    /// The owner of a cell tells a daemon that the cell has room again.
+    FreeNotice { router: usize, report: LoadReport },
+    /// The request of a daemon to withdraw a queued job arrives at the owner of a cell.
+    Withdraw { job: usize, cell: usize },
     /// A call arrives at a worker.
     WorkerCall(usize, WorkerCall),
     /// A worker's reply arrives at its owner.
@@ -85,6 +91,14 @@
     deadline_ms: u64,
 }
 
+/// A job that may be queued at a cell.
+#[derive(Clone, Debug)]
+struct Waiting {
+    cell: Cell,
+    sent_at: Millis,
+    reserved: Option<(Cell, SentJob)>,
+}
+
 struct Simulation<'a> {
     now_ms: u64,
     rng: SmallRng,
@@ -101,6 +115,11 @@
     searches: Vec<CellSearch>,
     /// Deduction of each job that has been sent to an owner and not been answered.
     sent: Vec<Option<SentJob>>,
+    /// Jobs that each daemon has sent to an owner with queueing allowed, with the cell, when they were
+    /// sent, and the deduction at the cell that they are to move to.
+    waiting: Vec<BTreeMap<usize, Waiting>>,
+    /// Daemons that each cell's owner has refused a job.
+    refused: Vec<RefusedDaemons>,
     /// What each daemon knows of the cells' loads, ordered by zone.
     loads: Vec<LoadTable>,
     submitted: HashMap<(usize, u64), usize>,
@@ -136,6 +155,8 @@
             down_until_ms: Vec::new(),
             searches: jobs.iter().map(new_search).collect(),
             sent: vec![None; jobs.len()],
+            waiting: vec![BTreeMap::new(); scenario.zones * scenario.routers],
+            refused: vec![RefusedDaemons::default(); cells],
             loads: (0..scenario.zones * scenario.routers)
                 .map(|_| LoadTable::new(zones.iter().map(String::as_str)))
                 .collect(),
@@ -200,6 +221,11 @@
             Event::Answer { job, cell, outcome, load } => {
                 self.handle_answer(job, cell, &outcome, load);
             }
+            Event::FreeNotice { router, report } => {
+                self.loads[router].record_reports(&[report], Millis(self.now_ms));
+                self.move_waiting_jobs(router);
+            }
+            Event::Withdraw { job, cell } => self.withdraw(job, cell),
             Event::WorkerCall(worker, call) => self.handle_call(worker, call),
             Event::Reply(worker, reply) => self.handle_reply(worker, reply),
             Event::CheckPoll(worker) => self.check_poll(worker),
@@ -211,9 +237,7 @@
     fn find_owner(&mut self, job: usize) {
         let router = self.router_of(job);
         let home = self.jobs[job].zone;
-        let other_zones = (0..self.scenario.zones).filter(|zone| *zone != home);
-        let others: Vec<Cell> = other_zones.flat_map(|zone| self.cells_of(zone)).collect();
-        let (now, own) = (Millis(self.now_ms), self.cells_of(home));
+        let (now, (own, others)) = (Millis(self.now_ms), self.cells_from(home));
         self.refresh_owned_cells(router);
         let next = self.searches[job].next(&self.loads[router], &own, &others, now);
         match next {
@@ -225,6 +249,10 @@
             Some(Offer { cell, may_wait, .. }) => {
                 let demand = Demand::of(&self.jobs[job].spec);
                 self.sent[job] = Some(self.loads[router].record_sent(&cell, demand, now));
+                if may_wait {
+                    let waiting = Waiting { cell: cell.clone(), sent_at: now, reserved: None };
+                    self.waiting[router].insert(job, waiting);
+                }
                 let cell = cell.partition as usize;
                 self.report.submissions += 1;
                 self.report.submissions_to_other_zones += u64::from(self.zone_of(cell) != home);
@@ -234,6 +262,67 @@
         }
     }
 
+    /// Returns the cells of a zone and those of the other zones.
+    fn cells_from(&self, home: usize) -> (Vec<Cell>, Vec<Cell>) {
+        let other_zones = (0..self.scenario.zones).filter(|zone| *zone != home);
+        let others = other_zones.flat_map(|zone| self.cells_of(zone));
+        (self.cells_of(home), others.collect())
+    }
+
+    /// Asks the owners of the cells where jobs of a daemon wait to withdraw those that could start
+    /// elsewhere.
+    fn move_waiting_jobs(&mut self, router: usize) {
+        let now = Millis(self.now_ms);
+        let home = router / self.scenario.routers;
+        let (own, others) = self.cells_from(home);
+        let jobs: Vec<usize> = self.waiting[router].keys().copied().collect();
+        for job in jobs {
+            let Some(waiting) = self.waiting[router].get_mut(&job) else { continue };
+            if waiting.reserved.is_some() {
+                continue;
+            }
+            let (search, loads) = (&mut self.searches[job], &mut self.loads[router]);
+            let queued = (&waiting.cell, waiting.sent_at);
+            let better = search.find_better_cell(loads, queued, (&own, &others), now);
+            let Some(better) = better else { continue };
+            let demand = Demand::of(&self.jobs[job].spec);
+            waiting.reserved = Some((better.clone(), loads.record_sent(&better, demand, now)));
+            let cell = waiting.cell.partition as usize;
+            self.report.withdrawals += 1;
+            let at_ms = self.now_ms + link_delay_ms(home, self.zone_of(cell));
+            self.push(at_ms, Event::Withdraw { job, cell });
+        }
+    }
+
+    fn withdraw(&mut self, job: usize, cell: usize) {
+        let key = self.submitted.iter().find(|((at, _), known)| *at == cell && **known == job);
+        let Some(number) = key.map(|((_, number), _)| *number) else { return };
+        self.pools[cell].withdraw(Millis(self.now_ms), number);
+        self.perform_actions(cell);
+    }
+
+    /// Tells the daemons that a cell has refused a short time ago that it has room again.
+    fn send_free_notices(&mut self, cell: usize) {
+        if self.refused[cell].is_empty() {
+            return;
+        }
+        let (now, name, owner) = (Millis(self.now_ms), self.cell(cell), self.owner_of(cell));
+        let backlog = self.pools[cell].backlog(now);
+        let addrs = self.refused[cell].take_due(&backlog, now);
+        if addrs.is_empty() {
+            return;
+        }
+        self.loads[owner].record_backlog(&name, backlog, now);
+        let Some(report) = self.loads[owner].report(&name, now) else { return };
+        for addr in addrs {
+            let router = usize::from(addr.port());
+            let home = router / self.scenario.routers;
+            self.report.notices += 1;
+            let at_ms = self.now_ms + link_delay_ms(self.zone_of(cell), home);
+            self.push(at_ms, Event::FreeNotice { router, report });
+        }
+    }
+
     /// Updates what a daemon knows of the cells that it owns itself.
     fn refresh_owned_cells(&mut self, router: usize) {
         let now = Millis(self.now_ms);
@@ -315,8 +404,16 @@
         if let Some(sent) = self.sent[job].take() {
             loads.record_answer(&name, sent);
         }
+        let was_reserved = self.waiting[router].remove(&job).and_then(|waiting| waiting.reserved);
+        if let Some((reserved, sent)) = was_reserved {
+            loads.record_answer(&reserved, sent);
+        }
+        if !matches!(outcome, Outcome::NotRun { reason: Reason::Withdrawn, .. }) {
+            self.searches[job].stay();
+        }
         loads.record(&name, demand, outcome, backlog, Millis(self.now_ms));
         loads.record_reports(&reports, Millis(self.now_ms));
+        self.move_waiting_jobs(router);
         let status = match outcome {
             Outcome::Completed => Status::Completed { after_ms: self.age_ms(job) },
             Outcome::NotRun { .. } => return self.find_owner(job),
@@ -354,6 +451,7 @@
                 Action::ReportReturn(_) | Action::ReportProcess(_) | Action::ReportOrphan(..) => {}
             }
         }
+        self.send_free_notices(cell);
         let due = self.pools[cell].next_due(Millis(self.now_ms));
         let Some(due_ms) = due.map(|due| due.0.max(self.now_ms + 1)) else { return };
         if self.advance_at_ms[cell].is_none_or(|at_ms| due_ms < at_ms) {
@@ -400,6 +498,10 @@
         let (now, owner) = (Millis(self.now_ms), self.owner_of(cell));
         self.refresh_owned_cells(owner);
         let reports = self.loads[owner].reports(&self.cell(cell), now);
+        if let Outcome::NotRun { reason: Reason::Busy | Reason::Overload, .. } = outcome {
+            let addr = SocketAddr::from(([127, 0, 0, 1], self.router_of(job) as u16));
+            self.refused[cell].record(addr, Demand::of(&self.jobs[job].spec), now);
+        }
         let load = (self.pools[cell].backlog(now), reports);
         let at_ms = self.now_ms + link_delay_ms(self.zone_of(cell), self.jobs[job].zone);
         self.push(at_ms, Event::Answer { job, cell, outcome, load });
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -119,6 +119,8 @@
     /// The job's route is confined because its tasks crash workers, and the workers left to it are
     /// busy. Jobs of other routes may find free ones.
     RouteConfined,
+    /// The submitter withdrew the job while it was queued, because another cell can start it.
+    Withdrawn,
 }
 
 impl Reason {
@@ -135,6 +137,7 @@
             Self::CrashesWorkers => "crashes_workers",
             Self::WorkerCrashed => "worker_crashed",
             Self::RouteConfined => "route_confined",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod estimate;
 pub mod failover;
 pub mod free_cores;
+pub mod free_notice;
 pub mod job;
 pub mod load_table;
 pub mod loss;
--- a/crates/pool/src/load_table.rs
+++ b/crates/pool/src/load_table.rs
@@ -61,6 +61,14 @@
     }
 }
 
+/// Returns whether a job with this demand probably could start at once in a cell with this backlog,
+/// after jobs with the demands `before`.
+pub fn free_after(backlog: &Backlog, before: impl Iterator<Item = Demand>, demand: Demand) -> bool {
+    let Some(free) = backlog.free.filter(|_| backlog.queued_work == 0) else { return false };
+    let taken = before.map(|before| before.tasks_as(demand)).fold(0, u64::saturating_add);
+    free.probable_fit(demand.task_millicores).saturating_sub(taken) >= demand.tasks
+}
+
 /// Report on the load of a cell, as one daemon passes it on to another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -208,8 +216,8 @@
         let load = self.cells.entry(cell.clone()).or_default();
         load.backlog = Some(backlog);
         match outcome {
-            // Says nothing about the chances of other routes.
-            Outcome::NotRun { reason: Reason::RouteConfined, .. } => {}
+            // Says nothing about the chances of other routes or jobs.
+            Outcome::NotRun { reason: Reason::RouteConfined | Reason::Withdrawn, .. } => {}
             Outcome::NotRun { reason: Reason::Busy, .. } => load.busy = Some((now, demand)),
             Outcome::NotRun { .. } => {
                 load.busy = Some((now, demand));
@@ -246,23 +254,31 @@
 
     /// Returns the freshest reports on other cells than `cell`, to be passed on with a reply.
     pub fn reports(&self, cell: &Cell, now: Millis) -> Vec<LoadReport> {
-        let fresh = self.cells.iter().filter_map(|(name, load)| {
-            let known = load.known.filter(|known| now.since(known.at) < MAX_REPORT_AGE_MS)?;
-            let zone = self.zones.binary_search(&name.zone).ok().filter(|_| name != cell)?;
-            Some(LoadReport {
-                zone: u8::try_from(zone).ok()?,
-                partition: name.partition,
-                age_ms: now.since(known.at) as u16,
-                queue_ms: known.queue_ms.min(u64::from(u16::MAX)) as u16,
-                free: known.free,
-            })
-        });
+        let others = self.cells.iter().filter(|(name, _)| *name != cell);
+        let fresh = others.filter_map(|(name, load)| self.make_report(name, load, now));
         let mut reports: Vec<LoadReport> = fresh.collect();
         reports.sort_unstable_by_key(|report| (report.age_ms, report.zone, report.partition));
         reports.truncate(MAX_REPORTS);
         reports
     }
 
+    /// Returns the report on one cell, or `None` if nothing recent is known.
+    pub fn report(&self, cell: &Cell, now: Millis) -> Option<LoadReport> {
+        self.make_report(cell, self.cells.get(cell)?, now)
+    }
+
+    fn make_report(&self, cell: &Cell, load: &CellLoad, now: Millis) -> Option<LoadReport> {
+        let known = load.known.filter(|known| now.since(known.at) < MAX_REPORT_AGE_MS)?;
+        let zone = self.zones.binary_search(&cell.zone).ok()?;
+        Some(LoadReport {
+            zone: u8::try_from(zone).ok()?,
+            partition: cell.partition,
+            age_ms: now.since(known.at) as u16,
+            queue_ms: known.queue_ms.min(u64::from(u16::MAX)) as u16,
+            free: known.free,
+        })
+    }
+
     /// Records that a job is sent to a cell, so that its tasks are deducted from the cell's free
     /// cores until [`Self::record_answer`] or a report that includes it.
     pub fn record_sent(&mut self, cell: &Cell, demand: Demand, now: Millis) -> SentJob {
@@ -285,6 +301,13 @@
         self.cells.get(cell).and_then(|load| load.backlog)
     }
 
+    /// Returns whether a report that is newer than a job sent at `sent_at` says that nothing waits in a
+    /// cell, so that the job has been started there.
+    pub fn has_started(&self, cell: &Cell, sent_at: Millis) -> bool {
+        let known = self.cells.get(cell).and_then(|load| load.known);
+        known.is_some_and(|known| known.queue_ms == 0 && sent_at.plus(TRANSIT_MS) <= known.at)
+    }
+
     /// Returns the age of the latest report on a cell, in milliseconds, or `None` if there is none.
     pub fn age_ms(&self, cell: &Cell, now: Millis) -> Option<u64> {
         self.cells.get(cell).and_then(|load| load.known).map(|known| now.since(known.at))
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -248,6 +248,24 @@
         self.advance(now);
     }
 
+    /// Withdraws a queued job so that it can be submitted to another cell. Returns whether the job was
+    /// withdrawn; its submitter then gets the outcome [`Reason::Withdrawn`]. A job of which any task
+    /// may have been sent to a worker, by this or a previous owner, stays, and so does one that
+    /// another submission waits for.
+    pub fn withdraw(&mut self, now: Millis, number: u64) -> bool {
+        let Some(job_number) = self.watchers.get(&number).copied() else { return false };
+        let is_queued = self.jobs.get(&job_number).is_some_and(|job| !job.started);
+        let watchers = self.watchers.values().filter(|watched_job| **watched_job == job_number);
+        if !is_queued || watchers.count() > 1 {
+            return false;
+        }
+        let retry_after_ms = queue::retry_after_ms(self.backlog(now).wait_ms());
+        self.answer(job_number, Outcome::NotRun { reason: Reason::Withdrawn, retry_after_ms });
+        self.drop_job(now, job_number);
+        self.advance(now);
+        true
+    }
+
     /// Processes everything that is due at `now`: placements, time-outs, refusals and polls.
     pub fn advance(&mut self, now: Millis) {
         if self.fenced {
--- a/crates/pool/src/spill.rs
+++ b/crates/pool/src/spill.rs
@@ -23,6 +23,13 @@
 /// How long after a refusal the owner of a cell in another zone is not asked again for any job with
 /// the same demand or more, in milliseconds.
 const REFUSAL_BACKOFF_MS: u64 = 40;
+/// Maximum number of times that a queued job is withdrawn to move it to another cell. Each time, it
+/// may lose its place to a job that arrives meanwhile.
+const MAX_MOVES: usize = 2;
+/// Greatest age of a report by which a queued job is moved, in milliseconds. A job that is withdrawn
+/// in vain may be refused where it was queued, and half of the rooms for a short task are taken
+/// again after this time.
+const MAX_MOVE_REPORT_AGE_MS: u64 = 50;
 /// Time that an answer from another zone takes longer than one from the same zone, in milliseconds.
 const OTHER_ZONE_MS: u64 = 2 * TRANSIT_MS;
 
@@ -35,6 +42,8 @@
     Unknown,
     /// The job may wait, and the cell's queue is the shortest.
     Queue,
+    /// The job was queued elsewhere, and this cell got room for it.
+    Moved,
 }
 
 impl Basis {
@@ -44,6 +53,7 @@
             Self::KnownFree => "known_free",
             Self::Unknown => "unknown",
             Self::Queue => "queue",
+            Self::Moved => "moved",
         }
     }
 }
@@ -71,6 +81,9 @@
     asked: Vec<Cell>,
     /// Age of the oldest report by which a cell was passed over, in milliseconds.
     known_ms: Option<u64>,
+    moves: usize,
+    /// Cell that the job was withdrawn for.
+    move_to: Option<Cell>,
 }
 
 /// Preference of a cell for an immediate start; lower values are better.
@@ -80,7 +93,16 @@
     /// Creates the search for a job with this demand, of use to its caller only if it starts until
     /// `latest_start`. `seed` is a random number.
     pub const fn new(demand: Demand, latest_start: Millis, seed: u64) -> Self {
-        Self { demand, latest_start, seed, may_wait: false, asked: Vec::new(), known_ms: None }
+        Self {
+            demand,
+            latest_start,
+            seed,
+            may_wait: false,
+            asked: Vec::new(),
+            known_ms: None,
+            moves: 0,
+            move_to: None,
+        }
     }
 
     /// Returns the next cell to ask, or `None` if no cell is left. `same_zone` and `other_zones` are
@@ -95,6 +117,11 @@
         other_zones: &[Cell],
         now: Millis,
     ) -> Option<Offer> {
+        if let Some(cell) = self.move_to.take() {
+            self.may_wait = false;
+            self.asked = vec![cell.clone()];
+            return Some(Offer { cell, may_wait: false, basis: Basis::Moved });
+        }
         if !self.may_wait {
             let full = same_zone.iter().chain(other_zones);
             let full = full.filter(|cell| loads.fit(cell, self.demand, now) == Fit::Full);
@@ -112,6 +139,54 @@
         Some(Offer { cell, may_wait: true, basis: Basis::Queue })
     }
 
+    /// Returns another cell that could start the job now, for which the job should be withdrawn from
+    /// the cell `queued_at` where it was sent at `sent_at` and may wait, or `None` if it should stay.
+    /// If the job is withdrawn, [`Self::next`] returns the other cell first.
+    ///
+    /// The job may be submitted to the other cell only after the owner of the first one has
+    /// confirmed that it has started no task of it and will not.
+    pub fn find_better_cell(
+        &mut self,
+        loads: &LoadTable,
+        (queued_at, sent_at): (&Cell, Millis),
+        (same_zone, other_zones): (&[Cell], &[Cell]),
+        now: Millis,
+    ) -> Option<Cell> {
+        let has_time = now.plus(2 * OTHER_ZONE_MS) <= self.latest_start;
+        if self.moves >= MAX_MOVES || !has_time || loads.has_started(queued_at, sent_at) {
+            return None;
+        }
+        let fresh_fit = |cell: &Cell| {
+            let age_ms = loads.age_ms(cell, now).filter(|_| cell != queued_at)?;
+            match loads.fit(cell, self.demand, now) {
+                Fit::Fits { times } if age_ms <= MAX_MOVE_REPORT_AGE_MS => {
+                    Some(self.distance(cell, times))
+                }
+                _ => None,
+            }
+        };
+        let same_zone = same_zone.iter().map(|cell| (cell, false));
+        let cells = same_zone.chain(other_zones.iter().map(|cell| (cell, true)));
+        let usable = cells.filter(|(cell, is_other_zone)| {
+            let backoff_ms = if *is_other_zone { REFUSAL_BACKOFF_MS } else { 0 };
+            !loads.is_unowned(cell, now)
+                && !loads.refused_recently(cell, self.demand, false, backoff_ms, now)
+        });
+        let ranked = usable.filter_map(|(cell, is_other_zone)| {
+            fresh_fit(cell).map(|distance| ((is_other_zone, distance), cell))
+        });
+        let (_, cell) = ranked.min_by_key(|(rank, _)| *rank)?;
+        self.moves += 1;
+        self.move_to = Some(cell.clone());
+        Some(cell.clone())
+    }
+
+    /// Forgets the cell that [`Self::find_better_cell`] returned, because the job has not been
+    /// withdrawn.
+    pub fn stay(&mut self) {
+        self.move_to = None;
+    }
+
     /// Returns the age of the oldest report by which a cell was passed over because it had no room for
     /// the job, in milliseconds, or `None` if no cell was.
     pub const fn known_ms(&self) -> Option<u64> {
@@ -145,7 +220,7 @@
             };
             let max = match basis {
                 Basis::KnownFree => MAX_KNOWN_ATTEMPTS,
-                Basis::Unknown | Basis::Queue => MAX_ATTEMPTS_PER_PHASE,
+                Basis::Unknown | Basis::Queue | Basis::Moved => MAX_ATTEMPTS_PER_PHASE,
             };
             (attempts < max).then_some(((class, first, second), basis))
         };
