Spread retries over seconds by what the daemon gets served

Retry delays are rounded up to whole seconds, so that nearly all callers refused in a burst came back together one second later. The reports on cells are in /state.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -10,6 +10,7 @@
 use dispatch::clock::Millis;
 use httpedge::server::{Request, Response};
 use pool::catalogue::Route;
+use pool::job::Outcome;
 
 use crate::route::{JobRequest, Trace};
 use crate::state::{Entry, Phase};
@@ -153,7 +154,12 @@
             None => (render_cancelled(), "cancelled"),
             Some(outcome) => (render_outcome(outcome), outcome.as_str()),
         };
-        self.record_response(&job, why, &trace, (tasks, version, response.status));
+        let retry_after_ms = match outcome {
+            Some(Outcome::NotRun { retry_after_ms, .. }) => Some(retry_after_ms),
+            _ => None,
+        };
+        let numbers = (tasks, version, response.status, retry_after_ms);
+        self.record_response(&job, why, &trace, numbers);
         response
     }
 
@@ -162,7 +168,7 @@
         job: &JobRequest,
         why: &str,
         trace: &Trace,
-        (tasks, version, status): (usize, u64, u16),
+        (tasks, version, status, retry_after_ms): (usize, u64, u16, Option<u64>),
     ) {
         let route = &*job.terms.route;
         let took_ms = self.now().since(job.arrived_at);
@@ -180,15 +186,17 @@
                 trace.known_ms.map_or_else(|| "-".to_owned(), |known_ms| known_ms.to_string()),
             )
         });
+        let retry_after_ms = retry_after_ms.map(|delay_ms| format!(" retry_after_ms={delay_ms}"));
         log::info!(
             "part=callers event=answer job={} route={route} status={status} why={why} \
              took_ms={took_ms} limit_ms={} longest_ms={} tasks={tasks} cell={cell} tries={} \
-             config={version}{}",
+             config={version}{}{}",
             job.spec.id,
             job.limit_ms,
             job.spec.critical_path_ms(|step| step.estimate_ms),
             trace.attempts,
             load.unwrap_or_default(),
+            retry_after_ms.unwrap_or_default(),
         );
     }
 
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -20,12 +20,23 @@
     cells: Vec<CellDump>,
     /// Cells and the addresses of their owners.
     owners: Vec<(String, String)>,
+    /// Last reports on the loads of cells.
+    loads: Vec<LoadDump>,
     /// Routes that are confined because their tasks crash workers.
     confined_routes: Vec<String>,
     /// Jobs that are not started again because they crash workers.
     convicted_jobs: Vec<String>,
 }
 
+#[derive(Debug)]
+#[derive(Serialize)]
+struct LoadDump {
+    cell: String,
+    age_ms: u64,
+    queue_ms: u64,
+    free_millicores: u64,
+}
+
 #[derive(Debug)]
 #[derive(Serialize)]
 struct CellDump {
@@ -68,6 +79,16 @@
         let owners = self.owners.borrow();
         let is_listed = |cell| owned.contains_key(cell) || cell.partition == 0;
         let owners = owners.iter().filter(|(cell, _)| is_listed(cell));
+        self.refresh_owned_loads();
+        let table = self.loads.borrow();
+        let loads = table.iter(now).map(|(cell, age_ms, queue_ms, free_millicores)| LoadDump {
+            cell: cell.to_string(),
+            age_ms,
+            queue_ms,
+            free_millicores,
+        });
+        let mut loads: Vec<LoadDump> = loads.collect();
+        loads.sort_by(|left, right| left.cell.cmp(&right.cell));
         Dump {
             name: self.settings.name.clone(),
             phase: format!("{:?}", self.phase.get()),
@@ -78,6 +99,7 @@
             owners: owners
                 .map(|(cell, owner)| (cell.to_string(), owner.addr.to_string()))
                 .collect(),
+            loads,
             confined_routes: to_strings(&self.crashes.borrow().confined_routes(now)),
             convicted_jobs: to_strings(&self.crashes.borrow().convicted_jobs()),
         }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -159,6 +159,31 @@
         if self.crashes.borrow().convicts_job(&request.spec.id) {
             return Outcome::Failed(Reason::CrashesWorkers);
         }
+        let outcome = self.run_at_owner(request, trace).await;
+        self.spread_retry(request, outcome)
+    }
+
+    /// Replaces the retry delay of a job that was refused for lack of room by one from the plan of all
+    /// retries.
+    fn spread_retry(&self, request: &JobRequest, outcome: Outcome) -> Outcome {
+        let (now, work) = (self.now(), request.spec.declared_work());
+        let mut retries = self.retries.borrow_mut();
+        match outcome {
+            Outcome::NotRun { reason, retry_after_ms } if is_lack_of_room(&outcome) => {
+                let age_ms = now.since(request.arrived_at);
+                let waited = age_ms as f64 / request.limit_ms.max(1) as f64;
+                let retry_after_ms = retries.plan(work, waited, retry_after_ms, now);
+                Outcome::NotRun { reason, retry_after_ms }
+            }
+            Outcome::Completed => {
+                retries.record_served(work, now);
+                outcome
+            }
+            _ => outcome,
+        }
+    }
+
+    async fn run_at_owner(self: &Rc<Self>, request: &JobRequest, trace: &mut Trace) -> Outcome {
         loop {
             let outcome = self.try_owners(request, trace).await;
             let may_find_owner = matches!(
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -21,6 +21,7 @@
 use pool::pool::Pool;
 use pool::resettle::Resettlement;
 use pool::responsiveness::Responsiveness;
+use pool::retries::RetrySchedule;
 use tokio::sync::{Notify, oneshot};
 
 use crate::cancel::OpenJobs;
@@ -112,6 +113,8 @@
     /// Addresses of the daemons that know [`Request::Withdraw`](crate::protocol::Request::Withdraw),
     /// as their answers show.
     pub withdrawing_peers: RefCell<HashSet<SocketAddr>>,
+    /// Plan of the retries of the callers that this daemon has refused.
+    pub retries: RefCell<RetrySchedule>,
     /// Which other daemons get no requests because they did not reply lately.
     pub responsiveness: RefCell<Responsiveness>,
     /// Fencing token at which this daemon was last fenced off each cell. The cell is not acquired
@@ -185,6 +188,7 @@
             loads_changed: Notify::new(),
             refused_daemons: RefCell::default(),
             withdrawing_peers: RefCell::default(),
+            retries: RefCell::default(),
             responsiveness: RefCell::default(),
             fenced: RefCell::default(),
             phase: Value::new(Phase::Serving),
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -48,6 +48,15 @@
         self.steps.iter().map(|step| step.count as usize).sum()
     }
 
+    /// Returns the work of all tasks by their declared run times, in millicore-milliseconds.
+    pub fn declared_work(&self) -> u64 {
+        let work = self.steps.iter().map(|step| {
+            let task_work = step.estimate_ms.saturating_mul(step.task_resources.cpu_millicores);
+            task_work.saturating_mul(u64::from(step.count))
+        });
+        work.fold(0, u64::saturating_add)
+    }
+
     /// Returns the run time of the longest chain of dependent steps, in milliseconds, given the
     /// run time `step_ms` of each step.
     pub fn critical_path_ms(&self, step_ms: impl Fn(&Step) -> u64) -> u64 {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod resettle;
 pub mod resources;
 pub mod responsiveness;
+pub mod retries;
 pub mod round_trip;
 pub mod run;
 pub mod spill;
--- a/crates/pool/src/load_table.rs
+++ b/crates/pool/src/load_table.rs
@@ -346,6 +346,15 @@
         refused_at.is_some_and(|at| now.since(at) < backoff_ms)
     }
 
+    /// Iterates over the cells with a report, with its age, the time until the queued work is done, both
+    /// in milliseconds, and the free cores, in thousandths of a core, for a dump of the state.
+    pub fn iter(&self, now: Millis) -> impl Iterator<Item = (&Cell, u64, u64, u64)> {
+        self.cells.iter().filter_map(move |(cell, load)| {
+            let known = load.known?;
+            Some((cell, now.since(known.at), known.queue_ms, known.free.probable_millicores()))
+        })
+    }
+
     /// Returns the last known time until the queued work of a cell is done, in milliseconds, and its
     /// free cores, in thousandths of a core. Both are zero if nothing is known.
     pub fn queue(&self, cell: &Cell) -> (u64, u64) {
