Design note on free capacity; check for a move before the cells are listed

Each answer is a chance to move for each job that waits, and the check listed the cells of all zones with their owners each time, which is much for a tenth of a core.

--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -411,9 +411,11 @@
         {
             return None;
         }
-        self.refresh_owned_loads();
-        let (own, others) = self.cells_by_zone();
         let (now, queued_at) = (self.now(), (queued.cell, queued.sent_at));
+        if !search.may_move(&self.loads.borrow(), queued_at, now) {
+            return None;
+        }
+        let (own, others) = self.cells_by_zone();
         let (better, known_ms) = {
             let loads = self.loads.borrow();
             let better = search.find_better_cell(&loads, queued_at, (&own, &others), now)?;
--- a/crates/pool/src/load_table.rs
+++ b/crates/pool/src/load_table.rs
@@ -27,6 +27,9 @@
 pub const TRANSIT_MS: u64 = 2;
 /// How long a cell is not asked after no owner was found for it, in milliseconds.
 const UNOWNED_BACKOFF_MS: u64 = 50;
+/// Maximum number of cells in the table, twice the cells of 16 zones with 8 cells each, so that
+/// incorrect reports cannot fill the memory.
+const MAX_CELLS: usize = 256;
 
 /// What a job needs to start: the tasks of its initial steps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -240,8 +243,6 @@
         for report in reports.iter().take(MAX_REPORTS) {
             let Some(zone) = self.zones.get(usize::from(report.zone)) else { continue };
             let cell = Cell { zone: Rc::clone(zone), partition: report.partition };
-            // A cell that no job was sent to is learned as well; the number of cells is bounded by
-            // the partitions, and by this check against reports that are incorrect.
             if self.cells.len() >= MAX_CELLS && !self.cells.contains_key(&cell) {
                 continue;
             }
@@ -329,6 +330,22 @@
         load.map_or(Fit::Unknown { was_full: false }, |load| load.fit(demand, now))
     }
 
+    /// Returns whether some other cell than `cell` probably has room for a job by a report of at most
+    /// `max_age_ms`. Takes less time than to ask for each cell that has an owner.
+    pub fn fits_elsewhere(
+        &self,
+        cell: &Cell,
+        demand: Demand,
+        max_age_ms: u64,
+        now: Millis,
+    ) -> bool {
+        let is_fresh = |load: &CellLoad| {
+            load.known.is_some_and(|known| known.queue_ms == 0 && now.since(known.at) <= max_age_ms)
+        };
+        let mut fresh = self.cells.iter().filter(|(_, load)| is_fresh(load));
+        fresh.any(|(name, load)| matches!(load.fit(demand, now), Fit::Fits { .. }) && name != cell)
+    }
+
     /// Returns whether a cell's owner refused such a job less than `backoff_ms` ago: if the job may
     /// wait, for another reason than that it could not start at once, and otherwise a job with the
     /// same demand or less.
@@ -366,6 +383,3 @@
         }
     }
 }
-
-/// Maximum number of cells in the table: twice the cells of 16 zones with 8 cells each.
-const MAX_CELLS: usize = 256;
--- a/crates/pool/src/spill.rs
+++ b/crates/pool/src/spill.rs
@@ -152,8 +152,7 @@
         (same_zone, other_zones): (&[Cell], &[Cell]),
         now: Millis,
     ) -> Option<Cell> {
-        let has_time = now.plus(2 * OTHER_ZONE_MS) <= self.latest_start;
-        if self.moves >= MAX_MOVES || !has_time || loads.has_started(queued_at, sent_at) {
+        if !self.may_move(loads, (queued_at, sent_at), now) {
             return None;
         }
         let fresh_fit = |cell: &Cell| {
@@ -181,6 +180,21 @@
         Some(cell.clone())
     }
 
+    /// Returns whether [`Self::find_better_cell`] may find a cell. Checks this without the lists of
+    /// cells, because each answer is a chance to move for each job that waits.
+    pub fn may_move(
+        &self,
+        loads: &LoadTable,
+        (queued_at, sent_at): (&Cell, Millis),
+        now: Millis,
+    ) -> bool {
+        let has_time = now.plus(2 * OTHER_ZONE_MS) <= self.latest_start;
+        self.moves < MAX_MOVES
+            && has_time
+            && !loads.has_started(queued_at, sent_at)
+            && loads.fits_elsewhere(queued_at, self.demand, MAX_MOVE_REPORT_AGE_MS, now)
+    }
+
     /// Forgets the cell that [`Self::find_better_cell`] returned, because the job has not been
     /// withdrawn.
     pub fn stay(&mut self) {
