--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -31,12 +31,23 @@
     capacities: Vec<(String, u64)>,
     /// Cells that this daemon holds and has delegated to another one.
     delegations: Vec<DelegationDump>,
+    /// Last reports on the loads of cells.
+    loads: Vec<LoadDump>,
     /// Routes that are confined because their tasks crash workers.
     confined_routes: Vec<String>,
     /// Jobs that are not started again because they crash workers.
     convicted_jobs: Vec<String>,
 }
 
+#[derive(Debug)]
+#[derive(Serialize)]
+struct LoadDump {
+    cell: String,
+    age_ms: u64,
+    queue_ms: u64,
+    free_millicores: u64,
+}
+
 #[derive(Debug)]
 #[derive(Serialize)]
 struct CellDump {
@@ -106,6 +117,16 @@
         let owners = self.owners.borrow();
         let is_listed = |cell| owned.contains_key(cell) || cell.partition == 0;
         let owners = owners.iter().filter(|(cell, _)| is_listed(cell));
+        self.refresh_owned_loads();
+        let table = self.loads.borrow();
+        let loads = table.iter(now).map(|(cell, age_ms, queue_ms, free_millicores)| LoadDump {
+            cell: cell.to_string(),
+            age_ms,
+            queue_ms,
+            free_millicores,
+        });
+        let mut loads: Vec<LoadDump> = loads.collect();
+        loads.sort_by(|left, right| left.cell.cmp(&right.cell));
         Dump {
             name: self.settings.name.clone(),
             phase: format!("{:?}", self.phase.get()),
@@ -122,6 +143,7 @@
             is_saturated: self.is_saturated(),
             capacities: others.map(|(addr, member)| (addr.to_string(), member.capacity)).collect(),
             delegations: delegations.collect(),
+            loads,
             confined_routes: to_strings(&self.crashes.borrow().confined_routes(now)),
             convicted_jobs: to_strings(&self.crashes.borrow().convicted_jobs()),
         }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -36,6 +36,12 @@
     pub store_calls: IntCounterVec,
     /// Jobs forwarded to other daemons, by result.
     pub forwarded: IntCounterVec,
+    /// Offers of jobs to owners of cells, this daemon included, by what the cell was chosen by.
+    pub offers: IntCounterVec,
+    /// Requests to withdraw a queued job, by result.
+    pub moves: IntCounterVec,
+    /// Notices that a cell has room again, by what became of them.
+    pub free_notices: IntCounterVec,
     /// Cells acquired and lost, by kind of change.
     pub cells: IntCounterVec,
     /// Workers of the owned cells that are still slow after their start.
@@ -109,6 +115,13 @@
             convictions: counters("entry_convictions_total", "Crash convictions.", &["of"])?,
             store_calls: counters("entry_store_calls_total", "Store calls.", &["call", "result"])?,
             forwarded: counters("entry_forwarded_total", "Jobs sent on.", &["result"])?,
+            offers: counters("entry_offers_total", "Offers of jobs to cells.", &["basis"])?,
+            moves: counters("entry_moves_total", "Moves of queued jobs.", &["result"])?,
+            free_notices: counters(
+                "entry_free_notices_total",
+                "Notices of free capacity.",
+                &["result"],
+            )?,
             cells: counters("entry_cells_total", "Cells gained and lost.", &["change"])?,
             cold_workers: gauge("entry_cold_workers", "Workers slow after their start.")?,
             ramping_cells: gauge("entry_ramping_cells", "Cells that load returns to.")?,
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -8,9 +8,10 @@
 use pool::crashes::Crash;
 use pool::evacuation::ZoneRecord;
 use pool::job::Outcome;
+use pool::load_table::LoadReport;
 use pool::loss::WorkerLife;
 use pool::pool::{LINK_TIMEOUT_MS, Submission};
-use pool::queue::Backlog;
+use pool::queue::{Backlog, or_default};
 use serde::{Deserialize, Serialize};
 
 use crate::worker_counts::ZoneCount;
@@ -34,6 +35,10 @@
     pub cell: Cell,
     /// The job and its progress under the previous owner of the cell.
     pub submission: Submission,
+    /// Address on which the submitter accepts connections from other daemons, for
+    /// [`Request::CellLoad`]; `None` from a daemon of a version that does not know that message.
+    #[serde(deserialize_with = "or_default")]
+    pub submitter: Option<SocketAddr>,
 }
 
 /// Request or notification from one daemon to another.
@@ -75,6 +80,12 @@
     /// Take a cell back that the receiver delegated to the sender under this fencing token. The
     /// sender shuts down and has released the cell.
     ReturnCell(Cell, u64),
+    /// Notification that a cell of the sender, which refused a job of the receiver a short time ago,
+    /// has room again.
+    CellLoad(LoadReport),
+    /// Notification that the sender would submit the job with this id to another cell if it is still
+    /// queued at the receiver. The outcome of the job tells whether the receiver has withdrawn it.
+    Withdraw(Rc<str>),
 }
 
 /// What the holder of a cell's partition asks of the daemon that owns the cell or is to own it.
@@ -132,8 +143,8 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 pub enum Reply {
-    /// Outcome of a job, and the load of the cell after it.
-    Outcome(Outcome, Backlog),
+    /// Outcome of a job, the load of the cell after it, and what the sender knows of other cells.
+    Outcome(Outcome, Backlog, #[serde(deserialize_with = "or_default")] Vec<LoadReport>),
     /// The request is refused: the sender does not own the cell, does not accept the handover or
     /// does not know the numbers of workers. As the reply to [`Request::ReleaseCell`]: the sender
     /// does not own the cell, or has just released it.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,7 +1,7 @@
 //! State that is shared by all parts of an entry daemon.
 
 use std::cell::{Cell as Value, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -16,12 +16,14 @@
 use pool::cells::Cell;
 use pool::crashes::CrashHistory;
 use pool::evacuation::Evacuations;
+use pool::free_notice::RefusedDaemons;
 use pool::job::Outcome;
+use pool::load_table::LoadTable;
 use pool::owners::Owners;
 use pool::pool::Pool;
 use pool::resettle::Resettlement;
 use pool::responsiveness::Responsiveness;
-use pool::spill::CellLoads;
+use pool::retries::RetrySchedule;
 use tokio::sync::{Notify, oneshot};
 
 use crate::cancel::OpenJobs;
@@ -136,8 +138,17 @@
     /// When this process was last found to have been paused; `None` once the operators' records were
     /// read after that. It may have missed an evacuation.
     pub starts_held_since: Value<Option<Millis>>,
-    /// Last known load of each cell, from the outcomes of jobs.
-    pub loads: RefCell<CellLoads>,
+    /// Last known load of each cell, from the outcomes of jobs and reports of other daemons.
+    pub loads: RefCell<LoadTable>,
+    /// Wakes the jobs that wait in queues when `loads` has changed, so that they may move.
+    pub loads_changed: Notify,
+    /// Daemons to be told when an owned cell, which had no room for their jobs, has room again.
+    pub refused_daemons: RefCell<HashMap<Cell, RefusedDaemons>>,
+    /// Addresses of the daemons that know [`Request::Withdraw`](crate::protocol::Request::Withdraw),
+    /// as their answers show.
+    pub withdrawing_peers: RefCell<HashSet<SocketAddr>>,
+    /// Plan of the retries of the callers that this daemon has refused.
+    pub retries: RefCell<RetrySchedule>,
     /// Which other daemons get no requests because they did not reply lately.
     pub responsiveness: RefCell<Responsiveness>,
     /// Fencing token at which this daemon was last fenced off each cell, and when. The cell is not
@@ -221,7 +232,11 @@
             operator_feed: RefCell::default(),
             last_turn_at: Value::new(clock.now()),
             starts_held_since: Value::new(None),
-            loads: RefCell::default(),
+            loads: RefCell::new(LoadTable::new(settings.zones.iter().map(String::as_str))),
+            loads_changed: Notify::new(),
+            refused_daemons: RefCell::default(),
+            withdrawing_peers: RefCell::default(),
+            retries: RefCell::default(),
             responsiveness: RefCell::default(),
             fenced: RefCell::default(),
             phase: Value::new(Phase::Serving),
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -1,9 +1,11 @@
 //! Simulates a scenario in virtual time.
 //!
-//! Each zone has one [`Pool`], which schedules jobs on simulated workers exactly as in the daemon.
-//! Messages and timers are events in a queue that is ordered by time.
+//! Each cell has a [`Pool`], which schedules jobs on simulated workers exactly as in the daemon. Each
+//! zone has a number of daemons that receive jobs and choose cells, each with its own knowledge of
+//! the cells' loads. Messages and timers are events in a queue that is ordered by time.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
@@ -13,11 +15,13 @@
 use pool::catalogue::{WorkerEntry, WorkerState};
 use pool::cells::Cell;
 use pool::crashes::Crash;
-use pool::job::{Outcome, PreviousOwner, TaskName};
+use pool::free_notice::RefusedDaemons;
+use pool::job::{Outcome, PreviousOwner, Reason, TaskName};
+use pool::load_table::{Demand, LoadReport, LoadTable, SentJob};
 use pool::pool::{Action, Pool, Submission};
 use pool::queue::Backlog;
 use pool::resources::Resources;
-use pool::spill::{CellLoads, CellSearch};
+use pool::spill::{CellSearch, Offer};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use standins::pool_worker::{PoolWorker, STOP_DELAY_MS, Work};
@@ -60,17 +64,21 @@
 enum Event {
     /// The daemon that received a job chooses the next owner to ask.
     FindOwner(usize),
-    /// A job arrives at an owner.
-    Submit { job: usize, zone: usize, may_wait: bool },
+    /// A job arrives at the owner of a cell.
+    Submit { job: usize, cell: usize, may_wait: bool },
     /// An owner's answer arrives at the daemon that received the job.
-    Answer { job: usize, zone: usize, outcome: Outcome, backlog: Backlog },
+    Answer { job: usize, cell: usize, outcome: Outcome, load: (Backlog, Vec<LoadReport>) },
+    /// The owner of a cell tells a daemon that the cell has room again.
+    FreeNotice { router: usize, report: LoadReport },
+    /// The request of a daemon to withdraw a queued job arrives at the owner of a cell.
+    Withdraw { job: usize, cell: usize },
     /// A call arrives at a worker.
     WorkerCall(usize, WorkerCall),
     /// A worker's reply arrives at its owner.
     Reply(usize, Reply),
     /// A run of a worker may have ended, or its pending poll may have reached its deadline.
     CheckPoll(usize),
-    /// A timer of an owner expires.
+    /// A timer of a cell's owner expires.
     Advance(usize),
     /// A worker crashes under the first task of a job, unless the task has been stopped.
     Crash(usize, TaskName),
@@ -83,12 +91,21 @@
     deadline_ms: u64,
 }
 
+/// A job that may be queued at a cell.
+#[derive(Clone, Debug)]
+struct Waiting {
+    cell: Cell,
+    sent_at: Millis,
+    reserved: Option<(Cell, SentJob)>,
+}
+
 struct Simulation<'a> {
     now_ms: u64,
     rng: SmallRng,
     scenario: &'a Scenario,
     jobs: &'a [GeneratedJob],
     by_id: HashMap<Rc<str>, usize>,
+    /// State of each cell, ordered by zone.
     pools: Vec<Pool>,
     advance_at_ms: Vec<Option<u64>>,
     workers: Vec<PoolWorker>,
@@ -96,7 +113,15 @@
     /// Until when no process listens at each worker's address.
     down_until_ms: Vec<u64>,
     searches: Vec<CellSearch>,
-    loads: Vec<CellLoads>,
+    /// Deduction of each job that has been sent to an owner and not been answered.
+    sent: Vec<Option<SentJob>>,
+    /// Jobs that each daemon has sent to an owner with queueing allowed, with the cell, when they were
+    /// sent, and the deduction at the cell that they are to move to.
+    waiting: Vec<BTreeMap<usize, Waiting>>,
+    /// Daemons that each cell's owner has refused a job.
+    refused: Vec<RefusedDaemons>,
+    /// What each daemon knows of the cells' loads, ordered by zone.
+    loads: Vec<LoadTable>,
     submitted: HashMap<(usize, u64), usize>,
     events: BTreeMap<(u64, u64), Event>,
     last_sequence: u64,
@@ -114,7 +139,8 @@
 
 impl<'a> Simulation<'a> {
     fn new(scenario: &'a Scenario, jobs: &'a [GeneratedJob], rng: SmallRng) -> Self {
-        let zones = scenario.zones;
+        let cells = scenario.zones * scenario.cells;
+        let zones: Vec<String> = (0..scenario.zones).map(|zone| zone.to_string()).collect();
         let by_id = jobs.iter().enumerate().map(|(at, job)| (Rc::clone(&job.spec.id), at));
         let mut simulation = Self {
             now_ms: 0,
@@ -123,18 +149,23 @@
             jobs,
             by_id: by_id.collect(),
             pools: Vec::new(),
-            advance_at_ms: vec![None; zones],
+            advance_at_ms: vec![None; cells],
             workers: Vec::new(),
             pending_polls: Vec::new(),
             down_until_ms: Vec::new(),
-            searches: jobs.iter().map(|_| CellSearch::default()).collect(),
-            loads: (0..zones).map(|_| CellLoads::default()).collect(),
+            searches: jobs.iter().map(new_search).collect(),
+            sent: vec![None; jobs.len()],
+            waiting: vec![BTreeMap::new(); scenario.zones * scenario.routers],
+            refused: vec![RefusedDaemons::default(); cells],
+            loads: (0..scenario.zones * scenario.routers)
+                .map(|_| LoadTable::new(zones.iter().map(String::as_str)))
+                .collect(),
             submitted: HashMap::new(),
             events: BTreeMap::new(),
             last_sequence: 0,
             report: Report::new(scenario, jobs),
         };
-        for zone in 0..zones {
+        for zone in 0..scenario.zones {
             simulation.add_zone(zone);
         }
         for (at, job) in jobs.iter().enumerate() {
@@ -158,10 +189,13 @@
             self.pending_polls.push(None);
             self.down_until_ms.push(0);
         }
-        let mut pool = Pool::new(1);
-        pool.set_workers(Millis(0), entries.iter().map(|(id, entry)| (id, entry)));
-        self.pools.push(pool);
-        self.perform_actions(zone);
+        for number in 0..self.scenario.cells {
+            let workers = entries.iter().skip(number).step_by(self.scenario.cells);
+            let mut pool = Pool::new(1);
+            pool.set_workers(Millis(0), workers.map(|(id, entry)| (id, entry)));
+            self.pools.push(pool);
+            self.perform_actions(zone * self.scenario.cells + number);
+        }
     }
 
     fn run(&mut self) {
@@ -183,34 +217,160 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::FindOwner(job) => self.find_owner(job),
-            Event::Submit { job, zone, may_wait } => self.submit(job, zone, may_wait),
-            Event::Answer { job, zone, outcome, backlog } => {
-                self.handle_answer(job, zone, &outcome, backlog);
+            Event::Submit { job, cell, may_wait } => self.submit(job, cell, may_wait),
+            Event::Answer { job, cell, outcome, load } => {
+                self.handle_answer(job, cell, &outcome, load);
+            }
+            Event::FreeNotice { router, report } => {
+                self.loads[router].record_reports(&[report], Millis(self.now_ms));
+                self.move_waiting_jobs(router);
             }
+            Event::Withdraw { job, cell } => self.withdraw(job, cell),
             Event::WorkerCall(worker, call) => self.handle_call(worker, call),
             Event::Reply(worker, reply) => self.handle_reply(worker, reply),
             Event::CheckPoll(worker) => self.check_poll(worker),
-            Event::Advance(zone) => self.advance(zone),
+            Event::Advance(cell) => self.advance(cell),
             Event::Crash(worker, task) => self.crash(worker, &task),
         }
     }
 
     fn find_owner(&mut self, job: usize) {
+        let router = self.router_of(job);
         let home = self.jobs[job].zone;
-        let others = || (0..self.pools.len()).filter(|zone| *zone != home).map(cell).collect();
-        let (now, own) = (Millis(self.now_ms), [cell(home)]);
-        let next = self.searches[job].next(&self.loads[home], &own, others, now);
+        let (now, (own, others)) = (Millis(self.now_ms), self.cells_from(home));
+        self.refresh_owned_cells(router);
+        let next = self.searches[job].next(&self.loads[router], &own, &others, now);
         match next {
-            None => self.report.record(&self.jobs[job], Status::Refused),
-            Some((cell, may_wait)) => {
-                let zone = cell.partition as usize;
-                let at_ms = self.now_ms + link_delay_ms(home, zone);
-                self.push(at_ms, Event::Submit { job, zone, may_wait });
+            None => {
+                let has_room = self.pools.iter().any(|pool| self.has_room(pool, job));
+                let status = if has_room { Status::RefusedDespiteRoom } else { Status::Refused };
+                self.report.record(&self.jobs[job], status);
             }
+            Some(Offer { cell, may_wait, .. }) => {
+                let demand = Demand::of(&self.jobs[job].spec);
+                self.sent[job] = Some(self.loads[router].record_sent(&cell, demand, now));
+                if may_wait {
+                    let waiting = Waiting { cell: cell.clone(), sent_at: now, reserved: None };
+                    self.waiting[router].insert(job, waiting);
+                }
+                let cell = cell.partition as usize;
+                self.report.submissions += 1;
+                self.report.submissions_to_other_zones += u64::from(self.zone_of(cell) != home);
+                let at_ms = self.now_ms + link_delay_ms(home, self.zone_of(cell));
+                self.push(at_ms, Event::Submit { job, cell, may_wait });
+            }
+        }
+    }
+
+    /// Returns the cells of a zone and those of the other zones.
+    fn cells_from(&self, home: usize) -> (Vec<Cell>, Vec<Cell>) {
+        let other_zones = (0..self.scenario.zones).filter(|zone| *zone != home);
+        let others = other_zones.flat_map(|zone| self.cells_of(zone));
+        (self.cells_of(home), others.collect())
+    }
+
+    /// Asks the owners of the cells where jobs of a daemon wait to withdraw those that could start
+    /// elsewhere.
+    fn move_waiting_jobs(&mut self, router: usize) {
+        let now = Millis(self.now_ms);
+        let home = router / self.scenario.routers;
+        let (own, others) = self.cells_from(home);
+        let jobs: Vec<usize> = self.waiting[router].keys().copied().collect();
+        for job in jobs {
+            let Some(waiting) = self.waiting[router].get_mut(&job) else { continue };
+            if waiting.reserved.is_some() {
+                continue;
+            }
+            let (search, loads) = (&mut self.searches[job], &mut self.loads[router]);
+            let queued = (&waiting.cell, waiting.sent_at);
+            let better = search.find_better_cell(loads, queued, (&own, &others), now);
+            let Some(better) = better else { continue };
+            let demand = Demand::of(&self.jobs[job].spec);
+            waiting.reserved = Some((better.clone(), loads.record_sent(&better, demand, now)));
+            let cell = waiting.cell.partition as usize;
+            self.report.withdrawals += 1;
+            let at_ms = self.now_ms + link_delay_ms(home, self.zone_of(cell));
+            self.push(at_ms, Event::Withdraw { job, cell });
+        }
+    }
+
+    fn withdraw(&mut self, job: usize, cell: usize) {
+        let key = self.submitted.iter().find(|((at, _), known)| *at == cell && **known == job);
+        let Some(number) = key.map(|((_, number), _)| *number) else { return };
+        self.pools[cell].withdraw(Millis(self.now_ms), number);
+        self.perform_actions(cell);
+    }
+
+    /// Tells the daemons that a cell has refused a short time ago that it has room again.
+    fn send_free_notices(&mut self, cell: usize) {
+        if self.refused[cell].is_empty() {
+            return;
+        }
+        let (now, name, owner) = (Millis(self.now_ms), self.cell(cell), self.owner_of(cell));
+        let backlog = self.pools[cell].backlog(now);
+        let addrs = self.refused[cell].take_due(&backlog, now);
+        if addrs.is_empty() {
+            return;
+        }
+        self.loads[owner].record_backlog(&name, backlog, now);
+        let Some(report) = self.loads[owner].report(&name, now) else { return };
+        for addr in addrs {
+            let router = usize::from(addr.port());
+            let home = router / self.scenario.routers;
+            self.report.notices += 1;
+            let at_ms = self.now_ms + link_delay_ms(self.zone_of(cell), home);
+            self.push(at_ms, Event::FreeNotice { router, report });
         }
     }
 
-    fn submit(&mut self, job: usize, zone: usize, may_wait: bool) {
+    /// Updates what a daemon knows of the cells that it owns itself.
+    fn refresh_owned_cells(&mut self, router: usize) {
+        let now = Millis(self.now_ms);
+        for cell in 0..self.pools.len() {
+            if self.owner_of(cell) != router {
+                continue;
+            }
+            let (name, backlog) = (self.cell(cell), self.pools[cell].backlog(now));
+            self.loads[router].record_backlog(&name, backlog, now);
+        }
+    }
+
+    /// Returns whether all tasks of a job could start at once in a cell: no other task waits there,
+    /// and the free cores suffice.
+    fn has_room(&self, pool: &Pool, job: usize) -> bool {
+        let now = Millis(self.now_ms);
+        let step = &self.jobs[job].spec.steps[0];
+        let usable = pool.workers().filter(|(_, worker)| worker.accepts_tasks(now));
+        let fitting = usable.map(|(_, worker)| worker.free().fit_count(step.task_resources));
+        pool.backlog(now).queued_work == 0 && fitting.sum::<u64>() >= u64::from(step.count)
+    }
+
+    /// Returns the index of the daemon that received a job.
+    fn router_of(&self, job: usize) -> usize {
+        self.jobs[job].zone * self.scenario.routers + self.jobs[job].router
+    }
+
+    /// Returns the index of the daemon that owns a cell.
+    const fn owner_of(&self, cell: usize) -> usize {
+        let number = cell % self.scenario.cells;
+        self.zone_of(cell) * self.scenario.routers + number % self.scenario.routers
+    }
+
+    const fn zone_of(&self, cell: usize) -> usize {
+        cell / self.scenario.cells
+    }
+
+    fn cells_of(&self, zone: usize) -> Vec<Cell> {
+        let cells = self.scenario.cells;
+        (zone * cells..(zone + 1) * cells).map(|cell| self.cell(cell)).collect()
+    }
+
+    /// Returns a cell by its index, which is also its partition.
+    fn cell(&self, cell: usize) -> Cell {
+        Cell { zone: Rc::from(self.zone_of(cell).to_string()), partition: cell as u32 }
+    }
+
+    fn submit(&mut self, job: usize, cell: usize, may_wait: bool) {
         let generated = &self.jobs[job];
         let submission = Submission {
             spec: generated.spec.clone(),
@@ -219,20 +379,41 @@
             limit_ms: CALLER_WAIT_MS.max(generated.objective_ms()),
             previous_owner: PreviousOwner::None,
             may_wait,
-            is_remote: zone != generated.zone,
+            is_remote: self.owner_of(cell) != self.router_of(job),
         };
-        let number = self.pools[zone].submit(Millis(self.now_ms), submission);
-        self.submitted.insert((zone, number), job);
-        self.perform_actions(zone);
+        let number = self.pools[cell].submit(Millis(self.now_ms), submission);
+        self.submitted.insert((cell, number), job);
+        self.perform_actions(cell);
     }
 
     fn age_ms(&self, job: usize) -> u64 {
         self.now_ms - WARM_UP_MS - self.jobs[job].at_ms
     }
 
-    fn handle_answer(&mut self, job: usize, zone: usize, outcome: &Outcome, backlog: Backlog) {
+    fn handle_answer(
+        &mut self,
+        job: usize,
+        cell: usize,
+        outcome: &Outcome,
+        (backlog, reports): (Backlog, Vec<LoadReport>),
+    ) {
         let generated = &self.jobs[job];
-        self.loads[generated.zone].record(&cell(zone), outcome, backlog, Millis(self.now_ms));
+        let (name, demand) = (self.cell(cell), Demand::of(&generated.spec));
+        let router = self.router_of(job);
+        let loads = &mut self.loads[router];
+        if let Some(sent) = self.sent[job].take() {
+            loads.record_answer(&name, sent);
+        }
+        let was_reserved = self.waiting[router].remove(&job).and_then(|waiting| waiting.reserved);
+        if let Some((reserved, sent)) = was_reserved {
+            loads.record_answer(&reserved, sent);
+        }
+        if !matches!(outcome, Outcome::NotRun { reason: Reason::Withdrawn, .. }) {
+            self.searches[job].stay();
+        }
+        loads.record(&name, demand, outcome, backlog, Millis(self.now_ms));
+        loads.record_reports(&reports, Millis(self.now_ms));
+        self.move_waiting_jobs(router);
         let status = match outcome {
             Outcome::Completed => Status::Completed { after_ms: self.age_ms(job) },
             Outcome::NotRun { .. } => return self.find_owner(job),
@@ -241,29 +422,29 @@
         self.report.record(generated, status);
     }
 
-    fn advance(&mut self, zone: usize) {
+    fn advance(&mut self, cell: usize) {
         // An earlier time may have been scheduled since.
-        if self.advance_at_ms[zone] != Some(self.now_ms) {
+        if self.advance_at_ms[cell] != Some(self.now_ms) {
             return;
         }
-        self.advance_at_ms[zone] = None;
-        self.pools[zone].advance(Millis(self.now_ms));
-        self.perform_actions(zone);
+        self.advance_at_ms[cell] = None;
+        self.pools[cell].advance(Millis(self.now_ms));
+        self.perform_actions(cell);
     }
 
-    fn perform_actions(&mut self, zone: usize) {
-        for action in self.pools[zone].take_actions() {
+    fn perform_actions(&mut self, cell: usize) {
+        for action in self.pools[cell].take_actions() {
             match action {
                 Action::Start(target, call) => self.send(&target, WorkerCall::Start(call)),
                 Action::Stop(target, call) => self.send(&target, WorkerCall::Stop(call)),
                 Action::Poll(target, call) => {
                     self.send(&target, WorkerCall::Poll(call, Millis(self.now_ms)));
                 }
-                Action::Answer(number, outcome) => self.send_answer(zone, number, outcome),
+                Action::Answer(number, outcome) => self.send_answer(cell, number, outcome),
                 Action::ReportLoss(loss) => {
                     if let Some(crash) = Crash::from_loss(&loss) {
                         self.report.crashes += 1;
-                        self.share_crash(zone, &crash);
+                        self.share_crash(cell, &crash);
                     }
                 }
                 // A worker that does not listen has crashed.
@@ -273,18 +454,19 @@
                 | Action::ReportRamp(_) => {}
             }
         }
-        let due = self.pools[zone].next_due(Millis(self.now_ms));
+        self.send_free_notices(cell);
+        let due = self.pools[cell].next_due(Millis(self.now_ms));
         let Some(due_ms) = due.map(|due| due.0.max(self.now_ms + 1)) else { return };
-        if self.advance_at_ms[zone].is_none_or(|at_ms| due_ms < at_ms) {
-            self.advance_at_ms[zone] = Some(due_ms);
-            self.push(due_ms, Event::Advance(zone));
+        if self.advance_at_ms[cell].is_none_or(|at_ms| due_ms < at_ms) {
+            self.advance_at_ms[cell] = Some(due_ms);
+            self.push(due_ms, Event::Advance(cell));
         }
     }
 
-    fn share_crash(&mut self, reporting_zone: usize, crash: &Crash) {
-        for zone in (0..self.pools.len()).filter(|zone| *zone != reporting_zone) {
-            self.pools[zone].record_crash(Millis(self.now_ms), 0, crash);
-            self.perform_actions(zone);
+    fn share_crash(&mut self, reporting_cell: usize, crash: &Crash) {
+        for cell in (0..self.pools.len()).filter(|cell| *cell != reporting_cell) {
+            self.pools[cell].record_crash(Millis(self.now_ms), 0, crash);
+            self.perform_actions(cell);
         }
     }
 
@@ -314,11 +496,18 @@
         self.push(self.now_ms + LINK_DELAY_MS, Event::Reply(worker, reply));
     }
 
-    fn send_answer(&mut self, zone: usize, number: u64, outcome: Outcome) {
-        let Some(job) = self.submitted.remove(&(zone, number)) else { return };
-        let backlog = self.pools[zone].backlog(Millis(self.now_ms));
-        let at_ms = self.now_ms + link_delay_ms(zone, self.jobs[job].zone);
-        self.push(at_ms, Event::Answer { job, zone, outcome, backlog });
+    fn send_answer(&mut self, cell: usize, number: u64, outcome: Outcome) {
+        let Some(job) = self.submitted.remove(&(cell, number)) else { return };
+        let (now, owner) = (Millis(self.now_ms), self.owner_of(cell));
+        self.refresh_owned_cells(owner);
+        let reports = self.loads[owner].reports(&self.cell(cell), now);
+        if let Outcome::NotRun { reason: Reason::Busy | Reason::Overload, .. } = outcome {
+            let addr = SocketAddr::from(([127, 0, 0, 1], self.router_of(job) as u16));
+            self.refused[cell].record(addr, Demand::of(&self.jobs[job].spec), now);
+        }
+        let load = (self.pools[cell].backlog(now), reports);
+        let at_ms = self.now_ms + link_delay_ms(self.zone_of(cell), self.jobs[job].zone);
+        self.push(at_ms, Event::Answer { job, cell, outcome, load });
     }
 
     /// Sends a call to a worker. A lost call never arrives, and the owner sees it time out.
@@ -405,21 +594,29 @@
     }
 
     fn handle_reply(&mut self, worker: usize, reply: Reply) {
-        let zone = worker / self.scenario.workers_millicores.len();
+        let cell = self.cell_of_worker(worker);
         let (now, id) = (Millis(self.now_ms), worker.to_string());
-        let pool = &mut self.pools[zone];
+        let pool = &mut self.pools[cell];
         match reply {
             Reply::Start(call, reply) => pool.start_reply(now, &id, &call, reply),
             Reply::Stop(call, reply) => pool.stop_reply(now, &id, &call, reply),
             Reply::Poll(reply, sent_at) => pool.poll_reply(now, &id, sent_at, &reply),
         }
-        self.perform_actions(zone);
+        self.perform_actions(cell);
+    }
+
+    const fn cell_of_worker(&self, worker: usize) -> usize {
+        let workers = self.scenario.workers_millicores.len();
+        worker / workers * self.scenario.cells + worker % workers % self.scenario.cells
     }
 }
 
-/// Returns the only cell of a zone. Its partition is the zone's number.
-fn cell(zone: usize) -> Cell {
-    Cell { zone: Rc::from(zone.to_string()), partition: zone as u32 }
+fn new_search(job: &GeneratedJob) -> CellSearch {
+    let declared_ms = job.spec.critical_path_ms(|step| step.estimate_ms);
+    let useful_ms = job.terms.useful_ms(declared_ms).min(CALLER_WAIT_MS.max(job.objective_ms()));
+    let latest_start = Millis(WARM_UP_MS + job.at_ms + useful_ms.saturating_sub(declared_ms));
+    let seed = u64::from_str_radix(&job.spec.id, 16).expect("job ids are hexadecimal numbers");
+    CellSearch::new(Demand::of(&job.spec), latest_start, seed)
 }
 
 /// Returns the delay of a message between the daemons of two zones. Within a zone it is zero.
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -2,6 +2,7 @@
 
 use dispatch::clock::Millis;
 
+use crate::free_cores::FreeCores;
 use crate::job::{Job, Outcome, Reason, TaskState};
 use crate::placement::{self, TaskRequirements};
 use crate::pool::Pool;
@@ -147,21 +148,25 @@
     /// Returns the load of the cell, from which daemons choose between owners.
     pub fn backlog(&self, now: Millis) -> Backlog {
         let mut backlog = Backlog::default();
-        let mut ramping = Backlog::default();
+        let mut ramp_capacity = self.ramp.map_or(0, |ramp| ramp.allowed_millicores());
+        let mut ramp_room =
+            self.ramp.map_or(0, |ramp| ramp.room(&self.workers, Resources::default()));
         let usable = self.workers.values().filter(|worker| worker.accepts_tasks(now));
+        let mut sizes: Vec<(u64, u64)> = Vec::new();
         for worker in usable.filter(|_| !self.is_evacuated()) {
-            let part = if worker.presence.is_ramping() { &mut ramping } else { &mut backlog };
-            part.capacity_millicores += worker.entry.capacity.cpu_millicores;
-            if !worker.is_cold(now) || worker.cold_room() > 0 {
-                part.free_millicores += worker.free().cpu_millicores;
+            let mut capacity = worker.entry.capacity.cpu_millicores;
+            let has_room = !worker.is_cold(now) || worker.cold_room() > 0;
+            let mut free = if has_room { worker.free().cpu_millicores } else { 0 };
+            if worker.presence.is_ramping() {
+                (capacity, free) = (capacity.min(ramp_capacity), free.min(ramp_room));
+                ramp_capacity -= capacity;
+                ramp_room -= free;
             }
+            backlog.capacity_millicores = backlog.capacity_millicores.saturating_add(capacity);
+            backlog.free_millicores = backlog.free_millicores.saturating_add(free);
+            sizes.push((worker.entry.capacity.cpu_millicores, free));
         }
-        if let Some(ramp) = &self.ramp {
-            let room_millicores = ramp.room(&self.workers, Resources::default());
-            backlog.capacity_millicores +=
-                ramping.capacity_millicores.min(ramp.allowed_millicores());
-            backlog.free_millicores += ramping.free_millicores.min(room_millicores);
-        }
+        backlog.free = Some(FreeCores::new(sizes.into_iter()));
         for job in self.jobs.values() {
             let pending = job.tasks.iter().filter(|task| task.state == TaskState::Pending);
             let work = pending.map(|task| {
