--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -428,8 +428,11 @@
             Place::Remote(addr) => {
                 let (entry, job) = (Rc::clone(self), Rc::clone(&queued.job));
                 actix_rt::spawn(async move {
-                    if let Err(error) = entry.links.notify(addr, Request::Withdraw(job)).await {
-                        log::info!("part=route event=withdraw_lost owner={addr} why=\"{error}\"");
+                    let message = Request::Withdraw(Rc::clone(&job));
+                    if let Err(error) = entry.links.notify(addr, message).await {
+                        log::info!(
+                            "part=route event=withdraw_lost job={job} owner={addr} why=\"{error}\""
+                        );
                     }
                 });
             }
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -274,8 +274,15 @@
     fn move_waiting_jobs(&mut self, router: usize) {
         let now = Millis(self.now_ms);
         let home = router / self.scenario.routers;
+        let movable = self.waiting[router].iter().filter(|(job, waiting)| {
+            let queued = (&waiting.cell, waiting.sent_at);
+            self.searches[**job].may_move(&self.loads[router], queued, now)
+        });
+        let jobs: Vec<usize> = movable.map(|(job, _)| *job).collect();
+        if jobs.is_empty() {
+            return;
+        }
         let (own, others) = self.cells_from(home);
-        let jobs: Vec<usize> = self.waiting[router].keys().copied().collect();
         for job in jobs {
             let Some(waiting) = self.waiting[router].get_mut(&job) else { continue };
             if waiting.reserved.is_some() {
