Kill the daemons of an evacuated zone in turn in the soak

Change: the daemons of an evacuated zone are killed one after the other; the planted fault does not trim the history, so that only new owners forget.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -6,7 +6,7 @@
 use standins::metastore::StoreBehaviour;
 use standins::pool_worker_server::Behaviour;
 
-use crate::cluster::{Cluster, Publication};
+use crate::cluster::{Cluster, Layout, Publication};
 use crate::proxy::Link;
 
 /// A fault, with the index of the daemon or worker that it affects.
@@ -49,12 +49,17 @@
     pub ends_at_ms: u64,
 }
 
+/// Time between the ends of two daemons of an evacuated zone, in milliseconds: as long as an ownership
+/// lasts without renewal, so that the cell goes from one to the other.
+const OWNER_END_INTERVAL_MS: u64 = 1_200;
+
 /// Generates the evacuations of a run: of one zone, and now and then of others too. They begin early
-/// and last until about the end of the other faults, so that owners change meanwhile.
-pub fn draw_evacuations(rng: &mut SmallRng, zones: usize, span_ms: u64) -> Vec<ScheduledFault> {
-    let first = rng.random_range(0..zones);
+/// and last until about the end of the other faults. Meanwhile the daemons of the zone are killed
+/// one after the other, so that the cell gets new owners.
+pub fn draw_evacuations(rng: &mut SmallRng, layout: Layout, span_ms: u64) -> Vec<ScheduledFault> {
+    let first = rng.random_range(0..layout.zones);
     let mut evacuations = Vec::new();
-    for zone in 0..zones {
+    for zone in 0..layout.zones {
         if zone != first && !rng.random_bool(0.25) {
             continue;
         }
@@ -62,6 +67,15 @@
         let ends_at_ms = starts_at_ms + rng.random_range(span_ms * 3 / 4..=span_ms);
         let fault = Fault::Evacuate(zone);
         evacuations.push(ScheduledFault { fault, starts_at_ms, ends_at_ms });
+        let mut killed_at_ms = starts_at_ms + span_ms / 4;
+        for daemon in zone * layout.daemons..(zone + 1) * layout.daemons {
+            evacuations.push(ScheduledFault {
+                fault: Fault::Terminate(daemon, Signal::KILL),
+                starts_at_ms: killed_at_ms,
+                ends_at_ms: killed_at_ms + rng.random_range(100..600),
+            });
+            killed_at_ms += OWNER_END_INTERVAL_MS;
+        }
     }
     evacuations
 }
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -15,7 +15,7 @@
 
 use crate::cluster::{Cluster, Layout, job};
 use crate::evacuations::{AppliedFault, late_starts};
-use crate::faults::{ScheduledFault, draw_evacuations, draw_faults, end_fault, start_fault};
+use crate::faults::{Fault, ScheduledFault, draw_evacuations, draw_faults, end_fault, start_fault};
 
 /// Delay until a caller resends a request that was not completed, as the platform does.
 const RESEND_DELAY: Duration = Duration::from_millis(1_300);
@@ -89,7 +89,11 @@
     let starts = Starts::record(&cluster);
     let mut faults =
         draw_faults(&mut rng, cluster.daemons.len(), cluster.workers.len(), config.span_ms);
-    faults.extend(draw_evacuations(&mut rng, config.layout.zones, config.span_ms));
+    if config.store_defect == StoreDefect::HidesEvacuations {
+        // Daemons that list again would forget too, and the defect is to be found by new owners alone.
+        faults.retain(|scheduled| !matches!(scheduled.fault, Fault::Compact | Fault::Trim));
+    }
+    faults.extend(draw_evacuations(&mut rng, config.layout, config.span_ms));
     let cluster = Rc::new(RefCell::new(cluster));
     let stats = Rc::new(Stats::default());
     let callers = send_jobs(Rc::clone(&cluster), Rc::clone(&stats), rng, config.span_ms);
