Learn a worker's speed within few runs and pass it on to the next owner of its cell

Cause: the slowdown was an average of weight 0.05 from 1.0, so that a slow quarter was known after dozens of runs, one straggler counted in full, and a new owner learned from scratch. Change: pool::speed weighs run n with 1/(n+2), clamps deviations, and counts outliers only when three come in succession; among workers that are too slow for a task the fastest is chosen; a daemon that released a cell sends up to 64 speeds to the daemon that announces it. Tests: speed.rs, the fast tests of pool and lab, and path, lapse, messages and restarted_workers of entry passed; one_run_at_a_time not run again.

--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -48,6 +48,8 @@
     free_millicores: u64,
     /// Ratio of measured to expected run time on the worker.
     pace: f64,
+    /// Number of runs that `pace` rests on.
+    pace_runs: u32,
     /// Whether the worker is still slow after its start.
     is_cold: bool,
     /// Task, run number and state of each run.
@@ -110,6 +112,7 @@
         takes_work: worker.accepts_tasks(now),
         free_millicores: worker.free().cpu_millicores,
         pace: worker.slowdown(),
+        pace_runs: worker.speed().runs(),
         is_cold: worker.is_cold(now),
         runs: runs.map(|(name, run)| (name.to_string(), run.run, state(run.state))).collect(),
         unclaimed: worker.orphaned_runs.len(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod route;
 pub mod run;
 pub mod settings;
+pub mod speeds;
 pub mod state;
 pub mod watch;
 pub mod worker_counts;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -38,6 +38,10 @@
     pub forwarded: IntCounterVec,
     /// Cells acquired and lost, by kind of change.
     pub cells: IntCounterVec,
+    /// Workers that straggling runs in succession have shown to be slow.
+    pub slow_workers: IntCounter,
+    /// Speeds of workers that were taken over from the previous owner of their cell.
+    pub transferred_speeds: IntCounter,
     /// Workers of the owned cells that are still slow after their start.
     pub cold_workers: IntGauge,
     /// Owned cells to which load returns gradually.
@@ -77,6 +81,11 @@
         let catalogue_version = gauge("entry_catalogue_version", "Version in force.")?;
         let orphaned_runs = IntCounter::new("entry_orphans_total", "Runs that no owner knew.")?;
         registry.register(Box::new(orphaned_runs.clone()))?;
+        let slow_workers = IntCounter::new("entry_slow_workers_total", "Workers found slow.")?;
+        registry.register(Box::new(slow_workers.clone()))?;
+        let transferred_speeds =
+            IntCounter::new("entry_speeds_taken_over_total", "Speeds from previous owners.")?;
+        registry.register(Box::new(transferred_speeds.clone()))?;
         Ok(Self {
             requests: counters(
                 "entry_requests_total",
@@ -96,6 +105,8 @@
                 &["evidence"],
             )?,
             orphaned_runs,
+            slow_workers,
+            transferred_speeds,
             convictions: counters("entry_convictions_total", "Crash convictions.", &["of"])?,
             store_calls: counters("entry_store_calls_total", "Store calls.", &["call", "result"])?,
             forwarded: counters("entry_forwarded_total", "Jobs sent on.", &["result"])?,
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -154,6 +154,15 @@
                 );
             }
             Action::ReportRamp(event) => self.log_ramp(&ownership, event),
+            Action::ReportSlow(speed) => {
+                self.metrics.slow_workers.inc();
+                log::info!(
+                    "part=owner event=worker_slow worker={} cell={} speed_percent={}",
+                    speed.worker,
+                    ownership.cell,
+                    speed.percent,
+                );
+            }
         }
     }
 
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -336,6 +336,7 @@
         self.owned
             .borrow_mut()
             .insert(cell.clone(), OwnedCell { serial: self.allocate_serial(), pool });
+        self.restore_speeds(&cell);
         self.refresh_workers(&cell);
         let addr = self.settings.advertised;
         self.broadcast(&Request::AnnounceOwner(Ownership { cell, addr, token }));
@@ -427,6 +428,7 @@
 
     fn remove_cell(self: &Rc<Self>, cell: &Cell) {
         let Some(mut owned) = self.owned.borrow_mut().remove(cell) else { return };
+        self.keep_speeds(cell, owned.pool.speeds());
         for action in owned.pool.take_actions() {
             if let pool::pool::Action::Answer(number, outcome) = action
                 && let Some(sender) =
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -43,6 +43,7 @@
             }
             Request::AnnounceOwner(ownership) => {
                 self.record_owner(&ownership);
+                self.send_speeds(&ownership);
                 None
             }
             Request::ReleaseCell(request) => Some(self.release_on_request(&request)),
@@ -60,6 +61,10 @@
                 self.retract_crash(&life, None);
                 None
             }
+            Request::Speeds(speeds) => {
+                self.learn_speeds(&speeds);
+                None
+            }
             Request::Crashes => Some(Reply::Crashes(self.crashes.borrow().export(self.now()))),
             Request::Owners => Some(Reply::Owners(self.known_owners())),
         }
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -12,6 +12,7 @@
 use pool::queue::Backlog;
 use serde::{Deserialize, Serialize};
 
+use crate::speeds::CellSpeeds;
 use crate::worker_counts::ZoneCount;
 
 /// Protocol between entry daemons.
@@ -68,6 +69,8 @@
     WorkerReturned(WorkerLife),
     /// Return the crashes that the receiver remembers. Sent by a daemon that has just started.
     Crashes,
+    /// Notification of the speeds that the sender learned while it owned a cell of the receiver.
+    Speeds(CellSpeeds),
 }
 
 /// Request to release a cell that the store has assigned to the sender.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -29,6 +29,7 @@
 use crate::ownership::GroupState;
 use crate::protocol::EntryProtocol;
 use crate::settings::Settings;
+use crate::speeds::ReleasedSpeeds;
 use crate::worker_counts::ZoneCount;
 
 /// Phase in the life cycle of a daemon.
@@ -104,6 +105,8 @@
     pub crashes: RefCell<CrashHistory>,
     /// Last known load of each cell, from the outcomes of jobs.
     pub loads: RefCell<CellLoads>,
+    /// Speeds of the workers of cells that this daemon has released lately.
+    pub released_speeds: RefCell<HashMap<Cell, ReleasedSpeeds>>,
     /// Which other daemons get no requests because they did not reply lately.
     pub responsiveness: RefCell<Responsiveness>,
     /// Fencing token at which this daemon was last fenced off each cell. The cell is not acquired
@@ -174,6 +177,7 @@
             requested_cells: RefCell::default(),
             crashes: RefCell::default(),
             loads: RefCell::default(),
+            released_speeds: RefCell::default(),
             responsiveness: RefCell::default(),
             fenced: RefCell::default(),
             phase: Value::new(Phase::Serving),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -60,6 +60,9 @@
     pub factor: f64,
 }
 
+/// Factor on the run time of straggling runs.
+pub const STRAGGLER_FACTOR: f64 = 7.0;
+
 /// Workers and load of a simulation.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -78,6 +81,8 @@
     pub burst: Option<Burst>,
     /// Share of the calls to workers that are lost, from 0 to 1.
     pub lost_share: f64,
+    /// Share of the runs that take [`STRAGGLER_FACTOR`] times as long, from 0 to 1.
+    pub straggler_share: f64,
     /// Error of the declared run times, as the standard deviation of their logarithm.
     pub declared_spread: f64,
 }
@@ -167,6 +172,7 @@
         span_ms: load.number("span_ms")?,
         burst: Some(burst).filter(|burst| burst.for_ms > 0),
         lost_share: load.number_or("lost_share", 0.0)?,
+        straggler_share: load.share("straggler_share")?,
         declared_spread: load.number_or("declared_spread", 0.4)?,
     })
 }
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -23,7 +23,7 @@
 use standins::pool_worker::{PoolWorker, STOP_DELAY_MS, Work};
 
 use crate::report::{Report, Status};
-use crate::scenario::Scenario;
+use crate::scenario::{STRAGGLER_FACTOR, Scenario};
 use crate::workload::{CALLER_WAIT_MS, GeneratedJob};
 
 /// Delay of a message between two processes, in milliseconds.
@@ -270,7 +270,8 @@
                 Action::ReportReturn(_)
                 | Action::ReportProcess(_)
                 | Action::ReportOrphan(..)
-                | Action::ReportRamp(_) => {}
+                | Action::ReportRamp(_)
+                | Action::ReportSlow(_) => {}
             }
         }
         let due = self.pools[zone].next_due(Millis(self.now_ms));
@@ -378,14 +379,18 @@
         }
     }
 
-    fn work_for(&self, worker: usize, call: &StartCall) -> Work {
+    fn work_for(&mut self, worker: usize, call: &StartCall) -> Work {
         let generated = &self.jobs[self.by_id[&call.task.job]];
         let slowdowns = &self.scenario.slowdowns;
         let base_ms = generated.task_ms[call.task.index as usize] as f64;
-        let duration_ms = (base_ms * slowdowns[worker % slowdowns.len()]) as u64;
+        let mut duration_ms = base_ms * slowdowns[worker % slowdowns.len()];
+        let straggler_share = self.scenario.straggler_share;
+        if straggler_share > 0.0 && self.rng.random_bool(straggler_share) {
+            duration_ms *= STRAGGLER_FACTOR;
+        }
         Work {
             resources: generated.spec.steps[0].task_resources,
-            duration_ms: duration_ms.max(1),
+            duration_ms: (duration_ms as u64).max(1),
             end: End::Done,
         }
     }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod responsiveness;
 pub mod round_trip;
 pub mod run;
+pub mod speed;
 pub mod spill;
 mod suspects;
 mod warm_up;
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -14,6 +14,9 @@
 
 /// Safety factor on the expected run time when it is compared with the time allowed.
 const RUN_TIME_MARGIN: f64 = 1.2;
+/// Number of steps that a factor of one in slowdown is divided into when too slow workers are compared,
+/// so that best fit decides between workers of about the same speed.
+const SPEED_STEPS_PER_FACTOR: f64 = 4.0;
 
 /// Requirements of a task for its worker.
 #[derive(Clone, Copy, Debug)]
@@ -140,11 +143,14 @@
     max == 0 || worker.runs_of_step(need.job, need.step_number) < max
 }
 
-fn rank(worker: &Worker, need: TaskRequirements<'_>, now: Millis) -> (bool, bool, bool, u64) {
+/// Returns the sort key of a worker for a task. Workers on which the task would miss its objective
+/// come last, the fastest of them first: long tasks may still end before their callers leave.
+fn rank(worker: &Worker, need: TaskRequirements<'_>, now: Millis) -> (bool, bool, u64, u64) {
     let rack = need.step.data_rack.as_ref();
     let lacks_data = rack.is_some_and(|rack| !worker.entry.labels.contains(rack));
-    let is_too_slow =
-        need.expected_ms as f64 * worker.slowdown() * RUN_TIME_MARGIN > need.allowed_ms as f64;
+    let slowdown = worker.slowdown();
+    let is_too_slow = need.expected_ms as f64 * slowdown * RUN_TIME_MARGIN > need.allowed_ms as f64;
+    let slowness = if is_too_slow { 1 + (slowdown * SPEED_STEPS_PER_FACTOR) as u64 } else { 0 };
     let left = worker.free().minus(need.step.task_resources);
-    (worker.is_cold(now), lacks_data, is_too_slow, left.cpu_millicores)
+    (worker.is_cold(now), lacks_data, slowness, left.cpu_millicores)
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -27,6 +27,7 @@
 use crate::ramp::{Departed, Ramp, RampEvent};
 use crate::round_trip::RoundTrip;
 use crate::run::{Run, RunState, Timing};
+use crate::speed::{Speed, WorkerSpeed};
 use crate::warm_up::WarmUp;
 use crate::worker::{LEASE_MS, RunUpdate, Worker};
 
@@ -59,6 +60,8 @@
     ReportOrphan(Rc<str>, TaskName, u32),
     /// Record that load begins to return gradually to workers that were gone, or has returned.
     ReportRamp(RampEvent),
+    /// Record that straggling runs in succession have shown that a worker is slow.
+    ReportSlow(WorkerSpeed),
 }
 
 /// A job as it is submitted to the owner of a cell.
@@ -104,6 +107,8 @@
     pub(crate) ramp: Option<Ramp>,
     // Workers that were dropped from the list lately.
     pub(crate) departed: BTreeMap<Rc<str>, Departed>,
+    // Speeds that the previous owner learned, of workers that are not listed yet.
+    pub(crate) expected_speeds: HashMap<Rc<str>, Speed>,
     // Whether `set_workers` has been called.
     pub(crate) has_worker_list: bool,
     pub(crate) actions: Vec<Action>,
@@ -129,6 +134,7 @@
             cold: ColdSlowdown::default(),
             ramp: None,
             departed: BTreeMap::new(),
+            expected_speeds: HashMap::new(),
             has_worker_list: false,
             actions: Vec::new(),
             last_number: 1,
@@ -195,6 +201,9 @@
                     {
                         worker.presence.record_replacement();
                     }
+                    if let Some(speed) = self.expected_speeds.remove(id) {
+                        worker.set_speed(speed);
+                    }
                     self.workers.insert(Rc::clone(id), worker);
                 }
                 Some(worker) => changes.extend(worker.update_entry(entry, now)),
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -154,6 +154,11 @@
                 RunUpdate::ProcessChanged(change) => {
                     self.actions.push(Action::ReportProcess(change));
                 }
+                RunUpdate::SlowWorker(percent) => {
+                    if let Some(id) = id {
+                        self.report_slow_worker(id, percent);
+                    }
+                }
                 RunUpdate::OrphanFound { task, run } => {
                     if let Some((id, _)) = id.and_then(|id| self.workers.get_key_value(id)) {
                         self.actions.push(Action::ReportOrphan(Rc::clone(id), task, run));
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -14,6 +14,7 @@
 use crate::ramp::Presence;
 use crate::resources::Resources;
 use crate::run::{Measurement, OrphanedRun, Run, RunState, Timing};
+use crate::speed::Speed;
 
 /// Duration of a lease, in milliseconds. It is short enough that every run of a daemon that died
 /// has ended before a caller resends its request (after 1,300 ms in the users' settings).
@@ -59,11 +60,6 @@
 const MAX_PAUSE_MS: u64 = 5_000;
 /// Consecutive failed runs, of different jobs, after which a worker counts as unhealthy.
 const MAX_CONSECUTIVE_FAILURES: u32 = 3;
-/// Weight of the latest run in the moving average of a worker's slowdown.
-const SLOWDOWN_WEIGHT: f64 = 0.05;
-/// Range to which the slowdown of a single run is clamped, which limits the effect of a bad
-/// estimate.
-const SLOWDOWN_RANGE: (f64, f64) = (0.3, 6.0);
 
 /// A consequence of a worker's report, or of a missing one, for the runs of jobs.
 #[derive(Clone, Debug, PartialEq)]
@@ -97,6 +93,8 @@
         /// Run number of the start.
         run: u32,
     },
+    /// Straggling runs in succession have shown that the worker is slow: its speed in percent.
+    SlowWorker(u16),
 }
 
 /// A reading of a worker's clock.
@@ -139,8 +137,9 @@
     polled_addr: SocketAddr,
     /// When this record was created; replies to earlier polls concern a previous one.
     created_at: Millis,
-    /// Logarithm of the ratio of run time to expected run time, as a moving average.
-    log_slowdown: f64,
+    speed: Speed,
+    /// Speed when the process began that sent the last report.
+    speed_at_start: Speed,
     cold_start: ColdStart,
     /// Whether the worker was gone, and is limited by a ramp after its return.
     pub(crate) presence: Presence,
@@ -199,7 +198,8 @@
             lease_bound: now,
             next_poll_at: Some(now),
             poll_sent_at: None,
-            log_slowdown: 0.0,
+            speed: Speed::default(),
+            speed_at_start: Speed::default(),
             cold_start,
             presence: Presence::default(),
             clock: None,
@@ -227,7 +227,17 @@
     /// Returns the average ratio of run time to expected run time while the worker is warm; 1.0 for
     /// a worker as fast as expected.
     pub fn slowdown(&self) -> f64 {
-        self.log_slowdown.exp()
+        self.speed.slowdown()
+    }
+
+    /// Returns the learned speed of the worker while it is warm.
+    pub const fn speed(&self) -> &Speed {
+        &self.speed
+    }
+
+    pub(crate) const fn set_speed(&mut self, speed: Speed) {
+        self.speed = speed;
+        self.speed_at_start = speed;
     }
 
     /// Whether the worker is still slow after its start, as it has announced.
@@ -496,6 +506,10 @@
             && entry.started_at_ms != self.entry.started_at_ms
             && entry.started_at_ms != self.started_at_ms;
         let is_doubtful = is_other_process || entry.addr != self.entry.addr;
+        if entry.cold_ms > 0 && entry.started_at_ms != self.entry.started_at_ms {
+            // The runs before were slow because the process had begun to be cold.
+            self.speed = self.speed_at_start;
+        }
         self.entry.clone_from(entry);
         self.cold_start.announce(entry.cold_ms, now);
         self.listed = true;
@@ -571,7 +585,8 @@
     /// Updates the slowdown and the health of the worker from an ended run. Since a job that can
     /// never succeed fails on every worker, failures count against a worker only if different jobs
     /// fail in succession.
-    fn record_run(&mut self, job: u64, end: End, run: &Run, now: Millis) {
+    fn record_run(&mut self, job: u64, end: End, run: &Run, now: Millis) -> Option<RunUpdate> {
+        let mut change = None;
         if self.is_cold(now) && end != End::Interrupted {
             self.cold_start.record_end(end == End::Done);
         }
@@ -579,10 +594,9 @@
             End::Done => {
                 self.failures = 0;
                 self.pause_ms = MIN_PAUSE_MS;
-                if run.timing == Timing::Warm {
-                    let ratio = now.since(run.sent_at) as f64 / run.expected_ms.max(1) as f64;
-                    let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-                    self.log_slowdown += SLOWDOWN_WEIGHT * (ratio.ln() - self.log_slowdown);
+                let is_warm = run.timing == Timing::Warm;
+                if is_warm && self.speed.record(now.since(run.sent_at), run.expected_ms) {
+                    change = Some(RunUpdate::SlowWorker(self.speed.percent()));
                 }
             }
             End::Failed if self.last_failed_job != Some(job) => {
@@ -594,6 +608,7 @@
             }
             End::Failed | End::Interrupted => {}
         }
+        change
     }
 
     /// Applies a report. `sent_at` is when the poll was sent: a run that is absent from the report
@@ -638,7 +653,7 @@
             self.cursor = 0;
             self.acking = 0;
             self.orphaned_runs.clear();
-            self.log_slowdown = 0.0;
+            self.set_speed(self.speed.after_restart());
             self.cold_start.restart();
             self.presence.record_replacement();
             self.failures = 0;
@@ -674,7 +689,7 @@
             if self.runs.get(task).is_some_and(|run| run.run == ended.run) {
                 let Some(run) = self.remove(task) else { continue };
                 let Some(job_task) = run.task_ref else { continue };
-                self.record_run(job_task.0, ended.end, &run, now);
+                changes.extend(self.record_run(job_task.0, ended.end, &run, now));
                 let measured = Some(self.measure(&run, now));
                 changes.push(RunUpdate::Ended { job_task, end: ended.end, measured });
             } else {
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -246,7 +246,8 @@
                 | Action::ReportReturn(_)
                 | Action::ReportProcess(_)
                 | Action::ReportOrphan(..)
-                | Action::ReportRamp(_) => {}
+                | Action::ReportRamp(_)
+                | Action::ReportSlow(_) => {}
             }
         }
     }
--- a/crates/pool/tests/support/fleet.rs
+++ b/crates/pool/tests/support/fleet.rs
@@ -216,7 +216,8 @@
             Action::ReportLoss(_)
             | Action::ReportReturn(_)
             | Action::ReportProcess(_)
-            | Action::ReportOrphan(..) => {}
+            | Action::ReportOrphan(..)
+            | Action::ReportSlow(_) => {}
         }
     }
 }
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -531,7 +531,10 @@
                         self.share_crash(daemon, &crash);
                     }
                 }
-                Action::ReportProcess(_) | Action::ReportOrphan(..) | Action::ReportRamp(_) => {}
+                Action::ReportProcess(_)
+                | Action::ReportOrphan(..)
+                | Action::ReportRamp(_)
+                | Action::ReportSlow(_) => {}
                 Action::ReportReturn(life) => {
                     self.crash_history.retract(&life);
                     self.for_other_daemons(daemon, |pool, now| pool.retract_crash(now, &life));
--- a/crates/pool/tests/warm_up.rs
+++ b/crates/pool/tests/warm_up.rs
@@ -52,7 +52,8 @@
             | Action::ReportReturn(_)
             | Action::ReportProcess(_)
             | Action::ReportOrphan(..)
-            | Action::ReportRamp(_) => {}
+            | Action::ReportRamp(_)
+            | Action::ReportSlow(_) => {}
         }
     }
     (starts, outcomes)
