--- a/crates/entry/tests/messages.rs
+++ b/crates/entry/tests/messages.rs
@@ -2,7 +2,9 @@
 //! without a panic.
 
 use entry::protocol::{Ownership, ReleaseRequest, Reply, Request};
+use entry::speeds::CellSpeeds;
 use pool::cells::Cell;
+use pool::speed::WorkerSpeed;
 use proptest::prelude::*;
 
 fn valid_messages() -> Vec<Vec<u8>> {
@@ -18,6 +20,10 @@
         Request::TakeOver(cell, 7),
         Request::Hello(addr, "z0".into()),
         Request::WorkerCounts,
+        Request::Speeds(CellSpeeds {
+            cell: Cell { zone: "z0".into(), partition: 9 },
+            speeds: vec![WorkerSpeed { worker: "w1".into(), percent: 55 }],
+        }),
     ];
     requests.iter().map(|request| postcard::to_allocvec(request).unwrap()).collect()
 }
