--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -171,6 +171,31 @@
     assert!(ended.success());
 }
 
+/// Guards against a new owner that learns from scratch which workers are slow.
+#[actix_rt::test]
+async fn the_next_owner_gets_the_speeds_of_the_workers() {
+    let mut cluster = start(1, 2, 4).await;
+    let owner = cluster.find_owner(0).await;
+    // Of each worker at least three runs have to be known.
+    for batch in 0..4 {
+        assert_eq!(count_completed(&cluster, owner, 1 + 8 * batch, 8).await, 8);
+    }
+    cluster.daemons[owner].signal(Signal::TERM);
+    let has_speeds = async || {
+        let reply = cluster.get(cluster.daemons[1 - owner].metrics_addr, "/metrics").await;
+        let text = String::from_utf8_lossy(&reply.unwrap().1).into_owned();
+        let line = text.lines().find(|line| line.starts_with("entry_speeds_taken_over_total"));
+        line.and_then(|line| line.split(' ').nth(1)?.parse::<u64>().ok()).unwrap_or(0) > 0
+    };
+    for _ in 0..50 {
+        if has_speeds().await {
+            return;
+        }
+        pause(100).await;
+    }
+    panic!("no speeds have been taken over");
+}
+
 /// Guards against overload of the store: the cost of reading the workers' entries grows with
 /// workers times readers, and with hundreds of daemons the store could no longer serve reads of
 /// the configuration.
--- a/crates/pool/tests/ramp.rs
+++ b/crates/pool/tests/ramp.rs
@@ -48,6 +48,39 @@
     assert!(highest <= TOTAL_CORES / 2, "{highest} cores");
 }
 
+/// Guards against a burst whose jobs are started on cold workers and end after their callers have left,
+/// and against a cell that stays half empty for as long as its workers are cold.
+#[test]
+fn a_cell_that_returns_cold_under_a_burst_serves_what_it_starts() {
+    let mut fleet = Fleet::new(WORKERS);
+    overload(&mut fleet, 50);
+    fleet.restart(0..WORKERS, 2_000);
+    fleet.run_for(2_000);
+    for (entry, pace) in fleet.entries.iter_mut().zip(&mut fleet.paces) {
+        (entry.cold_ms, *pace) = (6_000, 2.5);
+    }
+    fleet.publish();
+    fleet.outcomes.clear();
+    let highest = overload(&mut fleet, 60);
+    assert!(highest > 0 && highest <= TOTAL_CORES / 4, "{highest} cores");
+    assert!(fleet.active().iter().all(|count| *count <= 1), "{:?}", fleet.active());
+    let mut long_jobs = Vec::new();
+    for _ in 0..MAX_RAMP_MS / 10 {
+        long_jobs.push(fleet.submit(1, 900));
+        overload(&mut fleet, 10);
+    }
+    assert!(fleet.used_cores() + 2 * TASK_CORES >= TOTAL_CORES, "{:?}", fleet.active());
+    let count = |is_meant: fn(&Outcome) -> bool| {
+        fleet.outcomes.values().filter(|outcome| is_meant(outcome)).count()
+    };
+    assert_eq!(count(|outcome| matches!(outcome, Outcome::Aborted(_))), 0);
+    assert!(count(|outcome| *outcome == Outcome::Completed) > 150);
+    for number in long_jobs {
+        let outcome = fleet.outcomes.get(&number);
+        assert!(matches!(outcome, Some(Outcome::NotRun { .. })), "900 ms take 2.2 s: {outcome:?}");
+    }
+}
+
 /// Guards against a ramp that leaves free workers idle while callers wait.
 #[test]
 fn full_load_is_back_before_callers_leave() {
