--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -174,7 +174,7 @@
 /// Guards against a new owner that learns from scratch which workers are slow.
 #[actix_rt::test]
 async fn the_next_owner_gets_the_speeds_of_the_workers() {
-    let mut cluster = start(1, 2, 4).await;
+    let cluster = start(1, 2, 4).await;
     let owner = cluster.find_owner(0).await;
     // Of each worker at least three runs have to be known.
     for batch in 0..4 {
