Let the test of workers that follow later return them together

Cause: with the ramp switched off the test still passed, because silent workers are polled at growing intervals. Measured: it passes, and fails with an initial share of the whole capacity.

--- a/crates/pool/tests/ramp.rs
+++ b/crates/pool/tests/ramp.rs
@@ -151,10 +151,11 @@
     let mut fleet = Fleet::new(WORKERS);
     overload(&mut fleet, 50);
     fleet.restart(0..2, 2_000);
-    fleet.restart(2..WORKERS, 2_300);
+    fleet.restart(2..WORKERS, 5_000);
     fleet.run_for(2_000);
     fleet.publish();
     overload(&mut fleet, 300);
+    fleet.restart(2..WORKERS, 0);
     fleet.publish();
     let highest = overload(&mut fleet, 60);
     assert!(highest > 0 && highest <= TOTAL_CORES / 4, "{highest} cores");
