--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -359,6 +359,7 @@
         self.metrics.cells.with_label_values(&["gained"]).inc();
         let owned = OwnedCell { serial: self.allocate_serial(), pool, holder: None };
         self.owned.borrow_mut().insert(cell.clone(), owned);
+        self.restore_speeds(&cell);
         self.refresh_workers(&cell);
         let addr = self.settings.advertised;
         self.broadcast(&Request::AnnounceOwner(Ownership { cell, addr, token }));
@@ -445,6 +446,7 @@
 
     fn remove_cell(self: &Rc<Self>, cell: &Cell) {
         let Some(mut owned) = self.owned.borrow_mut().remove(cell) else { return };
+        self.keep_speeds(cell, owned.pool.speeds());
         for action in owned.pool.take_actions() {
             if let pool::pool::Action::Answer(number, outcome) = action
                 && let Some(sender) =
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -14,6 +14,7 @@
 use pool::queue::{Backlog, or_default};
 use serde::{Deserialize, Serialize};
 
+use crate::speeds::CellSpeeds;
 use crate::worker_counts::ZoneCount;
 
 /// Protocol between entry daemons.
@@ -86,6 +87,8 @@
     /// Notification that the sender would submit the job with this id to another cell if it is still
     /// queued at the receiver. The outcome of the job tells whether the receiver has withdrawn it.
     Withdraw(Rc<str>),
+    /// Notification of the speeds that the sender learned while it owned a cell of the receiver.
+    Speeds(CellSpeeds),
 }
 
 /// What the holder of a cell's partition asks of the daemon that owns the cell or is to own it.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -35,6 +35,7 @@
 use crate::ownership::GroupState;
 use crate::protocol::EntryProtocol;
 use crate::settings::Settings;
+use crate::speeds::ReleasedSpeeds;
 use crate::worker_counts::ZoneCount;
 
 /// Phase in the life cycle of a daemon.
@@ -149,6 +150,8 @@
     pub withdrawing_peers: RefCell<HashSet<SocketAddr>>,
     /// Plan of the retries of the callers that this daemon has refused.
     pub retries: RefCell<RetrySchedule>,
+    /// Speeds of the workers of cells that this daemon has released lately.
+    pub released_speeds: RefCell<HashMap<Cell, ReleasedSpeeds>>,
     /// Which other daemons get no requests because they did not reply lately.
     pub responsiveness: RefCell<Responsiveness>,
     /// Fencing token at which this daemon was last fenced off each cell, and when. The cell is not
@@ -237,6 +240,7 @@
             refused_daemons: RefCell::default(),
             withdrawing_peers: RefCell::default(),
             retries: RefCell::default(),
+            released_speeds: RefCell::default(),
             responsiveness: RefCell::default(),
             fenced: RefCell::default(),
             phase: Value::new(Phase::Serving),
--- a/crates/entry/tests/messages.rs
+++ b/crates/entry/tests/messages.rs
@@ -5,6 +5,7 @@
 use entry::protocol::{
     DelegationRequest, DelegationStep, Ownership, ReleaseRequest, Reply, Request, RunRequest,
 };
+use entry::speeds::CellSpeeds;
 use pool::catalogue::Terms;
 use pool::cells::Cell;
 use pool::evacuation::ZoneRecord;
@@ -13,6 +14,7 @@
 use pool::load_table::{Demand, LoadReport, LoadTable};
 use pool::pool::Submission;
 use pool::queue::Backlog;
+use pool::speed::WorkerSpeed;
 use proptest::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -62,6 +64,10 @@
         Request::WorkerCounts,
         Request::Withdraw("0000000000000001".into()),
         Request::Run(Box::new(run_request())),
+        Request::Speeds(CellSpeeds {
+            cell: Cell { zone: "z0".into(), partition: 9 },
+            speeds: vec![WorkerSpeed { worker: "w1".into(), percent: 55 }],
+        }),
     ];
     let evacuation = ZoneRecord { zone: "z0".into(), offset: 300, is_evacuated: true };
     let owners = Reply::Owners(Vec::new(), vec![evacuation]);
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -69,6 +69,8 @@
     /// Largest deviation from the mean rate, as a share of it, from 0 to 1.
     pub amplitude: f64,
 }
+/// Factor on the run time of straggling runs.
+pub const STRAGGLER_FACTOR: f64 = 7.0;
 
 /// Workers and load of a simulation.
 #[derive(Clone, Debug)]
@@ -94,6 +96,8 @@
     pub wave: Option<Wave>,
     /// Share of the calls to workers that are lost, from 0 to 1.
     pub lost_share: f64,
+    /// Share of the runs that take [`STRAGGLER_FACTOR`] times as long, from 0 to 1.
+    pub straggler_share: f64,
     /// Error of the declared run times, as the standard deviation of their logarithm.
     pub declared_spread: f64,
 }
@@ -190,6 +194,7 @@
         burst: Some(burst).filter(|burst| burst.for_ms > 0),
         wave: Some(wave).filter(|wave| wave.period_ms > 0),
         lost_share: load.number_or("lost_share", 0.0)?,
+        straggler_share: load.share("straggler_share")?,
         declared_spread: load.number_or("declared_spread", 0.4)?,
     })
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod retries;
 pub mod round_trip;
 pub mod run;
+pub mod speed;
 pub mod spill;
 mod suspects;
 pub mod tokens;
