--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -29,8 +29,12 @@
         for (seed, report) in seeds.iter().zip(&reports) {
             for (kind, counts) in &report.kinds {
                 println!(
-                    "{file},{seed},{kind},{},{},{},{}",
-                    counts.arrived, counts.in_time, counts.late, counts.refused
+                    "{file},{seed},{kind},{},{},{},{},{:.4}",
+                    counts.arrived,
+                    counts.in_time,
+                    counts.late,
+                    counts.refused,
+                    counts.served_share(),
                 );
             }
         }
@@ -47,7 +51,8 @@
         (mean(Report::mean_in_time_share), confidence_half_width(&reports));
     sum.bound = mean(|report| report.bound);
     println!("{file}: {} seeds\n{sum}", seeds.len());
-    println!("mean in-time share of the kinds {in_time:.4} +- {confidence_half_width:.4}\n");
+    println!("mean in-time share of the kinds {in_time:.4} +- {confidence_half_width:.4}");
+    println!("mean worth of the kinds {:.4}\n", mean(Report::mean_served_share));
 }
 
 /// Simulates each seed on a thread of its own, as many at a time as there are processors.
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use pool::catalogue::LATE_FACTOR;
+use pool::shedding::{LATE_VALUE_SHARE, value};
 
 use crate::scenario::Scenario;
 use crate::workload::GeneratedJob;
@@ -24,7 +25,7 @@
 
 /// Numbers of jobs by final status. Jobs that failed, or that completed even after the limit for
 /// `late`, count only in `arrived`.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
     /// Jobs with a final status.
     pub arrived: u64,
@@ -35,6 +36,10 @@
     pub late: u64,
     /// Jobs that no owner admitted.
     pub refused: u64,
+    /// Value of all jobs to their callers; see [`pool::shedding::value`].
+    pub value: f64,
+    /// Value of the answers: that of jobs completed in time in full, that of late ones reduced.
+    pub served_value: f64,
 }
 
 impl Counts {
@@ -43,12 +48,19 @@
         self.in_time += other.in_time;
         self.late += other.late;
         self.refused += other.refused;
+        self.value += other.value;
+        self.served_value += other.served_value;
     }
 
     /// Returns the share of jobs completed within their latency objective.
     pub fn in_time_share(&self) -> f64 {
         self.in_time as f64 / self.arrived.max(1) as f64
     }
+
+    /// Returns the share of the jobs' value that the answers had.
+    pub fn served_share(&self) -> f64 {
+        self.served_value / self.value.max(f64::EPSILON)
+    }
 }
 
 /// Results of one or more simulations of a scenario.
@@ -63,13 +75,26 @@
     /// Upper bound on the share of jobs completed in time: the share that fits if all cores run
     /// nothing but complete jobs, smallest first. No scheduler can exceed it.
     pub bound: f64,
+    /// Mean work of the jobs of each kind, in millicore-milliseconds.
+    mean_works: Vec<f64>,
 }
 
 impl Report {
     /// Returns a report with empty counts and the bound for the given jobs.
     pub fn new(scenario: &Scenario, jobs: &[GeneratedJob]) -> Self {
         let named = scenario.kinds.iter().map(|kind| (kind.name.clone(), Counts::default()));
-        Self { kinds: named.collect(), calls: 0, crashes: 0, bound: bound(scenario, jobs) }
+        let mean_work = |kind: usize| {
+            let works = jobs.iter().filter(|job| job.kind == kind).map(GeneratedJob::total_work);
+            let (count, sum) = works.fold((0, 0), |(count, sum), work| (count + 1, sum + work));
+            sum as f64 / f64::from(count.max(1))
+        };
+        Self {
+            kinds: named.collect(),
+            calls: 0,
+            crashes: 0,
+            bound: bound(scenario, jobs),
+            mean_works: (0..scenario.kinds.len()).map(mean_work).collect(),
+        }
     }
 
     /// Counts a job by its final status. Jobs that crash workers cannot be completed and are left
@@ -78,12 +103,18 @@
         if job.crashes_workers {
             return;
         }
+        let value = value(job.total_work() as f64, self.mean_works[job.kind]);
         let counts = &mut self.kinds[job.kind].1;
         counts.arrived += 1;
+        counts.value += value;
         match status {
-            Status::Completed { after_ms } if after_ms <= job.objective_ms() => counts.in_time += 1,
+            Status::Completed { after_ms } if after_ms <= job.objective_ms() => {
+                counts.in_time += 1;
+                counts.served_value += value;
+            }
             Status::Completed { after_ms } if after_ms <= job.objective_ms() * LATE_FACTOR => {
                 counts.late += 1;
+                counts.served_value += value * LATE_VALUE_SHARE;
             }
             Status::Refused => counts.refused += 1,
             Status::Completed { .. } | Status::Failed => {}
@@ -109,6 +140,12 @@
         total
     }
 
+    /// Returns the share of the value that was served, as the unweighted mean over the kinds.
+    pub fn mean_served_share(&self) -> f64 {
+        let shares = self.kinds.iter().map(|(_, counts)| counts.served_share());
+        shares.sum::<f64>() / self.kinds.len().max(1) as f64
+    }
+
     /// Returns the share of jobs completed in time, as the unweighted mean over the kinds.
     pub fn mean_in_time_share(&self) -> f64 {
         let shares = self.kinds.iter().map(|(_, counts)| counts.in_time_share());
@@ -140,19 +177,20 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:20} {:>7} {:>8} {:>7} {:>8}",
-            "kind", "asked", "in time", "late", "refused"
+            "{:20} {:>7} {:>8} {:>7} {:>8} {:>8}",
+            "kind", "asked", "in time", "late", "refused", "worth"
         )?;
         let total = ("all".to_owned(), self.total());
         for (name, counts) in self.kinds.iter().chain([&total]) {
             let share = |count: u64| count as f64 / counts.arrived.max(1) as f64;
             writeln!(
                 f,
-                "{name:20} {:>7} {:>8.4} {:>7.4} {:>8.4}",
+                "{name:20} {:>7} {:>8.4} {:>7.4} {:>8.4} {:>8.4}",
                 counts.arrived,
                 share(counts.in_time),
                 share(counts.late),
                 share(counts.refused),
+                counts.served_share(),
             )?;
         }
         let per_job = self.calls as f64 / self.total().arrived.max(1) as f64;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -47,6 +47,18 @@
     pub cpu_millicores: f64,
     /// Share of the jobs whose first task crashes every worker that starts it, from 0 to 1.
     pub crashing_share: f64,
+    /// Burst of this kind alone; `None` if it has none.
+    pub flood: Option<Burst>,
+}
+
+/// Oscillation of the arrival rates of the zones. The phases are spread evenly over the zones, so
+/// that the rate over all zones stays constant.
+#[derive(Clone, Copy, Debug)]
+pub struct Wave {
+    /// Length of one oscillation, in milliseconds.
+    pub period_ms: u64,
+    /// Largest deviation of a zone's rate, as a share of its mean, from 0 to 1.
+    pub amplitude: f64,
 }
 
 /// A period of increased arrival rate.
@@ -56,7 +68,7 @@
     pub at_ms: u64,
     /// Duration of the burst, in milliseconds.
     pub for_ms: u64,
-    /// Factor on the arrival rate of all kinds.
+    /// Factor on the arrival rate.
     pub factor: f64,
 }
 
@@ -76,6 +88,8 @@
     pub span_ms: u64,
     /// Burst of arrivals; `None` if the rate stays constant.
     pub burst: Option<Burst>,
+    /// Oscillation of the arrival rates; `None` if jobs arrive in all zones alike.
+    pub wave: Option<Wave>,
     /// Share of the calls to workers that are lost, from 0 to 1.
     pub lost_share: f64,
     /// Error of the declared run times, as the standard deviation of their logarithm.
@@ -113,6 +127,16 @@
         if (0.0..=1.0).contains(&share) { Ok(share) } else { Err(self.invalid(key, SHARE)) }
     }
 
+    /// Reads a burst from the keys of its start, duration and factor; `None` if it has no duration.
+    fn burst(&self, keys: [&'static str; 3]) -> Result<Option<Burst>, ScenarioError> {
+        let burst = Burst {
+            at_ms: self.number_or(keys[0], 0)?,
+            for_ms: self.number_or(keys[1], 0)?,
+            factor: self.number_or(keys[2], 1.0)?,
+        };
+        Ok(Some(burst).filter(|burst| burst.for_ms > 0))
+    }
+
     fn numbers<T: FromStr>(&self, key: &'static str) -> Result<Vec<T>, ScenarioError> {
         let text = self.properties.get(key).ok_or_else(|| self.invalid(key, NUMBERS))?;
         let numbers = text.split(',').map(|part| part.trim().parse().ok());
@@ -154,10 +178,9 @@
         ini.sections().flatten().filter_map(|name| Some((name, name.strip_prefix("kind ")?)));
     let kinds =
         named.map(|(full, name)| read_kind(&section(full), name)).collect::<Result<_, _>>()?;
-    let burst = Burst {
-        at_ms: load.number_or("burst_at_ms", 0)?,
-        for_ms: load.number_or("burst_for_ms", 0)?,
-        factor: load.number_or("burst_factor", 1.0)?,
+    let wave = Wave {
+        period_ms: load.number_or("wave_period_ms", 0)?,
+        amplitude: load.share("wave_amplitude")?,
     };
     Ok(Scenario {
         zones: installation.number("zones")?,
@@ -165,7 +188,8 @@
         slowdowns: installation.numbers("paces")?,
         kinds,
         span_ms: load.number("span_ms")?,
-        burst: Some(burst).filter(|burst| burst.for_ms > 0),
+        burst: load.burst(["burst_at_ms", "burst_for_ms", "burst_factor"])?,
+        wave: Some(wave).filter(|wave| wave.period_ms > 0),
         lost_share: load.number_or("lost_share", 0.0)?,
         declared_spread: load.number_or("declared_spread", 0.4)?,
     })
@@ -181,5 +205,6 @@
         task_ms: section.number("task_ms")?,
         cpu_millicores: cores * 1_000.0,
         crashing_share: section.share("crashing_share")?,
+        flood: section.burst(["flood_at_ms", "flood_for_ms", "flood_factor"])?,
     })
 }
--- a/crates/lab/src/workload.rs
+++ b/crates/lab/src/workload.rs
@@ -8,7 +8,7 @@
 use rand::Rng as _;
 use rand::rngs::SmallRng;
 
-use crate::scenario::{JobKind, Scenario};
+use crate::scenario::{Burst, JobKind, Scenario};
 
 /// Variation of the mean run time and of the number of tasks between jobs, as the standard
 /// deviation of their logarithm.
@@ -69,7 +69,9 @@
     for (kind_index, kind) in scenario.kinds.iter().enumerate() {
         let mut at_ms = 0.0;
         loop {
-            let rate_per_ms = kind.jobs_per_s * burst_factor_at(scenario, at_ms as u64) / 1_000.0;
+            let factor_at = |burst| burst_factor_at(burst, at_ms as u64);
+            let factor = factor_at(scenario.burst) * factor_at(kind.flood);
+            let rate_per_ms = kind.jobs_per_s * factor / 1_000.0;
             at_ms -= rng.random_range(f64::EPSILON..1.0).ln() / rate_per_ms;
             if at_ms >= scenario.span_ms as f64 {
                 break;
@@ -84,11 +86,24 @@
     jobs
 }
 
-fn burst_factor_at(scenario: &Scenario, at_ms: u64) -> f64 {
-    let burst = scenario.burst.filter(|b| (b.at_ms..b.at_ms + b.for_ms).contains(&at_ms));
+fn burst_factor_at(burst: Option<Burst>, at_ms: u64) -> f64 {
+    let burst = burst.filter(|b| (b.at_ms..b.at_ms + b.for_ms).contains(&at_ms));
     burst.map_or(1.0, |burst| burst.factor)
 }
 
+/// Samples the zone of a job that arrives at `at_ms`, in proportion to the zones' rates at that time.
+fn sample_zone(scenario: &Scenario, at_ms: u64, rng: &mut SmallRng) -> usize {
+    loop {
+        let zone = rng.random_range(0..scenario.zones);
+        let Some(wave) = scenario.wave else { return zone };
+        let phase = at_ms as f64 / wave.period_ms as f64 + zone as f64 / scenario.zones as f64;
+        let rate = 1.0 + wave.amplitude * (std::f64::consts::TAU * phase).sin();
+        if rng.random_range(0.0..1.0 + wave.amplitude) < rate {
+            return zone;
+        }
+    }
+}
+
 fn generate_job(
     scenario: &Scenario,
     (kind_index, kind): (usize, &JobKind),
@@ -117,7 +132,7 @@
     let crashes_workers = kind.crashing_share > 0.0 && rng.random_bool(kind.crashing_share);
     GeneratedJob {
         kind: kind_index,
-        zone: rng.random_range(0..scenario.zones),
+        zone: sample_zone(scenario, at_ms, rng),
         at_ms,
         spec,
         terms,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod responsiveness;
 pub mod round_trip;
 pub mod run;
+pub mod shedding;
 pub mod spill;
 mod suspects;
 mod warm_up;
