--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -14,6 +14,7 @@
 use pool::pool::{Action, MAX_STALL_MS, Pool, Submission};
 use pool::queue::Backlog;
 use pool::ramp::RampEvent;
+use pool::shedding::Displacement;
 use tokio::sync::oneshot;
 
 use crate::protocol::Request;
@@ -225,6 +226,9 @@
                     speed.percent,
                 );
             }
+            Action::ReportDisplaced(displacement) => {
+                self.log_displacement(&ownership, &displacement);
+            }
         }
     }
 
@@ -258,6 +262,18 @@
         self.metrics.ramping_cells.set(i64::try_from(ramping).unwrap_or(i64::MAX));
     }
 
+    fn log_displacement(&self, ownership: &OwnershipRef, displacement: &Displacement) {
+        let Displacement { job, route, by, value, wait_ms } = displacement;
+        let reason = if by.is_some() { "arrival" } else { "late" };
+        self.metrics.displaced_jobs.with_label_values(&[&**route, reason]).inc();
+        log::info!(
+            "part=owner event=displaced job={job} route={route} by={} value={value:.2} \
+             wait_ms={wait_ms} cell={}",
+            by.as_deref().unwrap_or_default(),
+            ownership.cell,
+        );
+    }
+
     fn log_process_change(&self, ownership: &OwnershipRef, change: &ProcessChange) {
         let evidence = change.evidence.as_str();
         self.metrics.worker_processes.with_label_values(&[evidence]).inc();
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -459,7 +459,8 @@
                 | Action::ReportProcess(_)
                 | Action::ReportOrphan(..)
                 | Action::ReportRamp(_)
-                | Action::ReportSlow(_) => {}
+                | Action::ReportSlow(_)
+                | Action::ReportDisplaced(_) => {}
             }
         }
         self.send_free_notices(cell);
--- a/crates/lab/src/workload.rs
+++ b/crates/lab/src/workload.rs
@@ -8,7 +8,7 @@
 use rand::Rng as _;
 use rand::rngs::SmallRng;
 
-use crate::scenario::{JobKind, Scenario};
+use crate::scenario::{Burst, JobKind, Scenario};
 
 /// Variation of the mean run time and of the number of tasks between jobs, as the standard
 /// deviation of their logarithm.
@@ -71,7 +71,9 @@
     for (kind_index, kind) in scenario.kinds.iter().enumerate() {
         let mut at_ms = 0.0;
         loop {
-            let rate_per_ms = kind.jobs_per_s * burst_factor_at(scenario, at_ms as u64) / 1_000.0;
+            let factor_at = |burst| burst_factor_at(burst, at_ms as u64);
+            let factor = factor_at(scenario.burst) * factor_at(kind.flood);
+            let rate_per_ms = kind.jobs_per_s * factor / 1_000.0;
             at_ms -= rng.random_range(f64::EPSILON..1.0).ln() / rate_per_ms;
             if at_ms >= scenario.span_ms as f64 {
                 break;
@@ -86,11 +88,24 @@
     jobs
 }
 
-fn burst_factor_at(scenario: &Scenario, at_ms: u64) -> f64 {
-    let burst = scenario.burst.filter(|b| (b.at_ms..b.at_ms + b.for_ms).contains(&at_ms));
+fn burst_factor_at(burst: Option<Burst>, at_ms: u64) -> f64 {
+    let burst = burst.filter(|b| (b.at_ms..b.at_ms + b.for_ms).contains(&at_ms));
     burst.map_or(1.0, |burst| burst.factor)
 }
 
+/// Samples the zone of a job that arrives at `at_ms`, in proportion to the zones' rates at that time.
+fn sample_zone(scenario: &Scenario, at_ms: u64, rng: &mut SmallRng) -> usize {
+    loop {
+        let zone = rng.random_range(0..scenario.zones);
+        let Some(wave) = scenario.wave else { return zone };
+        let phase = at_ms as f64 / wave.period_ms as f64 + zone as f64 / scenario.zones as f64;
+        let rate = 1.0 + wave.amplitude * (std::f64::consts::TAU * phase).sin();
+        if rng.random_range(0.0..1.0 + wave.amplitude) < rate {
+            return zone;
+        }
+    }
+}
+
 fn generate_job(
     scenario: &Scenario,
     (kind_index, kind): (usize, &JobKind),
@@ -119,7 +134,7 @@
     let crashes_workers = kind.crashing_share > 0.0 && rng.random_bool(kind.crashing_share);
     GeneratedJob {
         kind: kind_index,
-        zone: choose_zone(scenario, at_ms, rng),
+        zone: sample_zone(scenario, at_ms, rng),
         router: if scenario.routers > 1 { rng.random_range(0..scenario.routers) } else { 0 },
         at_ms,
         spec,
@@ -129,21 +144,6 @@
     }
 }
 
-/// Samples the zone of a job with probabilities in proportion to the zones' arrival rates.
-fn choose_zone(scenario: &Scenario, at_ms: u64, rng: &mut SmallRng) -> usize {
-    let Some(wave) = scenario.wave else { return rng.random_range(0..scenario.zones) };
-    let rate = |zone: usize| {
-        let phase = zone as f64 / scenario.zones as f64 + at_ms as f64 / wave.period_ms as f64;
-        1.0 + wave.amplitude * (phase * std::f64::consts::TAU).sin()
-    };
-    let mut sample = rng.random_range(0.0..(0..scenario.zones).map(rate).sum::<f64>());
-    let is_chosen = |zone: &usize| {
-        sample -= rate(*zone);
-        sample < 0.0
-    };
-    (0..scenario.zones).find(is_chosen).unwrap_or(scenario.zones - 1)
-}
-
 /// Samples a log-normal distribution with the given mean, where `sigma` is the standard deviation
 /// of the logarithm. Samples above `mean * max_factor` are clamped to it.
 fn log_normal(mean: f64, sigma: f64, max_factor: f64, rng: &mut SmallRng) -> f64 {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -11,6 +11,7 @@
 use dispatch::clock::Millis;
 use serde::{Deserialize, Serialize};
 
+use crate::admission::Admission;
 use crate::adoption::in_doubt_ms;
 use crate::call::{PollCall, StartCall, StopCall, Target};
 use crate::catalogue::{Terms, WorkerEntry};
@@ -28,6 +29,7 @@
 use crate::ramp::{Departed, Ramp, RampEvent};
 use crate::round_trip::RoundTrip;
 use crate::run::{Run, RunState, Timing};
+use crate::shedding::{Displacement, RouteDemand};
 use crate::speed::{Speed, WorkerSpeed};
 use crate::warm_up::WarmUp;
 use crate::worker::{LEASE_MS, RunUpdate, Worker};
@@ -63,6 +65,8 @@
     ReportRamp(RampEvent),
     /// Record that straggling runs in succession have shown that a worker is slow.
     ReportSlow(WorkerSpeed),
+    /// Record that a waiting job was displaced. Its outcome follows as [`Self::Answer`].
+    ReportDisplaced(Displacement),
 }
 
 /// A job as it is submitted to the owner of a cell.
@@ -113,6 +117,8 @@
     pub(crate) departed: BTreeMap<Rc<str>, Departed>,
     // Speeds that the previous owner learned, of workers that are not listed yet.
     pub(crate) expected_speeds: HashMap<Rc<str>, Speed>,
+    pub(crate) demand: RouteDemand,
+    pub(crate) queue_checked_at: Option<Millis>,
     // Whether `set_workers` has been called.
     pub(crate) has_worker_list: bool,
     pub(crate) actions: Vec<Action>,
@@ -141,6 +147,8 @@
             ramp: None,
             departed: BTreeMap::new(),
             expected_speeds: HashMap::new(),
+            demand: RouteDemand::default(),
+            queue_checked_at: None,
             has_worker_list: false,
             actions: Vec::new(),
             last_number: 1,
@@ -271,9 +279,20 @@
         job.apply_previous_progress(&previous_owner, now, in_doubt_ms(&previous_owner));
         self.mark_suspects(&mut job);
         self.adopt_runs(number, &mut job);
-        if let Some(outcome) = self.refusal(&job, may_wait, now) {
-            self.actions.push(Action::Answer(number, outcome));
-            return number;
+        let (route, work) = (&job.terms.route, job.total_work());
+        match self.admission(&job, may_wait, now) {
+            Admission::Refused(outcome) => {
+                // A job that may not wait is offered elsewhere, or again here.
+                if may_wait {
+                    self.demand.record(route, work, false, now);
+                }
+                self.actions.push(Action::Answer(number, outcome));
+                return number;
+            }
+            Admission::Admitted(victims) => {
+                self.displace(&victims, Some(&job.spec.id), now);
+                self.demand.record(route, work, true, now);
+            }
         }
         self.by_id.insert(Rc::clone(&job.spec.id), number);
         self.watchers.insert(number, number);
@@ -326,6 +345,7 @@
         self.update_warm_up(now);
         self.update_ramp(now);
         self.place_queued_jobs(now);
+        self.shed_late_jobs(now);
         self.end_expired_jobs(now);
         self.send_polls(now);
     }
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -247,7 +247,8 @@
                 | Action::ReportProcess(_)
                 | Action::ReportOrphan(..)
                 | Action::ReportRamp(_)
-                | Action::ReportSlow(_) => {}
+                | Action::ReportSlow(_)
+                | Action::ReportDisplaced(_) => {}
             }
         }
     }
--- a/crates/pool/tests/support/fleet.rs
+++ b/crates/pool/tests/support/fleet.rs
@@ -217,7 +217,8 @@
             | Action::ReportReturn(_)
             | Action::ReportProcess(_)
             | Action::ReportOrphan(..)
-            | Action::ReportSlow(_) => {}
+            | Action::ReportSlow(_)
+            | Action::ReportDisplaced(_) => {}
         }
     }
 }
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -603,7 +603,8 @@
                 Action::ReportProcess(_)
                 | Action::ReportOrphan(..)
                 | Action::ReportRamp(_)
-                | Action::ReportSlow(_) => {}
+                | Action::ReportSlow(_)
+                | Action::ReportDisplaced(_) => {}
                 Action::ReportReturn(life) => {
                     self.crash_history.retract(&life);
                     self.for_other_daemons(daemon, |pool, now| pool.retract_crash(now, &life));
--- a/crates/pool/tests/warm_up.rs
+++ b/crates/pool/tests/warm_up.rs
@@ -53,7 +53,8 @@
             | Action::ReportProcess(_)
             | Action::ReportOrphan(..)
             | Action::ReportRamp(_)
-            | Action::ReportSlow(_) => {}
+            | Action::ReportSlow(_)
+            | Action::ReportDisplaced(_) => {}
         }
     }
     (starts, outcomes)
