Test that the table of owners keeps an owner which the holder chose

Cause: the store lists the holder of a partition; each read would send jobs there first. Change: a test in owners.rs. No code is changed.

--- a/crates/pool/tests/owners.rs
+++ b/crates/pool/tests/owners.rs
@@ -93,3 +93,27 @@
     owners.reject(&cell(0), addr(3));
     assert_eq!(owners.remote_owner(&cell(0)), Some(addr(3)));
 }
+
+/// Guards against jobs that are sent to the holder of a cell's partition after each read of the
+/// store, although the holder has chosen another daemon as the owner.
+#[test]
+fn an_owner_that_the_holder_chose_stays_while_the_store_lists_the_holder() {
+    let mut owners = owners();
+    owners.record(&cell(0), addr(2), first_token(7) + 1, Millis(1_000));
+    for holder in [3, OWN] {
+        for at_ms in [1_100, 5_100, 9_100] {
+            let rows = [(cell(0), addr(holder))].into_iter();
+            owners.apply_store_rows(rows, |_| false, Millis(at_ms));
+            assert_eq!(owners.remote_owner(&cell(0)), Some(addr(2)), "at {at_ms}");
+            assert!(owners.are_confirmed_since(&[cell(0)], Millis(at_ms)));
+        }
+    }
+    owners.apply_store_rows([(cell(0), addr(3))].into_iter(), |_| false, Millis(9_200));
+    assert_eq!(owners.listed_holder(&cell(0)), Some(addr(3)), "asked if the owner is unresponsive");
+    owners.reject(&cell(0), addr(2));
+    assert_eq!(owners.remote_owner(&cell(0)), Some(addr(3)), "the holder has taken it back");
+    owners.reject(&cell(0), addr(3));
+    assert_eq!(owners.remote_owner(&cell(0)), Some(addr(2)), "the holder denies it as well");
+    assert!(owners.record(&cell(0), addr(4), first_token(8), Millis(9_300)));
+    assert_eq!(owners.remote_owner(&cell(0)), Some(addr(4)), "a later owner");
+}
