--- a/crates/entry/src/evacuation.rs
+++ b/crates/entry/src/evacuation.rs
@@ -1,5 +1,5 @@
-//! Follows the operators' requests to evacuate zones, and tells the pools of the owned cells which
-//! starts they forbid.
+//! Follows the operators' requests to evacuate zones, and limits the starts of
+//! the owned cells' pools.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -143,7 +143,7 @@
     pub loads: RefCell<LoadTable>,
     /// Wakes the jobs that wait in queues when `loads` has changed, so that they may move.
     pub loads_changed: Notify,
-    /// Daemons to be told when an owned cell, which had no room for their jobs, has room again.
+    /// Daemons to be notified when an owned cell, which had no room for their jobs, has room again.
     pub refused_daemons: RefCell<HashMap<Cell, RefusedDaemons>>,
     /// Addresses of the daemons that know [`Request::Withdraw`](crate::protocol::Request::Withdraw),
     /// as their answers show.
--- a/crates/pool/src/retries.rs
+++ b/crates/pool/src/retries.rs
@@ -2,8 +2,8 @@
 //!
 //! Retry delays are rounded up to whole seconds, so that nearly all callers that were refused in a
 //! burst came back one second later, together, and were refused again. The delay follows the work
-//! that the daemon gets served each second: callers beyond what can be served in a second are told
-//! to come back in the next one. Callers that have waited longest come first.
+//! that the daemon gets served each second: callers beyond what can be served in a second are
+//! asked to come back in the next one. Callers that have waited longest come first.
 
 use std::collections::VecDeque;
 
@@ -23,7 +23,7 @@
 pub struct RetrySchedule {
     /// Second, counted from the start of the clock, of the first element of `planned`.
     second: u64,
-    /// Work of the callers that were told to come back in each second, in millicore-milliseconds.
+    /// Work of the callers that were asked to come back in each second, in millicore-milliseconds.
     planned: VecDeque<u64>,
     /// Work that was served in `second` so far, and in the one before.
     served: (u64, u64),
