--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -39,7 +39,7 @@
     pub store_calls: IntCounterVec,
     /// Jobs forwarded to other daemons, by result.
     pub forwarded: IntCounterVec,
-    /// Offers of jobs to owners of cells, this daemon included, by what the cell was chosen by.
+    /// Offers of jobs to owners of cells, this daemon included, by the basis of the choice.
     pub offers: IntCounterVec,
     /// Requests to withdraw a queued job, by result.
     pub moves: IntCounterVec,
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -167,7 +167,7 @@
     }
 
     /// Withdraws a submission from an owned cell if the job is still queued. The outcome of the job
-    /// tells whether it was.
+    /// shows whether it was.
     pub fn withdraw_submission(self: &Rc<Self>, cell: &Cell, serial: u64, number: u64) {
         self.with_pool(cell, serial, |pool, now| {
             pool.withdraw(now, number);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -109,7 +109,7 @@
     }
 
     /// Withdraws a queued job that another daemon submitted. If the job has started or is not known,
-    /// nothing happens, and its outcome tells the other daemon so.
+    /// nothing happens, and the other daemon learns that from its outcome.
     fn withdraw_for_peer(self: &Rc<Self>, from: Incarnation, job: Rc<str>) {
         let found = self.remote_jobs.borrow().get(&(from, job)).cloned();
         if let Some((cell, serial, number)) = found {
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -85,7 +85,7 @@
     /// has room again.
     CellLoad(LoadReport),
     /// Notification that the sender would submit the job with this id to another cell if it is still
-    /// queued at the receiver. The outcome of the job tells whether the receiver has withdrawn it.
+    /// queued at the receiver. The outcome of the job shows whether the receiver has withdrawn it.
     Withdraw(Rc<str>),
     /// Notification of the speeds that the sender learned while it owned a cell of the receiver.
     Speeds(CellSpeeds),
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -68,7 +68,7 @@
     Submit { job: usize, cell: usize, may_wait: bool },
     /// An owner's answer arrives at the daemon that received the job.
     Answer { job: usize, cell: usize, outcome: Outcome, load: (Backlog, Vec<LoadReport>) },
-    /// The owner of a cell tells a daemon that the cell has room again.
+    /// The owner of a cell notifies a daemon that the cell has room again.
     FreeNotice { router: usize, report: LoadReport },
     /// The request of a daemon to withdraw a queued job arrives at the owner of a cell.
     Withdraw { job: usize, cell: usize },
--- a/crates/pool/src/evacuation.rs
+++ b/crates/pool/src/evacuation.rs
@@ -3,7 +3,7 @@
 //! Operators announce the loss of a whole zone seconds before it happens. Without this module, the
 //! owners of the zone's cells start tasks until the workers are gone, and all of these tasks are lost
 //! to their callers. A daemon may restart, lose its link to the store or acquire a cell of the zone at
-//! any time, so [`Evacuations`] folds the operators' records by offset, and each pool is told whether
+//! any time, so [`Evacuations`] folds the operators' records by offset, and each pool is notified whether
 //! its zone is evacuated. See `docs/design/evacuation.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Updates the ramp from an ended run, and the estimate that its duration tells about.
+    /// Updates the ramp from an ended run, and the estimate to which its duration applies.
     fn record_run(&mut self, number: u64, at: usize, end: End, measured: Measurement) {
         if let (Some(ramp), 1..) = (&mut self.ramp, measured.ramp_millicores)
             && end != End::Interrupted
--- a/crates/pool/src/run.rs
+++ b/crates/pool/src/run.rs
@@ -21,7 +21,7 @@
     Stopping,
 }
 
-/// What the duration of a run tells about.
+/// Estimate to which the duration of a run applies.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Timing {
     /// The worker was warm: about its speed, and about the route.
@@ -42,7 +42,7 @@
     pub expected_ms: u64,
     /// Slowdown of the worker when it is warm.
     pub slowdown: f64,
-    /// What the duration tells about.
+    /// Estimate to which the duration applies.
     pub timing: Timing,
     /// CPU of the run if its worker was limited by a ramp, otherwise zero.
     pub ramp_millicores: u64,
@@ -72,7 +72,7 @@
     pub sent_at: Millis,
     /// Expected run time on a worker of average speed, in milliseconds.
     pub expected_ms: u64,
-    /// What the duration of the run tells about.
+    /// Estimate to which the duration of the run applies.
     pub timing: Timing,
     /// Expected end, extrapolated from the reported progress; `None` before the progress allows
     /// an estimate.
--- a/crates/pool/src/spill.rs
+++ b/crates/pool/src/spill.rs
@@ -33,7 +33,7 @@
 /// Time that an answer from another zone takes longer than one from the same zone, in milliseconds.
 const OTHER_ZONE_MS: u64 = 2 * TRANSIT_MS;
 
-/// What a cell was chosen by.
+/// Basis on which a cell was selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Basis {
     /// The cell probably has room for the job.
@@ -65,7 +65,7 @@
     pub cell: Cell,
     /// Whether the job may be queued there.
     pub may_wait: bool,
-    /// What the cell was chosen by.
+    /// Basis on which the cell was selected.
     pub basis: Basis,
 }
 
