--- a/review/harness/src/clock.rs
+++ b/review/harness/src/clock.rs
@@ -19,11 +19,11 @@
 const RESOLUTION_MS: u64 = 5;
 
 pub async fn run(record: &Record, has_trouble: bool) -> std::io::Result<i32> {
-    let mut deployment = Deployment::new(record, true).await?;
+    let mut deployment = Deployment::new(record, true, &["zone-a"]).await?;
     for _ in 0..8 {
-        deployment.add_worker(kind("a", 64), SLOW_PERMILLE).await?;
+        deployment.add_worker("zone-a", kind("a", 64), SLOW_PERMILLE).await?;
     }
-    deployment.add_daemon()?;
+    deployment.add_daemon("zone-a")?;
     if !deployment.settle().await {
         return Ok(2);
     }
@@ -72,31 +72,13 @@
     is_over.set(true);
     let _ = short_calls.await;
     sleep(1_000).await;
-    let runs = deployment.runs.borrow();
-    let mut broken = 0;
-    for (at, first) in runs.iter().enumerate() {
-        for second in runs[at + 1..].iter().filter(|other| other.task == first.task) {
-            let from_ms = first.from_ms.max(second.from_ms);
-            let to_ms =
-                first.to_ms.unwrap_or(u64::MAX).min(second.to_ms.unwrap_or(u64::MAX));
-            if from_ms + RESOLUTION_MS <= to_ms {
-                broken += 1;
-                record.show(&format!(
-                    "BROKEN task={} on {} from {} to {:?} and on {} from {} to {:?}: both for {} ms",
-                    first.task,
-                    first.worker,
-                    first.from_ms,
-                    first.to_ms,
-                    second.worker,
-                    second.from_ms,
-                    second.to_ms,
-                    to_ms - from_ms,
-                ));
-            }
-        }
+    let broken = deployment.overlaps(RESOLUTION_MS);
+    for overlap in &broken {
+        record.show(&format!("BROKEN {overlap}"));
     }
-    record.show(&format!("RESULT runs={} broken={broken}", runs.len()));
-    Ok(i32::from(broken > 0))
+    let runs = deployment.runs.borrow().len();
+    record.show(&format!("RESULT runs={runs} broken={}", broken.len()));
+    Ok(i32::from(!broken.is_empty()))
 }
 
 /// Sends jobs of one short task, one after the other, as the light traffic of the queue.
--- a/review/harness/src/drain.rs
+++ b/review/harness/src/drain.rs
@@ -50,12 +50,12 @@
 }
 
 pub async fn run(record: &Record, has_trouble: bool) -> std::io::Result<i32> {
-    let mut deployment = Deployment::new(record, true).await?;
+    let mut deployment = Deployment::new(record, true, &["zone-a"]).await?;
     for _ in 0..8 {
-        deployment.add_worker(kind("a", 64), 0).await?;
+        deployment.add_worker("zone-a", kind("a", 64), 0).await?;
     }
-    deployment.add_daemon()?;
-    deployment.add_daemon()?;
+    deployment.add_daemon("zone-a")?;
+    deployment.add_daemon("zone-a")?;
     if !deployment.settle().await {
         return Ok(2);
     }
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -98,13 +98,17 @@
 
 /// Sends a GET on a connection of its own and returns the status; 0 without a complete response.
 pub async fn get_status(addr: std::net::SocketAddr, path: &str) -> u16 {
+    get(addr, path).await.map_or(0, |message| message.status())
+}
+
+async fn get(addr: std::net::SocketAddr, path: &str) -> Option<Message> {
     let call = async {
         let mut stream = TcpStream::connect(addr).await?;
         write_request(&mut stream, "GET", path, "probe", "", b"").await?;
         read_message(&mut stream).await
     };
     match tokio::time::timeout(std::time::Duration::from_millis(500), call).await {
-        Ok(Ok(Some(message))) => message.status(),
-        _ => 0,
+        Ok(Ok(message)) => message,
+        _ => None,
     }
 }
--- a/review/harness/src/reborn.rs
+++ b/review/harness/src/reborn.rs
@@ -15,17 +15,17 @@
 /// `is_limit`: the second kind has less room and does not guard it; otherwise, it lacks a label.
 pub async fn run(record: &Record, has_trouble: bool, is_limit: bool) -> std::io::Result<i32> {
     let guards = !is_limit;
-    let mut deployment = Deployment::new(record, guards).await?;
+    let mut deployment = Deployment::new(record, guards, &["zone-a"]).await?;
     let first = crate::worker::Kind { guards, ..kind("a", 64) };
     let second = crate::worker::Kind { guards, ..kind("b", if is_limit { 32 } else { 64 }) };
     for _ in 0..6 {
-        deployment.add_worker(first.clone(), 0).await?;
+        deployment.add_worker("zone-a", first.clone(), 0).await?;
     }
     for _ in 0..2 {
-        deployment.add_worker(second.clone(), 0).await?;
+        deployment.add_worker("zone-a", second.clone(), 0).await?;
     }
-    deployment.add_daemon()?;
-    deployment.add_daemon()?;
+    deployment.add_daemon("zone-a")?;
+    deployment.add_daemon("zone-a")?;
     if !deployment.settle().await {
         return Ok(2);
     }
--- a/review/harness/src/setup.rs
+++ b/review/harness/src/setup.rs
@@ -54,8 +54,8 @@
 }
 
 impl Deployment {
-    /// Starts a store with a config of one queue.
-    pub async fn new(record: &Record, guards: bool) -> std::io::Result<Self> {
+    /// Starts a store with a config of one queue. `guards` is its service's `admissionControl`.
+    pub async fn new(record: &Record, guards: bool, zones: &[&str]) -> std::io::Result<Self> {
         let store = MetaStore::start(32).await?;
         let terms = Terms {
             route: Rc::from("checks"),
@@ -82,7 +82,7 @@
         let dir: PathBuf =
             std::env::temp_dir().join(format!("review-{:016x}", rand::random::<u64>()));
         std::fs::create_dir(&dir)?;
-        let fleet = Fleet { store: store.addr, zones: vec!["zone-a".to_owned()], dir };
+        let fleet = Fleet { store: store.addr, zones: zones.iter().map(|zone| (*zone).to_owned()).collect(), dir };
         Ok(Self {
             record: record.clone(),
             fleet,
@@ -93,22 +93,55 @@
         })
     }
 
-    pub async fn add_worker(&mut self, kind: Kind, slow_permille: u64) -> std::io::Result<()> {
+    pub async fn add_worker(
+        &mut self,
+        zone: &str,
+        kind: Kind,
+        slow_permille: u64,
+    ) -> std::io::Result<()> {
         let id = format!("i-{:02}", self.workers.len());
         let worker = Worker::start(
-            &id, "zone-a", SERVICE, kind, slow_permille, &self.record, &self.store, &self.runs,
+            &id, zone, SERVICE, kind, slow_permille, &self.record, &self.store, &self.runs,
         )
         .await?;
         self.workers.push(worker);
         Ok(())
     }
 
-    pub fn add_daemon(&mut self) -> std::io::Result<()> {
-        let name = format!("edge-zone-a-{}", self.daemons.len() + 1);
-        self.daemons.push(Daemon::start(&self.fleet, &name, "zone-a")?);
+    pub fn add_daemon(&mut self, zone: &str) -> std::io::Result<()> {
+        let name = format!("edge-{zone}-{}", self.daemons.len() + 1);
+        self.daemons.push(Daemon::start(&self.fleet, &name, zone)?);
         Ok(())
     }
 
+    /// Returns the pairs of runs of one task on different workers at the same time, each with the
+    /// time that they have in common, in milliseconds.
+    pub fn overlaps(&self, resolution_ms: u64) -> Vec<String> {
+        let runs = self.runs.borrow();
+        let mut found = Vec::new();
+        for (at, first) in runs.iter().enumerate() {
+            for second in runs[at + 1..].iter().filter(|other| other.task == first.task) {
+                let from_ms = first.from_ms.max(second.from_ms);
+                let to_ms =
+                    first.to_ms.unwrap_or(u64::MAX).min(second.to_ms.unwrap_or(u64::MAX));
+                if from_ms + resolution_ms <= to_ms {
+                    found.push(format!(
+                        "task={} on {} from {} to {:?} and on {} from {} to {:?}: both for {} ms",
+                        first.task,
+                        first.worker,
+                        first.from_ms,
+                        first.to_ms,
+                        second.worker,
+                        second.from_ms,
+                        second.to_ms,
+                        to_ms - from_ms,
+                    ));
+                }
+            }
+        }
+        found
+    }
+
     /// Waits until all daemons are ready and 3 s more. Returns whether they became ready.
     pub async fn settle(&self) -> bool {
         let until = tokio::time::Instant::now() + READY_LIMIT;
