--- a/review/harness/src/daemon.rs
+++ b/review/harness/src/daemon.rs
@@ -50,8 +50,8 @@
 }
 
 impl Daemon {
-    /// Writes the settings of a daemon and starts it.
-    pub fn start(fleet: &Fleet, name: &str, zone: &str) -> std::io::Result<Self> {
+    /// Writes the settings of a daemon and starts it. `cpu_share` is its share of a core.
+    pub fn start(fleet: &Fleet, name: &str, zone: &str, cpu_share: &str) -> std::io::Result<Self> {
         let template = std::fs::read_to_string("deploy/entry.ini")?;
         let (front, ready) = (free_addr(), free_addr());
         let (peers, metrics) = (free_addr(), free_addr());
@@ -69,7 +69,7 @@
             ("bounds.configApplyMs", "2000".to_owned()),
             ("bounds.graceS", "6".to_owned()),
             ("controlMode", "invocation".to_owned()),
-            ("limits.cpuShare", "0.25".to_owned()),
+            ("limits.cpuShare", cpu_share.to_owned()),
             ("limits.cores", "1".to_owned()),
             ("limits.linkMbps", "1000.0".to_owned()),
         ];
--- a/review/harness/src/drain.rs
+++ b/review/harness/src/drain.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::settings::READY_PATH;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use rustix::process::Signal;
 use tokio::net::TcpStream;
 
-use crate::http::{get_status, read_message, write_request};
+use crate::balancer::Balancer;
+use crate::http::{is_closed, read_message, write_request};
 use crate::record::Record;
 use crate::setup::{Deployment, HOST, JobBody, PREFIX, job_id, kind, sleep};
 
@@ -31,24 +31,6 @@
     ended_ms: u64,
 }
 
-/// Which daemons get new connections, as the platform decides it from the readiness checks.
-struct Balancer {
-    misses: RefCell<Vec<u32>>,
-    ended: Cell<bool>,
-}
-
-impl Balancer {
-    fn choose(&self, client: u64) -> usize {
-        let misses = self.misses.borrow();
-        let mut usable: Vec<usize> =
-            (0..misses.len()).filter(|daemon| misses[*daemon] < 2).collect();
-        if usable.len() * 2 < misses.len() {
-            usable = (0..misses.len()).collect();
-        }
-        usable[(client.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) as usize % usable.len()]
-    }
-}
-
 pub async fn run(record: &Record, has_trouble: bool) -> std::io::Result<i32> {
     let mut deployment = Deployment::new(record, true, &["zone-a"]).await?;
     for _ in 0..8 {
@@ -61,21 +43,7 @@
     }
     let fronts: Vec<_> = deployment.daemons.iter().map(|daemon| daemon.front).collect();
     let readies: Vec<_> = deployment.daemons.iter().map(|daemon| daemon.ready).collect();
-    let balancer = Rc::new(Balancer {
-        misses: RefCell::new(vec![0; fronts.len()]),
-        ended: Cell::new(false),
-    });
-    let checking = Rc::clone(&balancer);
-    actix_rt::spawn(async move {
-        while !checking.ended.get() {
-            for (at, ready) in readies.iter().enumerate() {
-                let is_ready = get_status(*ready, READY_PATH).await == 200;
-                let mut misses = checking.misses.borrow_mut();
-                misses[at] = if is_ready { 0 } else { misses[at] + 1 };
-            }
-            sleep(1_000).await;
-        }
-    });
+    let balancer = Balancer::start(readies);
     let cuts: Rc<RefCell<Vec<Cut>>> = Rc::default();
     let answered = Rc::new(Cell::new(0_u64));
     let mut clients = Vec::new();
@@ -177,7 +145,7 @@
             connection = None;
         }
         if connection.is_none() {
-            let at = balancer.choose(client);
+            let at = balancer.choose(client, 0);
             connection = TcpStream::connect(fronts[at]).await.ok().map(|stream| {
                 let _ = stream.set_nodelay(true);
                 (stream, at)
@@ -212,19 +180,10 @@
                 let ended_ms = record.now_ms();
                 cuts.borrow_mut().push(Cut { job: id.clone(), daemon: at, sent_ms, ended_ms });
                 sleep(RESEND_MS).await;
-                let front = fronts[balancer.choose(client)];
+                let front = fronts[balancer.choose(client, 0)];
                 crate::setup::send_once(&record, front, &id, &body, LIMIT_MS).await;
             }
             Err(_) => record.line(&format!("TIME OVER job={id}")),
         }
     }
 }
-
-/// Whether the other side has closed an idle connection.
-fn is_closed(stream: &TcpStream) -> bool {
-    let mut byte = [0_u8; 1];
-    match stream.try_read(&mut byte) {
-        Ok(_) => true,
-        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
-    }
-}
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -112,3 +112,12 @@
         _ => None,
     }
 }
+
+/// Whether the other side has closed an idle connection.
+pub fn is_closed(stream: &TcpStream) -> bool {
+    let mut byte = [0_u8; 1];
+    match stream.try_read(&mut byte) {
+        Ok(_) => true,
+        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+    }
+}
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,11 +1,13 @@
 //! Plays a case of the review: `review-harness CASE RECORD`. `TROUBLE=0` leaves the disruption out.
 
+mod balancer;
 mod clock;
 mod daemon;
 mod drain;
 mod http;
 mod reborn;
 mod record;
+mod recover;
 mod setup;
 mod worker;
 
@@ -27,6 +29,7 @@
             "drain" => drain::run(&record, has_trouble).await,
             "label" => reborn::run(&record, has_trouble, false).await,
             "clock" => clock::run(&record, has_trouble).await,
+            "recover" => recover::run(&record, has_trouble).await,
             "room" => reborn::run(&record, has_trouble, true).await,
             _ => Ok(2),
         }
--- a/review/harness/src/setup.rs
+++ b/review/harness/src/setup.rs
@@ -109,8 +109,13 @@
     }
 
     pub fn add_daemon(&mut self, zone: &str) -> std::io::Result<()> {
+        self.add_sized_daemon(zone, "0.25")
+    }
+
+    /// Adds a daemon with a share of a core.
+    pub fn add_sized_daemon(&mut self, zone: &str, cpu_share: &str) -> std::io::Result<()> {
         let name = format!("edge-{zone}-{}", self.daemons.len() + 1);
-        self.daemons.push(Daemon::start(&self.fleet, &name, zone)?);
+        self.daemons.push(Daemon::start(&self.fleet, &name, zone, cpu_share)?);
         Ok(())
     }
 
