--- a/review/harness/src/balancer.rs
+++ b/review/harness/src/balancer.rs
@@ -7,6 +7,7 @@
 use adapter::settings::READY_PATH;
 
 use crate::http::get_status;
+use crate::record::Record;
 use crate::setup::sleep;
 
 /// Readiness checks that a daemon may miss before it gets no new connections.
@@ -20,7 +21,8 @@
 
 impl Balancer {
     /// Begins to check the daemons once a second.
-    pub fn start(readies: Vec<SocketAddr>) -> Rc<Self> {
+    pub fn start(readies: Vec<SocketAddr>, record: &Record) -> Rc<Self> {
+        let record = record.clone();
         let misses = RefCell::new(vec![0; readies.len()]);
         let balancer = Rc::new(Self { misses, ended: Cell::new(false) });
         let checking = Rc::clone(&balancer);
@@ -29,6 +31,9 @@
                 for (at, ready) in readies.iter().enumerate() {
                     let is_ready = get_status(*ready, READY_PATH).await == 200;
                     let mut misses = checking.misses.borrow_mut();
+                    if is_ready != (misses[at] == 0) {
+                        record.line(&format!("READY daemon={} {is_ready}", at + 1));
+                    }
                     misses[at] = if is_ready { 0 } else { misses[at] + 1 };
                 }
                 sleep(1_000).await;
--- a/review/harness/src/drain.rs
+++ b/review/harness/src/drain.rs
@@ -43,7 +43,7 @@
     }
     let fronts: Vec<_> = deployment.daemons.iter().map(|daemon| daemon.front).collect();
     let readies: Vec<_> = deployment.daemons.iter().map(|daemon| daemon.ready).collect();
-    let balancer = Balancer::start(readies);
+    let balancer = Balancer::start(readies, record);
     let cuts: Rc<RefCell<Vec<Cut>>> = Rc::default();
     let answered = Rc::new(Cell::new(0_u64));
     let mut clients = Vec::new();
--- a/review/harness/src/recover.rs
+++ b/review/harness/src/recover.rs
@@ -43,8 +43,8 @@
     // A daemon may be unready after the start; the platform then uses the others.
     sleep(6_000).await;
     let fronts: Vec<SocketAddr> = deployment.daemons.iter().map(|daemon| daemon.front).collect();
-    let balancer =
-        Balancer::start(deployment.daemons.iter().map(|daemon| daemon.ready).collect());
+    let readies = deployment.daemons.iter().map(|daemon| daemon.ready).collect();
+    let balancer = Balancer::start(readies, record);
     sleep(2_500).await;
     let calls: Rc<RefCell<Vec<Call>>> = Rc::default();
     let mut clients = Vec::new();
