--- a/review/harness/src/drain.rs
+++ b/review/harness/src/drain.rs
@@ -18,7 +18,7 @@
 /// How long callers wait for an answer, in milliseconds: the time limit of the sheets.
 const LIMIT_MS: u64 = 1_500;
 const RESEND_MS: u64 = 1_300;
-const TRAFFIC_MS: u64 = 76_000;
+const TRAFFIC_MS: u64 = 92_000;
 const GRACE_MS: u64 = 6_000;
 /// Pause between the end of a process and its next start, in milliseconds.
 const RESTART_MS: u64 = 500;
