--- a/review/harness/src/clock.rs
+++ b/review/harness/src/clock.rs
@@ -56,8 +56,7 @@
             }));
         }
         // The estimate is rough: these tasks take longer than most of their kind.
-        let body =
-            JobBody { count: 2, cpu: 40_000, estimated_ms: 60, runs_ms: 1_300, label: None };
+        let body = JobBody { count: 2, cpu: 40_000, estimated_ms: 60, runs_ms: 1_300, label: None };
         let sent_ms = record.now_ms();
         send_once(record, front, &job_id(), &body, LIMIT_MS).await;
         for worker in &idle {
--- a/review/harness/src/daemon.rs
+++ b/review/harness/src/daemon.rs
@@ -75,8 +75,7 @@
         ];
         let settings = fleet.dir.join(format!("{name}.ini"));
         std::fs::write(&settings, render(&template, &values, &fleet.zones))?;
-        let mut daemon =
-            Self { name: name.to_owned(), front, ready, settings, child: None };
+        let mut daemon = Self { name: name.to_owned(), front, ready, settings, child: None };
         daemon.spawn()?;
         Ok(daemon)
     }
--- a/review/harness/src/drain.rs
+++ b/review/harness/src/drain.rs
@@ -93,7 +93,8 @@
     // a worker, around a SIGTERM of the daemon that had read it.
     let mut lost = 0;
     for cut in cuts.borrow().iter() {
-        let term = terminated.iter().rev().find(|(at, ms)| *at == cut.daemon && *ms <= cut.ended_ms);
+        let term =
+            terminated.iter().rev().find(|(at, ms)| *at == cut.daemon && *ms <= cut.ended_ms);
         let Some((_, term_ms)) = term.filter(|(_, ms)| cut.ended_ms <= ms + GRACE_MS + 1_000)
         else {
             record.show(&format!("CUT job={} without a SIGTERM", cut.job));
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -46,8 +46,7 @@
                 .filter_map(|line| line.split_once(':'))
                 .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
                 .collect();
-            let mut message =
-                Message { first_line, headers, body: bytes.split_off(end + 4) };
+            let mut message = Message { first_line, headers, body: bytes.split_off(end + 4) };
             let length =
                 message.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
             while message.body.len() < length {
--- a/review/harness/src/setup.rs
+++ b/review/harness/src/setup.rs
@@ -44,11 +44,7 @@
 pub fn kind(label: &str, cores: u64) -> Kind {
     Kind {
         labels: vec![label.to_owned(), "r1".to_owned()],
-        capacity: Resources {
-            cpu_millicores: cores * 1_000,
-            memory_mb: 262_144,
-            accelerators: 0,
-        },
+        capacity: Resources { cpu_millicores: cores * 1_000, memory_mb: 262_144, accelerators: 0 },
         guards: true,
     }
 }
@@ -82,7 +78,11 @@
         let dir: PathBuf =
             std::env::temp_dir().join(format!("review-{:016x}", rand::random::<u64>()));
         std::fs::create_dir(&dir)?;
-        let fleet = Fleet { store: store.addr, zones: zones.iter().map(|zone| (*zone).to_owned()).collect(), dir };
+        let fleet = Fleet {
+            store: store.addr,
+            zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
+            dir,
+        };
         Ok(Self {
             record: record.clone(),
             fleet,
@@ -101,7 +101,14 @@
     ) -> std::io::Result<()> {
         let id = format!("i-{:02}", self.workers.len());
         let worker = Worker::start(
-            &id, zone, SERVICE, kind, slow_permille, &self.record, &self.store, &self.runs,
+            &id,
+            zone,
+            SERVICE,
+            kind,
+            slow_permille,
+            &self.record,
+            &self.store,
+            &self.runs,
         )
         .await?;
         self.workers.push(worker);
@@ -127,8 +134,7 @@
         for (at, first) in runs.iter().enumerate() {
             for second in runs[at + 1..].iter().filter(|other| other.task == first.task) {
                 let from_ms = first.from_ms.max(second.from_ms);
-                let to_ms =
-                    first.to_ms.unwrap_or(u64::MAX).min(second.to_ms.unwrap_or(u64::MAX));
+                let to_ms = first.to_ms.unwrap_or(u64::MAX).min(second.to_ms.unwrap_or(u64::MAX));
                 if from_ms + resolution_ms <= to_ms {
                     found.push(format!(
                         "task={} on {} from {} to {:?} and on {} from {} to {:?}: both for {} ms",
--- a/review/harness/src/worker.rs
+++ b/review/harness/src/worker.rs
@@ -8,7 +8,9 @@
 
 use adapter::entries::write_entry;
 use adapter::settings::WORKER_TOPIC;
-use adapter::worker_calls::{WorkerCall, read_worker_call, render_refusal, render_report, render_success};
+use adapter::worker_calls::{
+    WorkerCall, read_worker_call, render_refusal, render_report, render_success,
+};
 use pool::call::{End, PollReply, Refusal, StartCall, StartReply, StopReply};
 use pool::catalogue::{WorkerEntry, WorkerState};
 use pool::resources::Resources;
@@ -75,8 +77,7 @@
         let word = call.spec.split(' ').find_map(|word| word.strip_prefix(name));
         word.and_then(|word| word.parse().ok()).unwrap_or(0)
     };
-    let resources =
-        Resources { cpu_millicores: number("cpu="), memory_mb: 64, accelerators: 0 };
+    let resources = Resources { cpu_millicores: number("cpu="), memory_mb: 64, accelerators: 0 };
     Work { resources, duration_ms: number("ms="), end: End::Done }
 }
 
@@ -271,8 +272,7 @@
                     refused(refusal)
                 } else {
                     let until_ms = now_ms + call.wait_ms;
-                    while !self.state.borrow().has_unacknowledged_runs()
-                        && self.now_ms() < until_ms
+                    while !self.state.borrow().has_unacknowledged_runs() && self.now_ms() < until_ms
                     {
                         actix_rt::time::sleep(Duration::from_millis(2)).await;
                         self.state.borrow_mut().advance_to(self.now_ms());
