Bound leases on workers whose clock was read long ago

Cause: the expiry of a lease was the last reading of the worker's clock plus the time since plus 900 ms. A clock may be 2% slow, so the expiry was too late by 2% of the reading's age, which had no limit for idle workers. The worker granted its maximum of 1,000 ms of its clock, while the owner and the next owners counted on 938 ms.

Change: the expiry is computed from the earliest time that the clock can show, for starts, renewals and hand-overs. Every lease then ends within 938 ms of the decision to send it, on which restarts, failover and adoption rest. Idle workers are polled every 10 s, so that a lease on a clock that is not slow is at least 700 ms, and the first renewal follows that lease.

Test: a_task_starts_elsewhere_only_after_its_lease_on_a_slow_clock_has_ended failed before ("Cut after 8000 ms: two runs at 19012"; hand-over alone: "HandedOver after 8000 ms: two runs at 19038"; adoption alone passed before).

--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -40,3 +40,4 @@
 pub mod tokens;
 mod warm_up;
 pub mod worker;
+mod worker_clock;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -32,7 +32,7 @@
 use crate::shedding::{Displacement, RouteDemand};
 use crate::speed::{Speed, WorkerSpeed};
 use crate::warm_up::WarmUp;
-use crate::worker::{LEASE_MS, RunUpdate, Worker};
+use crate::worker::{RunUpdate, Worker};
 
 /// Time without traffic after which both daemons treat the link between them as broken, in
 /// milliseconds. About a third of the time that callers usually wait.
@@ -401,8 +401,7 @@
         let timeout_ms = self.round_trip.timeout_ms();
         let renewal_call = |(id, worker): (&Rc<str>, &mut Worker)| {
             let is_renewed = !worker.runs.is_empty() && !worker.is_process_doubted();
-            let clock_ms = worker.clock_at(now).filter(|_| is_renewed)?;
-            let until_ms = clock_ms.saturating_add(LEASE_MS);
+            let until_ms = worker.lease_expiry_at(now).filter(|_| is_renewed)?;
             let call = PollCall {
                 token: self.token,
                 ack_cursor: worker.ack_cursor(),
@@ -522,7 +521,7 @@
                 break;
             };
             let Some(worker) = self.workers.get_mut(&id) else { break };
-            let Some(clock_ms) = worker.clock_at(now) else { break };
+            let Some(lease_until_ms) = worker.lease_expiry_at(now) else { break };
             let name = job.name(task_index);
             let run = Run {
                 task_ref: Some((number, task_index)),
@@ -542,7 +541,7 @@
                 task: name.clone(),
                 run: run.run,
                 spec: Rc::clone(&job.spec.payload),
-                lease_until_ms: clock_ms.saturating_add(LEASE_MS),
+                lease_until_ms,
                 token: self.token,
             };
             let target = worker.target(&id, self.round_trip.timeout_ms());
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -15,20 +15,19 @@
 use crate::resources::Resources;
 use crate::run::{Measurement, OrphanedRun, Run, RunState, Timing};
 use crate::speed::Speed;
+use crate::worker_clock::{ClockReading, longest_span_ms, max_drift_ms};
 
 /// Duration of a lease, in milliseconds. It is short enough that every run of a daemon that died
 /// has ended before a caller resends its request (after 1,300 ms in the users' settings).
 pub const LEASE_MS: u64 = 900;
 /// Upper bound on a lease of [`LEASE_MS`] as measured by the owner's clock, in milliseconds: the
-/// worker's clock may run 2% slow. Includes a margin of 20 ms.
-pub const LEASE_BOUND_MS: u64 = LEASE_MS + LEASE_MS / 50 + CLOCK_MARGIN_MS;
-/// Margin for the resolution of clocks, in milliseconds.
-const CLOCK_MARGIN_MS: u64 = 20;
+/// worker's clock may run slow.
+pub const LEASE_BOUND_MS: u64 = longest_span_ms(LEASE_MS);
 /// Longest lease that a worker grants, in milliseconds of its clock; the users' `maxHoldMs`. A lease
 /// whose expiry was computed from another process's clock may last that long from its arrival.
 const MAX_LEASE_MS: u64 = 1_000;
 /// Upper bound on a lease of [`MAX_LEASE_MS`] as measured by the owner's clock, in milliseconds.
-const MAX_LEASE_BOUND_MS: u64 = MAX_LEASE_MS + MAX_LEASE_MS / 50 + CLOCK_MARGIN_MS;
+const MAX_LEASE_BOUND_MS: u64 = longest_span_ms(MAX_LEASE_MS);
 /// How long before its expiry a lease is renewed, in milliseconds.
 pub const RENEW_AHEAD_MS: u64 = 500;
 /// Longest time that a poll may wait at the worker for a run to end, in milliseconds. Less than
@@ -48,6 +47,9 @@
 const POLL_RETRY_MS: u64 = 150;
 /// How long a start without a reply may still be carried out, in milliseconds.
 const LATE_START_MS: u64 = 12_000;
+/// Interval between two polls of an idle worker, in milliseconds. It keeps the reading of the worker's
+/// clock recent, and with it the lease of the next start close to [`LEASE_MS`].
+const IDLE_POLL_INTERVAL_MS: u64 = 10_000;
 /// Delay before ended runs are acknowledged when nothing else requires a poll, in milliseconds.
 const ACK_DELAY_MS: u64 = 1_500;
 /// How long orphaned runs of a previous owner wait to be adopted by their job, in milliseconds.
@@ -97,16 +99,6 @@
     SlowWorker(u16),
 }
 
-/// A reading of a worker's clock.
-#[derive(Clone, Copy, Debug)]
-struct ClockReading {
-    clock_ms: u64,
-    /// When the call was sent whose reply had the reading.
-    asked_at: Millis,
-    /// When the reply arrived.
-    read_at: Millis,
-}
-
 /// A worker as seen by the daemon that owns it.
 ///
 /// The next process of a worker may have the same id and address. Which process it is, and so which
@@ -166,18 +158,6 @@
     is_leaving: bool,
 }
 
-impl ClockReading {
-    /// Returns whether a later reading cannot be of the same clock, which may be slower by the
-    /// tolerance that leases allow for.
-    fn has_jumped(&self, clock_ms: u64, asked_at: Millis, now: Millis) -> bool {
-        let earliest_ms = self.clock_ms.saturating_add(asked_at.since(self.read_at));
-        let tolerance_ms = earliest_ms.saturating_sub(self.clock_ms) / 50 + CLOCK_MARGIN_MS;
-        let latest_ms = self.clock_ms.saturating_add(now.since(self.asked_at));
-        clock_ms.saturating_add(tolerance_ms) < earliest_ms
-            || clock_ms > latest_ms.saturating_add(CLOCK_MARGIN_MS)
-    }
-}
-
 impl Worker {
     /// Creates a worker that has to be polled before tasks are sent to it.
     pub fn new(id: Rc<str>, entry: WorkerEntry, now: Millis) -> Self {
@@ -328,11 +308,19 @@
         self.runs.keys().filter(|name| &*name.job == job && name.step == step).count() as u32
     }
 
-    /// Estimates the worker's clock at `now`, or returns `None` before its first reply. The
-    /// estimate is early by the time that the reply took, which errs towards shorter leases.
-    pub fn clock_at(&self, now: Millis) -> Option<u64> {
-        let reading = self.clock?;
-        Some(reading.clock_ms.saturating_add(now.since(reading.read_at)))
+    /// Returns the expiry of a lease that begins at `now`, in milliseconds of the worker's clock, or
+    /// `None` before its first reply. The lease ends within [`LEASE_BOUND_MS`] whatever the age of the
+    /// last reply, and is at least as long as [`Self::shortest_lease_ms`].
+    pub fn lease_expiry_at(&self, now: Millis) -> Option<u64> {
+        Some(self.clock?.earliest_at(now).saturating_add(LEASE_MS))
+    }
+
+    /// Returns how long a lease that begins at `now` lasts if the worker's clock is not slow, in
+    /// milliseconds: less than [`LEASE_MS`] by the drift that the age of the last reply allows for, and
+    /// zero before the first reply.
+    fn shortest_lease_ms(&self, now: Millis) -> u64 {
+        let drift_ms = |clock: ClockReading| max_drift_ms(now.since(clock.read_at));
+        self.clock.map_or(0, |clock| LEASE_MS.saturating_sub(drift_ms(clock)))
     }
 
     /// Whether another process may have taken the worker's address since its last report.
@@ -360,7 +348,8 @@
         self.remove(&name);
         self.used = self.used.plus(run.resources);
         self.lease_bound = self.lease_bound.max(run.sent_at.plus(LEASE_BOUND_MS));
-        self.poll_no_later_than(run.sent_at.plus(LEASE_MS - RENEW_AHEAD_MS));
+        let renewed_after_ms = self.shortest_lease_ms(run.sent_at).saturating_sub(RENEW_AHEAD_MS);
+        self.poll_no_later_than(run.sent_at.plus(renewed_after_ms));
         self.runs.insert(name, run);
     }
 
@@ -387,7 +376,7 @@
         self.acking = self.ack_cursor();
         let is_clock_known = self.unanswered_polls == 0 && self.process_doubted_at.is_none();
         let renews = !self.runs.is_empty() && is_clock_known;
-        let lease_until_ms = self.clock_at(now)?.saturating_add(LEASE_MS);
+        let lease_until_ms = self.lease_expiry_at(now)?;
         if renews {
             self.lease_bound = self.lease_bound.max(now.plus(LEASE_BOUND_MS));
         }
@@ -402,7 +391,8 @@
         if self.process_doubted_at.is_some() {
             return 0;
         }
-        let longest_ms = (LEASE_MS - RENEWAL_MARGIN_MS).saturating_sub(2 * timeout_ms);
+        let lease_ms = self.shortest_lease_ms(now);
+        let longest_ms = lease_ms.saturating_sub(RENEWAL_MARGIN_MS + 2 * timeout_ms);
         let slowdown = self.slowdown();
         let first_end_ms = self.runs.values().map(|run| run.remaining_ms(slowdown, now)).min();
         first_end_ms.map_or(0, |left_ms| {
@@ -795,7 +785,8 @@
         running.map(|orphan| orphan.seen_at).min()
     }
 
-    /// Schedules the next poll: soon if runs may end, late if ended runs only await acknowledgement.
+    /// Schedules the next poll: soon if runs may end, late if ended runs only await acknowledgement or
+    /// the worker is idle.
     fn schedule_poll(&mut self, now: Millis) {
         self.next_poll_at = if self.process_doubted_at.is_some() {
             Some(now)
@@ -806,7 +797,7 @@
         } else if self.cursor > self.acked {
             Some(now.plus(ACK_DELAY_MS))
         } else {
-            None
+            Some(now.plus(IDLE_POLL_INTERVAL_MS))
         };
     }
 
--- a/crates/pool/tests/support/fleet.rs
+++ b/crates/pool/tests/support/fleet.rs
@@ -43,11 +43,19 @@
 impl Fleet {
     /// Creates a fleet of idle workers that the pool knows.
     pub fn new(workers: usize) -> Self {
+        Self::with_slow_clocks(workers, 0)
+    }
+
+    /// Creates a fleet of idle workers whose clocks are slower by `slow_permille` thousandths.
+    pub fn with_slow_clocks(workers: usize, slow_permille: u64) -> Self {
         let entries: Vec<_> = (0..workers).map(|number| entry(number, WORKER_CORES)).collect();
         let mut fleet = Self {
             pool: Pool::new(1),
             now_ms: 10_000,
-            workers: entries.iter().map(|entry| PoolWorker::new(entry.capacity, 0, 0)).collect(),
+            workers: entries
+                .iter()
+                .map(|entry| PoolWorker::new(entry.capacity, 0, slow_permille))
+                .collect(),
             entries,
             down_until_ms: vec![0; workers],
             paces: vec![1.0; workers],
@@ -165,7 +173,8 @@
         }
     }
 
-    fn perform(&mut self) {
+    /// Performs the actions of the pool until none is left.
+    pub fn perform(&mut self) {
         loop {
             let actions = self.pool.take_actions();
             if actions.is_empty() {
