Renew no lease of a silent worker at a handover

A worker that left the last poll unanswered gets no renewal by polls, so that the owner knows when its runs have ended. A handover renewed it all the same. A run of a withdrawn job, which no stop reaches, then lasts up to 938 ms from the handover instead of from its last renewal, and a caller that sends the job again after 1,300 ms may get a second run beside it.

Change: polls and handovers take the expiry from one function, which also raises the owner's bound on the lease.

Test: a_silent_worker_gets_no_renewal_at_a_handover failed before (one renewal), and a handover still renews the lease of a worker that replies.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -395,17 +395,15 @@
         self.by_id.clear();
     }
 
-    /// Extends the lease of every worker with runs to the maximum, so that the runs are still
-    /// alive when the next owner takes over after a handover.
+    /// Renews the leases of all workers that reply, so that their runs are still alive when the next
+    /// owner takes over after a handover.
     pub fn renew_all_leases(&mut self, now: Millis) {
         let timeout_ms = self.round_trip.timeout_ms();
         let renewal_call = |(id, worker): (&Rc<str>, &mut Worker)| {
-            let is_renewed = !worker.runs.is_empty() && !worker.is_process_doubted();
-            let until_ms = worker.lease_expiry_at(now).filter(|_| is_renewed)?;
             let call = PollCall {
                 token: self.token,
+                lease_until_ms: Some(worker.renew_lease(now)?),
                 ack_cursor: worker.ack_cursor(),
-                lease_until_ms: Some(until_ms),
                 wait_ms: 0,
             };
             Some(Action::Poll(worker.target(id, timeout_ms), call))
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -323,11 +323,6 @@
         self.clock.map_or(0, |clock| LEASE_MS.saturating_sub(drift_ms(clock)))
     }
 
-    /// Whether another process may have taken the worker's address since its last report.
-    pub const fn is_process_doubted(&self) -> bool {
-        self.process_doubted_at.is_some()
-    }
-
     /// Returns up to which number ended runs may be acknowledged: all that were received, unless the
     /// numbers may be those of a previous process. A start without a reply may have ended at a
     /// process that is not known yet.
@@ -366,21 +361,26 @@
     }
 
     /// Records that a poll is being sent. Returns the new lease expiry on the worker's clock, or
-    /// `None` if the lease is not to be renewed. The lease of a worker that left the last poll
-    /// unanswered, or whose clock may be that of another process, is not renewed, so that the time
-    /// by which its runs have ended is known here.
+    /// `None` if the lease is not to be renewed.
     pub fn begin_poll(&mut self, now: Millis) -> Option<u64> {
         self.poll_sent_at = Some(now);
         self.polled_addr = self.entry.addr;
         self.next_poll_at = None;
         self.acking = self.ack_cursor();
+        self.renew_lease(now)
+    }
+
+    /// Renews the lease of the worker's runs, if there are any. Returns the new expiry on the worker's
+    /// clock. The lease of a worker that left the last poll unanswered, or whose clock may be that of
+    /// another process, is not renewed, so that the time by which its runs have ended is known here.
+    pub fn renew_lease(&mut self, now: Millis) -> Option<u64> {
         let is_clock_known = self.unanswered_polls == 0 && self.process_doubted_at.is_none();
-        let renews = !self.runs.is_empty() && is_clock_known;
-        let lease_until_ms = self.lease_expiry_at(now)?;
-        if renews {
-            self.lease_bound = self.lease_bound.max(now.plus(LEASE_BOUND_MS));
+        if self.runs.is_empty() || !is_clock_known {
+            return None;
         }
-        renews.then_some(lease_until_ms)
+        let lease_until_ms = self.lease_expiry_at(now)?;
+        self.lease_bound = self.lease_bound.max(now.plus(LEASE_BOUND_MS));
+        Some(lease_until_ms)
     }
 
     /// Returns how long a poll may wait at the worker for a run to end, in milliseconds: slightly
--- a/crates/pool/tests/losses.rs
+++ b/crates/pool/tests/losses.rs
@@ -134,6 +134,24 @@
     assert!(pool.take_actions().contains(&Action::ReportReturn(life)));
 }
 
+/// Guards against a run of a withdrawn job that is renewed at a worker that no stop reaches, so that it
+/// runs on when the caller sends the job again.
+#[test]
+fn a_silent_worker_gets_no_renewal_at_a_handover() {
+    let renewals = |is_silent: bool| {
+        let mut pool = pool_with_runs(WorkerState::Ready);
+        if is_silent {
+            pool.poll_reply(Millis(20), "0", Millis(10), &PollReply::Lost);
+        }
+        pool.take_actions();
+        pool.renew_all_leases(Millis(30));
+        let is_renewal =
+            |a: &Action| matches!(a, Action::Poll(_, call) if call.lease_until_ms.is_some());
+        pool.take_actions().iter().filter(|action| is_renewal(action)).count()
+    };
+    assert_eq!([renewals(false), renewals(true)], [1, 0]);
+}
+
 /// Guards against issue 29: a task was blamed for a crash of a worker that had refused its start.
 #[test]
 fn a_start_that_is_still_to_be_answered_is_not_among_the_lost_runs() {
