Renew no lease by a clock that may be another process's

The next process of a worker has a clock of its own. A renewal that was computed from the clock of the process before is shortened to the worker's maximum only, 1,020 ms from its arrival, while the owner counts on 938 ms from its decision: a task could run on two workers for up to 82 ms.

Change: after a start without a reply, no lease is renewed until a later call has been answered, and that poll does not wait at the worker. A sign of another process, from its entry, a refused call, a clock that jumped or a report, makes the owner count with the longest lease, which only starts did before. The log line of a start shows the worker's clock, so that a lease that is too long can be read from it.

Test: no_task_starts_twice_after_a_renewal_at_an_unknown_process failed before ("run 2 on 1 at 1642 ms while run 1 is on B").

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -312,22 +312,24 @@
 
     async fn send_start(self: Rc<Self>, ownership: OwnershipRef, target: Target, call: StartCall) {
         let reply = self.workers.start(&target, &call).await;
-        let label = match reply {
-            StartReply::Started { .. } => "started",
-            StartReply::Refused(refusal) => refusal.as_str(),
-            StartReply::Lost => "lost",
+        let (label, clock_ms) = match reply {
+            StartReply::Started { clock_ms } => ("started", Some(clock_ms)),
+            StartReply::Refused(refusal) => (refusal.as_str(), None),
+            StartReply::Lost => ("lost", None),
         };
         self.metrics.starts.with_label_values(&[label]).inc();
         let is_usual = label == "started" && call.run == 1;
         let level = if is_usual { log::Level::Debug } else { log::Level::Info };
         log::log!(
             level,
-            "part=owner event=start task={} run={} worker={} token={} lease_until={} reply={label}",
+            "part=owner event=start task={} run={} worker={} token={} lease_until={} clock={} \
+             reply={label}",
             call.task,
             call.run,
             target.id,
             call.token,
             call.lease_until_ms,
+            clock_ms.map_or_else(|| "-".to_owned(), |ms| ms.to_string()),
         );
         self.with_pool(&ownership.cell, ownership.serial, |pool, now| {
             pool.start_reply(now, &target.id, &call, reply);
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -374,8 +374,7 @@
     /// clock. The lease of a worker that left the last poll unanswered, or whose clock may be that of
     /// another process, is not renewed, so that the time by which its runs have ended is known here.
     pub fn renew_lease(&mut self, now: Millis) -> Option<u64> {
-        let is_clock_known = self.unanswered_polls == 0 && self.process_doubted_at.is_none();
-        if self.runs.is_empty() || !is_clock_known {
+        if self.runs.is_empty() || self.unanswered_polls > 0 || self.is_clock_doubted() {
             return None;
         }
         let lease_until_ms = self.lease_expiry_at(now)?;
@@ -383,12 +382,21 @@
         Some(lease_until_ms)
     }
 
+    /// Whether the last reading of the clock may be that of a previous process: another one has shown,
+    /// or may have received a start that got no reply.
+    fn is_clock_doubted(&self) -> bool {
+        let is_newer = |clock: ClockReading| {
+            self.unanswered_starts.iter().all(|(.., given_up_at)| *given_up_at <= clock.asked_at)
+        };
+        self.process_doubted_at.is_some() || !self.clock.is_some_and(is_newer)
+    }
+
     /// Returns how long a poll may wait at the worker for a run to end, in milliseconds: slightly
     /// longer than the remaining time of the run that is expected to end first. With a longer
     /// `timeout_ms` of the call it is shorter, so that the next renewal still arrives in time. A
     /// poll that has to show the worker's process does not wait.
     pub fn poll_wait_ms(&self, timeout_ms: u64, now: Millis) -> u64 {
-        if self.process_doubted_at.is_some() {
+        if self.is_clock_doubted() {
             return 0;
         }
         let lease_ms = self.shortest_lease_ms(now);
@@ -533,15 +541,16 @@
         self.assume_longest_lease(now);
     }
 
-    /// Counts with the longest lease that a worker grants, because the one of the last start was
-    /// computed from a clock that may be that of another process.
+    /// Counts with the longest lease that a worker grants, because the last one may have been computed
+    /// from the clock of another process.
     fn assume_longest_lease(&mut self, now: Millis) {
         self.lease_bound = self.lease_bound.max(now.plus(MAX_LEASE_BOUND_MS));
     }
 
     /// Polls the worker at once and sends it no tasks meanwhile, because another process may have
-    /// taken its address.
+    /// taken its address and received the last renewal.
     pub fn doubt_process(&mut self, now: Millis) {
+        self.assume_longest_lease(now);
         self.process_doubted_at = Some(now);
         self.poll_no_later_than(now);
     }
@@ -554,7 +563,6 @@
         }
         if self.clock.is_some_and(|reading| reading.has_jumped(clock_ms, asked_at, now)) {
             self.doubt_process(now);
-            self.assume_longest_lease(now);
         }
         self.update_clock(clock_ms, asked_at, now);
     }
@@ -617,7 +625,7 @@
         report: &Report,
     ) -> Vec<RunUpdate> {
         self.poll_sent_at = None;
-        let mut changes = self.update_process(sent_at, report);
+        let mut changes = self.update_process(now, sent_at, report);
         if self.process_doubted_at.is_some_and(|doubted_at| sent_at >= doubted_at) {
             self.process_doubted_at = None;
         }
@@ -637,7 +645,7 @@
     /// Takes note of the process that sent the report. If it is not the one that was known, the
     /// state that belonged to that one is dropped, and its runs are reported as lost. Runs that the
     /// new process may have started are kept.
-    fn update_process(&mut self, sent_at: Millis, report: &Report) -> Vec<RunUpdate> {
+    fn update_process(&mut self, now: Millis, sent_at: Millis, report: &Report) -> Vec<RunUpdate> {
         let mut changes = Vec::new();
         let is_other_process = self.started_at_ms.is_some()
             && report.started_at_ms.is_some()
@@ -647,6 +655,7 @@
             let has_ended = |task: &TaskName, run: &Run| run.since < sent_at && !report.names(task);
             changes.extend(self.report_loss_of(LossCause::Replaced, has_ended));
             self.reported_loss = None;
+            self.assume_longest_lease(now);
             self.cursor = 0;
             self.acking = 0;
             self.orphaned_runs.clear();
--- a/crates/pool/tests/worker_processes.rs
+++ b/crates/pool/tests/worker_processes.rs
@@ -143,19 +143,26 @@
 }
 
 /// The owner knows process A. Process B runs the start and is cut off. B's clock is behind A's, so the
-/// lease is shortened to the maximum, from the arrival on.
-fn restart_while_b_is_cut_off(reply: impl Fn(u64) -> StartReply) -> Vec<String> {
+/// lease is shortened to the maximum, from the arrival on. B still receives the polls that are sent
+/// before `cut_at_ms`, and its entry is read then.
+fn restart_while_b_is_cut_off(
+    reply: impl Fn(u64) -> StartReply,
+    cut_at_ms: Option<u64>,
+) -> Vec<String> {
     let mut pool = pool_with(0);
     let mut b = PoolWorker::new(entry(0, 64).capacity, 0, 20);
     b.started_at_ms = 2;
     let (id, call) = submit(&mut pool, 600);
     assert_eq!(&*id, "0");
-    let work = Work { resources: cores(27), duration_ms: 1_200, end: End::Done };
+    let work = Work { resources: cores(27), duration_ms: 2_000, end: End::Done };
     let (started, began) = b.start(601, &call, work);
     assert!(began, "{started:?}");
     let mut pending: Vec<(u64, u64)> = Vec::new();
     let mut overlaps = Vec::new();
-    for now in 602..2_500 {
+    for now in 602..3_500 {
+        if Some(now) == cut_at_ms {
+            set_entries(&mut pool, now, Some((2, 100)));
+        }
         if now == 602 {
             pool.start_reply(Millis(now), "0", &call, reply(b.clock(601)));
         }
@@ -167,7 +174,12 @@
         pool.advance(Millis(now));
         for action in pool.take_actions() {
             match action {
-                Action::Poll(t, _) if &*t.id == "0" => pending.push((now + 100, now)),
+                Action::Poll(t, c) if &*t.id == "0" => {
+                    if cut_at_ms.is_some_and(|cut_at_ms| now < cut_at_ms) {
+                        b.begin_poll(now, &c);
+                    }
+                    pending.push((now + 100, now));
+                }
                 Action::Stop(_, c) => pool.stop_reply(Millis(now), "0", &c, StopReply::Lost),
                 Action::Start(t, c) => {
                     b.advance_to(now);
@@ -187,13 +199,21 @@
 
 #[test]
 fn no_task_starts_twice_while_the_lease_of_an_unknown_process_lasts() {
-    let overlaps = restart_while_b_is_cut_off(|clock_ms| StartReply::Started { clock_ms });
+    let overlaps = restart_while_b_is_cut_off(|clock_ms| StartReply::Started { clock_ms }, None);
     assert_eq!(overlaps, Vec::<String>::new());
 }
 
 #[test]
 fn no_task_starts_twice_after_a_start_without_a_reply_at_an_unknown_process() {
-    let overlaps = restart_while_b_is_cut_off(|_| StartReply::Lost);
+    let overlaps = restart_while_b_is_cut_off(|_| StartReply::Lost, None);
+    assert_eq!(overlaps, Vec::<String>::new());
+}
+
+/// Guards against a renewal by the clock of the process before, which the next one shortens to its
+/// maximum only.
+#[test]
+fn no_task_starts_twice_after_a_renewal_at_an_unknown_process() {
+    let overlaps = restart_while_b_is_cut_off(|_| StartReply::Lost, Some(1_050));
     assert_eq!(overlaps, Vec::<String>::new());
 }
 
