--- a/crates/pool/tests/slow_clocks.rs
+++ b/crates/pool/tests/slow_clocks.rs
@@ -20,7 +20,7 @@
 const CUT_MS: u64 = 5_000;
 
 /// What happens after a task has started on a worker that was idle.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Event {
     /// The worker is cut off from its owner.
     Cut,
@@ -30,10 +30,6 @@
     Adopted,
 }
 
-fn worker_of_run(fleet: &Fleet) -> usize {
-    fleet.active().iter().position(|runs| *runs > 0).expect("a run is active")
-}
-
 fn cut_off(fleet: &mut Fleet, worker: usize) {
     fleet.down_until_ms[worker] = fleet.now_ms + CUT_MS;
 }
@@ -71,19 +67,16 @@
             let mut fleet = Fleet::with_slow_clocks(2, SLOWEST_PERMILLE);
             fleet.run_for(idle_ms);
             let number = fleet.submit_as(1, TASK_MS, DECLARED_MS, true);
-            let worker = worker_of_run(&fleet);
-            match event {
-                Event::Cut => cut_off(&mut fleet, worker),
-                Event::HandedOver | Event::Adopted => {
-                    let progress = release(&mut fleet, number);
-                    if matches!(event, Event::HandedOver) {
-                        cut_off(&mut fleet, worker);
-                    }
-                    fleet.replace_owner(Pool::new(2));
-                    submit_again(&mut fleet, progress);
+            let worker = fleet.active().iter().position(|runs| *runs > 0).expect("a run is active");
+            if event != Event::Cut {
+                let progress = release(&mut fleet, number);
+                if event == Event::HandedOver {
                     cut_off(&mut fleet, worker);
                 }
+                fleet.replace_owner(Pool::new(2));
+                submit_again(&mut fleet, progress);
             }
+            cut_off(&mut fleet, worker);
             let mut has_started_elsewhere = false;
             for _ in 0..CUT_MS {
                 fleet.run_for(1);
