Log what showed that an interrupted run has ended

Before a task starts again, something has shown that its last run is over: an end in a report, its absence there, a lapsed lease, another instance at the address, or a previous owner's silence. The logs told only the second start, so that a lease that outlasts its bound, a run that lives on unnoticed and a late start could not be told apart.

Adds event=run_interrupted and entry_interruptions_total by evidence. No decision changes.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -30,6 +30,8 @@
     pub worker_processes: IntCounterVec,
     /// Active runs that their worker's owner did not know, from a previous owner or not.
     pub orphaned_runs: IntCounter,
+    /// Runs that ended without a result, by what showed it.
+    pub interruptions: IntCounterVec,
     /// Tasks that were found to crash workers, and routes that were confined for such tasks.
     pub convictions: IntCounterVec,
     /// Waiting jobs that were displaced, by route and reason: an arriving job, or a queue that could
@@ -124,6 +126,11 @@
                 &["evidence"],
             )?,
             orphaned_runs,
+            interruptions: counters(
+                "entry_interruptions_total",
+                "Runs that ended without a result.",
+                &["evidence"],
+            )?,
             slow_workers,
             transferred_speeds,
             convictions: counters("entry_convictions_total", "Crash convictions.", &["of"])?,
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -14,6 +14,7 @@
 use pool::pool::{Action, MAX_STALL_MS, Pool, Submission};
 use pool::queue::Backlog;
 use pool::ramp::RampEvent;
+use pool::run::Interruption;
 use pool::shedding::Displacement;
 use tokio::sync::oneshot;
 
@@ -216,6 +217,9 @@
                     ownership.cell,
                 );
             }
+            Action::ReportInterruption(interruption) => {
+                self.log_interruption(&ownership, &interruption);
+            }
             Action::ReportRamp(event) => self.log_ramp(&ownership, event),
             Action::ReportSlow(speed) => {
                 self.metrics.slow_workers.inc();
@@ -274,6 +278,18 @@
         );
     }
 
+    fn log_interruption(&self, ownership: &OwnershipRef, interruption: &Interruption) {
+        let evidence = interruption.evidence.as_str();
+        self.metrics.interruptions.with_label_values(&[evidence]).inc();
+        log::info!(
+            "part=owner event=run_interrupted task={} run={} worker={} evidence={evidence} cell={}",
+            interruption.task,
+            interruption.run,
+            interruption.worker.as_deref().unwrap_or_default(),
+            ownership.cell,
+        );
+    }
+
     fn log_process_change(&self, ownership: &OwnershipRef, change: &ProcessChange) {
         let evidence = change.evidence.as_str();
         self.metrics.worker_processes.with_label_values(&[evidence]).inc();
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -458,6 +458,7 @@
                 Action::ReportReturn(_)
                 | Action::ReportProcess(_)
                 | Action::ReportOrphan(..)
+                | Action::ReportInterruption(_)
                 | Action::ReportRamp(_)
                 | Action::ReportSlow(_)
                 | Action::ReportDisplaced(_) => {}
--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -12,7 +12,7 @@
 use crate::call::End;
 use crate::job::{Job, PreviousOwner, TaskState};
 use crate::pool::{LINK_TIMEOUT_MS, Pool};
-use crate::run::{Run, RunState, Timing};
+use crate::run::{InterruptionEvidence, Run, RunState, Timing};
 use crate::worker::LEASE_BOUND_MS;
 
 /// Returns how long runs of the previous owner can continue without being found, in
@@ -102,14 +102,19 @@
         for number in numbers {
             let Some(mut job) = self.jobs.remove(&number) else { continue };
             self.adopt_runs(number, &mut job);
+            let mut not_found = Vec::new();
             if now >= job.in_doubt_until {
-                for task in &mut job.tasks {
+                for (task_index, task) in job.tasks.iter_mut().enumerate() {
                     if task.state == TaskState::InDoubt {
                         task.state = TaskState::Pending;
+                        not_found.push(task_index);
                     }
                 }
             }
             self.jobs.insert(number, job);
+            for task_index in not_found {
+                self.report_interruption(number, task_index, InterruptionEvidence::NotFound);
+            }
             self.finish_if_done(number);
             self.fail_if_exhausted(now, number);
         }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -28,7 +28,7 @@
 use crate::queue;
 use crate::ramp::{Departed, Ramp, RampEvent};
 use crate::round_trip::RoundTrip;
-use crate::run::{Run, RunState, Timing};
+use crate::run::{Interruption, Run, RunState, Timing};
 use crate::shedding::{Displacement, RouteDemand};
 use crate::speed::{Speed, WorkerSpeed};
 use crate::warm_up::WarmUp;
@@ -61,6 +61,8 @@
     ReportProcess(ProcessChange),
     /// Record that a worker, named by its id, has an active run that this owner does not know.
     ReportOrphan(Rc<str>, TaskName, u32),
+    /// Record that a run ended without a result, so that its task may start again.
+    ReportInterruption(Interruption),
     /// Record that load begins to return gradually to workers that were gone, or has returned.
     ReportRamp(RampEvent),
     /// Record that straggling runs in succession have shown that a worker is slow.
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -12,7 +12,7 @@
 use crate::crashes::Crash;
 use crate::job::{Outcome, Reason, TaskState};
 use crate::pool::{Action, Pool};
-use crate::run::{Measurement, RunState, Timing};
+use crate::run::{Interruption, InterruptionEvidence, Measurement, RunState, Timing};
 use crate::worker::RunUpdate;
 
 /// Increment of the run number after a worker refused a start because it knows a higher one, for
@@ -139,11 +139,16 @@
         for change in changes {
             match change {
                 RunUpdate::Ended { job_task: (number, at), end, measured } => {
-                    if let Some(measured) = measured {
-                        self.record_run(number, at, end, measured);
+                    self.record_run(number, at, end, measured);
+                    if end == End::Interrupted {
+                        self.report_interruption(number, at, InterruptionEvidence::Reported);
                     }
                     self.task_ended(now, number, at, end);
                 }
+                RunUpdate::Interrupted { job_task: (number, at), evidence } => {
+                    self.report_interruption(number, at, evidence);
+                    self.task_ended(now, number, at, End::Interrupted);
+                }
                 RunUpdate::Stop { task, run } => {
                     if let Some(id) = id {
                         self.send_stop(id, &task, run);
@@ -199,6 +204,18 @@
         }
     }
 
+    /// Reports that the last run of a task has ended without a result.
+    pub(crate) fn report_interruption(
+        &mut self,
+        number: u64,
+        at: usize,
+        evidence: InterruptionEvidence,
+    ) {
+        let Some(job) = self.jobs.get(&number) else { return };
+        let (task, run, worker) = (job.name(at), job.tasks[at].run, job.tasks[at].worker.clone());
+        self.actions.push(Action::ReportInterruption(Interruption { task, run, worker, evidence }));
+    }
+
     fn task_ended(&mut self, now: Millis, number: u64, at: usize, end: End) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         match end {
--- a/crates/pool/src/run.rs
+++ b/crates/pool/src/run.rs
@@ -6,6 +6,7 @@
 use dispatch::clock::Millis;
 
 use crate::call::End;
+use crate::job::TaskName;
 use crate::resources::Resources;
 
 /// State of a run that this daemon started.
@@ -21,6 +22,47 @@
     Stopping,
 }
 
+/// What showed that a run has ended without a result, so that its task may start again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InterruptionEvidence {
+    /// The worker reported the end.
+    Reported,
+    /// The worker's report lacks the run.
+    Absent,
+    /// The worker left polls unanswered until its lease expired.
+    LeaseExpired,
+    /// Another worker's process has the address.
+    OtherInstance,
+    /// The run of a previous owner was not found until its lease expired.
+    NotFound,
+}
+
+impl InterruptionEvidence {
+    /// Returns the name under which the evidence is logged.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Reported => "reported",
+            Self::Absent => "absent",
+            Self::LeaseExpired => "lease_expired",
+            Self::OtherInstance => "other_lifetime",
+            Self::NotFound => "not_found",
+        }
+    }
+}
+
+/// A run that ended without a result, so that its task may start again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Interruption {
+    /// The task.
+    pub task: TaskName,
+    /// Number of the start; zero if it is not known.
+    pub run: u32,
+    /// Worker of the run; `None` if it is not known.
+    pub worker: Option<Rc<str>>,
+    /// What showed the end.
+    pub evidence: InterruptionEvidence,
+}
+
 /// Estimate to which the duration of a run applies.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Timing {
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -13,7 +13,7 @@
 use crate::loss::{LossCause, LostRun, ProcessChange, ProcessEvidence, WorkerLife, WorkerLoss};
 use crate::ramp::Presence;
 use crate::resources::Resources;
-use crate::run::{Measurement, OrphanedRun, Run, RunState, Timing};
+use crate::run::{InterruptionEvidence, Measurement, OrphanedRun, Run, RunState, Timing};
 use crate::speed::Speed;
 use crate::worker_clock::{ClockReading, longest_span_ms, max_drift_ms};
 
@@ -72,8 +72,15 @@
         job_task: (u64, usize),
         /// Result of the run.
         end: End,
-        /// Duration of the run, unless it was interrupted.
-        measured: Option<Measurement>,
+        /// Duration of the run.
+        measured: Measurement,
+    },
+    /// A run is known to have ended without a report of its end.
+    Interrupted {
+        /// The job's number and the index of the task in the job.
+        job_task: (u64, usize),
+        /// What showed the end.
+        evidence: InterruptionEvidence,
     },
     /// A stop has to be sent for a run, for the first time or again.
     Stop {
@@ -500,7 +507,8 @@
         let loss = self.report_loss(LossCause::Silent);
         let expired = self.runs.values_mut().filter_map(|run| {
             let job_task = run.task_ref.take()?;
-            Some(RunUpdate::Ended { job_task, end: End::Interrupted, measured: None })
+            let evidence = InterruptionEvidence::LeaseExpired;
+            Some(RunUpdate::Interrupted { job_task, evidence })
         });
         loss.into_iter().chain(expired).collect()
     }
@@ -696,7 +704,7 @@
                 let Some(run) = self.remove(task) else { continue };
                 let Some(job_task) = run.task_ref else { continue };
                 changes.extend(self.record_run(job_task.0, ended.end, &run, now));
-                let measured = Some(self.measure(&run, now));
+                let measured = self.measure(&run, now);
                 changes.push(RunUpdate::Ended { job_task, end: ended.end, measured });
             } else {
                 let orphan = OrphanedRun { run: ended.run, end: Some(ended.end), seen_at: now };
@@ -732,7 +740,8 @@
         for name in names {
             let Some(run) = self.remove(&name) else { continue };
             let Some(job_task) = run.task_ref else { continue };
-            changes.push(RunUpdate::Ended { job_task, end: End::Interrupted, measured: None });
+            let evidence = InterruptionEvidence::Absent;
+            changes.push(RunUpdate::Interrupted { job_task, evidence });
         }
         changes
     }
@@ -828,7 +837,8 @@
         let mut changes: Vec<RunUpdate> = change.into_iter().chain(loss).collect();
         for task in ended {
             let Some(job_task) = self.remove(&task).and_then(|run| run.task_ref) else { continue };
-            changes.push(RunUpdate::Ended { job_task, end: End::Interrupted, measured: None });
+            let evidence = InterruptionEvidence::OtherInstance;
+            changes.push(RunUpdate::Interrupted { job_task, evidence });
         }
         self.orphaned_runs.clear();
         changes.extend(self.record_unanswered_poll(now));
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -246,6 +246,7 @@
                 | Action::ReportReturn(_)
                 | Action::ReportProcess(_)
                 | Action::ReportOrphan(..)
+                | Action::ReportInterruption(_)
                 | Action::ReportRamp(_)
                 | Action::ReportSlow(_)
                 | Action::ReportDisplaced(_) => {}
--- a/crates/pool/tests/support/fleet.rs
+++ b/crates/pool/tests/support/fleet.rs
@@ -226,6 +226,7 @@
             | Action::ReportReturn(_)
             | Action::ReportProcess(_)
             | Action::ReportOrphan(..)
+            | Action::ReportInterruption(_)
             | Action::ReportSlow(_)
             | Action::ReportDisplaced(_) => {}
         }
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -602,6 +602,7 @@
                 }
                 Action::ReportProcess(_)
                 | Action::ReportOrphan(..)
+                | Action::ReportInterruption(_)
                 | Action::ReportRamp(_)
                 | Action::ReportSlow(_)
                 | Action::ReportDisplaced(_) => {}
--- a/crates/pool/tests/warm_up.rs
+++ b/crates/pool/tests/warm_up.rs
@@ -52,6 +52,7 @@
             | Action::ReportReturn(_)
             | Action::ReportProcess(_)
             | Action::ReportOrphan(..)
+            | Action::ReportInterruption(_)
             | Action::ReportRamp(_)
             | Action::ReportSlow(_)
             | Action::ReportDisplaced(_) => {}
