End runs that nobody waits for before their caller resends, whatever stops are lost

Callers saw a task run twice at the same time (TWICE). A run whose caller had gone, or that a new owner found and no job adopted, ended by a stop alone. A lost stop was repeated only when a poll returned, while each poll renewed the lease of all runs of the worker. 1,300 ms after the caller got no answer its next request started the task elsewhere.

A run that nobody waits for is now renewed for 200 ms at most. After that its worker gets neither a renewal nor a start until a stop is confirmed or a report lacks the run, so that it ends within 200 + 938 ms by its lease alone. Stops are repeated at half of the time-out of a call, so that the other runs of the worker seldom pay for it. The same holds at once for runs that no job adopted.

--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -162,6 +162,7 @@
         RunState::Running => "running",
         RunState::InDoubt => "in_doubt",
         RunState::Stopping => "stopping",
+        RunState::Stopped => "stopped",
     };
     let runs = worker.runs.iter();
     WorkerDump {
--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -66,6 +66,7 @@
                         route: Rc::clone(&job.terms.route),
                         is_suspect: task.is_suspect,
                         addr: worker.entry.addr,
+                        abandoned_at: None,
                         resources: step.task_resources,
                         state: RunState::Running,
                         since: orphan.seen_at,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -342,6 +342,7 @@
         }
         self.drop_remote_jobs_after_stall(now);
         self.expire_leases(now);
+        self.repeat_stops(now);
         self.resolve_in_doubt(now);
         self.abort_evacuated_jobs(now);
         self.update_warm_up(now);
@@ -382,6 +383,25 @@
         }
     }
 
+    /// Repeats the stops that no worker has confirmed.
+    fn repeat_stops(&mut self, now: Millis) {
+        let interval_ms = self.stop_interval_ms();
+        let mut stops = Vec::new();
+        for (id, worker) in &mut self.workers {
+            let due = worker.take_due_stops(now, interval_ms);
+            stops.extend(due.into_iter().map(|(task, run)| (Rc::clone(id), task, run)));
+        }
+        for (id, task, run) in stops {
+            self.send_stop(&id, &task, run);
+        }
+    }
+
+    /// Returns the interval at which an unconfirmed stop is repeated, in milliseconds: less than the
+    /// time-out of a call, since a run that nobody waits for must end before its caller resends.
+    fn stop_interval_ms(&self) -> u64 {
+        self.round_trip.timeout_ms() / 2
+    }
+
     /// Gives up the cell. Every job returns to its submitter as [`Outcome::Moved`], and no
     /// further start is sent.
     pub fn relinquish(&mut self) {
@@ -434,6 +454,11 @@
             .chain(ends)
             .chain(in_doubt_ends)
             .chain(self.workers.values().filter_map(Worker::next_expiry))
+            .chain(
+                self.workers
+                    .values()
+                    .filter_map(|worker| worker.next_stop_at(self.stop_interval_ms())),
+            )
             .chain(self.warm_up_limit())
             .chain(self.next_start_change(now))
             .chain(self.ramp.map(|ramp| ramp.next_due()))
@@ -529,6 +554,7 @@
                 route: Rc::clone(&job.terms.route),
                 is_suspect: task.is_suspect,
                 addr: worker.entry.addr,
+                abandoned_at: None,
                 resources: step.task_resources,
                 state: RunState::Starting,
                 since: now,
@@ -616,11 +642,14 @@
                 if run.task_ref.is_none_or(|(job, _)| job != number) {
                     continue;
                 }
-                run.task_ref = None;
-                stops.push((Rc::clone(id), name.clone(), run.run));
-                let may_still_begin = matches!(run.state, RunState::Starting | RunState::InDoubt);
-                run.state = if may_still_begin { RunState::InDoubt } else { RunState::Stopping };
+                run.abandon(now);
+                run.state = match run.state {
+                    RunState::Starting | RunState::InDoubt => RunState::InDoubt,
+                    RunState::Running | RunState::Stopping => RunState::Stopping,
+                    RunState::Stopped => continue,
+                };
                 run.since = now;
+                stops.push((Rc::clone(id), name.clone(), run.run));
             }
         }
         for (id, name, run) in stops {
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -68,7 +68,7 @@
                 if let Some(run) = worker.runs.get_mut(&call.task)
                     && run.run == call.run
                 {
-                    run.state = RunState::Stopping;
+                    run.state = RunState::Stopped;
                     run.since = now;
                 }
                 worker.poll_no_later_than(now.plus(POLL_AFTER_STOP_MS));
--- a/crates/pool/src/run.rs
+++ b/crates/pool/src/run.rs
@@ -18,8 +18,10 @@
     Running,
     /// Neither the start nor a stop has been confirmed so far; the run may still begin.
     InDoubt,
-    /// The run is being stopped and can no longer begin.
+    /// A stop was sent for a run that had begun, and has not been confirmed.
     Stopping,
+    /// The worker confirmed a stop: the run ends within moments and can no longer begin.
+    Stopped,
 }
 
 /// What showed that a run has ended without a result, so that its task may start again.
@@ -104,6 +106,8 @@
     pub is_suspect: bool,
     /// Address that the start was sent to.
     pub addr: SocketAddr,
+    /// Since when nobody waits for the run.
+    pub abandoned_at: Option<Millis>,
     /// Resources that the run occupies on the worker.
     pub resources: Resources,
     /// State as last reported by the worker or requested by this daemon.
@@ -125,6 +129,18 @@
 const MIN_PROGRESS_PERCENT: u32 = 5;
 
 impl Run {
+    /// Whether nobody waits for the run, and it may go on or begin because no stop is confirmed.
+    pub(crate) fn is_unstopped(&self) -> bool {
+        self.abandoned_at.is_some() && self.state != RunState::Stopped
+    }
+
+    /// Stops waiting for the run, if anybody did.
+    pub(crate) fn abandon(&mut self, now: Millis) -> Option<(u64, usize)> {
+        let task_ref = self.task_ref.take()?;
+        self.abandoned_at = Some(now);
+        Some(task_ref)
+    }
+
     /// Updates the expected end of the run from its progress.
     pub(crate) fn update_progress(&mut self, percent: u32, now: Millis) {
         if percent >= MIN_PROGRESS_PERCENT {
@@ -158,4 +174,6 @@
     pub end: Option<End>,
     /// Time at which this daemon first saw the run, or its end.
     pub seen_at: Millis,
+    /// When a stop was sent last; `None` if none was sent.
+    pub stop_sent_at: Option<Millis>,
 }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -42,9 +42,15 @@
 /// Minimum interval between two polls of a worker, in milliseconds, so that one poll returns
 /// several ended runs.
 pub const MIN_POLL_INTERVAL_MS: u64 = 4;
-/// Backoff step before an unanswered poll is repeated, and the interval after which a stop of the
-/// same run is repeated, in milliseconds.
+/// Backoff step before an unanswered poll is repeated, in milliseconds.
 const POLL_RETRY_MS: u64 = 150;
+/// Interval after which a stop is repeated whose run has not ended although it was confirmed, or
+/// whose run this owner does not know, in milliseconds.
+const STOP_RETRY_MS: u64 = 150;
+/// How long a run that nobody waits for is renewed with the others of its worker, in milliseconds.
+/// This time and a lease together end before a caller resends its request, also where the owner has
+/// learned late that the caller has gone.
+const ABANDONED_RENEWAL_MS: u64 = 200;
 /// How long a start without a reply may still be carried out, in milliseconds.
 const LATE_START_MS: u64 = 12_000;
 /// Interval between two polls of an idle worker, in milliseconds. It keeps the reading of the worker's
@@ -270,13 +276,19 @@
             && self.unanswered_polls == 0
             && self.process_doubted_at.is_none()
             && now >= self.paused_until
-            && !self.has_orphaned_runs()
+            && !self.has_unwanted_runs(now)
     }
 
-    /// Whether runs of a previous owner are still active. A start would extend their lease, since
-    /// the lease covers all runs of a worker.
-    fn has_orphaned_runs(&self) -> bool {
+    /// Whether runs may go on that nobody waits for: those of a previous owner that no job has
+    /// adopted, and those that stops have not ended in time. Neither a renewal nor a start is sent
+    /// then, since both extend the lease of all runs of a worker.
+    fn has_unwanted_runs(&self, now: Millis) -> bool {
+        let is_overdue = |run: &Run| {
+            run.is_unstopped()
+                && run.abandoned_at.is_some_and(|at| now.since(at) >= ABANDONED_RENEWAL_MS)
+        };
         self.orphaned_runs.values().any(|orphan| orphan.end.is_none())
+            || self.runs.values().any(is_overdue)
     }
 
     /// Whether the worker can get new tasks once it has replied to a poll and no pause is in force.
@@ -380,8 +392,13 @@
     /// Renews the lease of the worker's runs, if there are any. Returns the new expiry on the worker's
     /// clock. The lease of a worker that left the last poll unanswered, or whose clock may be that of
     /// another process, is not renewed, so that the time by which its runs have ended is known here.
+    /// Neither is one that would keep runs alive that nobody waits for.
     pub fn renew_lease(&mut self, now: Millis) -> Option<u64> {
-        if self.runs.is_empty() || self.unanswered_polls > 0 || self.is_clock_doubted() {
+        if self.runs.is_empty()
+            || self.unanswered_polls > 0
+            || self.is_clock_doubted()
+            || self.has_unwanted_runs(now)
+        {
             return None;
         }
         let lease_until_ms = self.lease_expiry_at(now)?;
@@ -408,6 +425,11 @@
         }
         let lease_ms = self.shortest_lease_ms(now);
         let longest_ms = lease_ms.saturating_sub(RENEWAL_MARGIN_MS + 2 * timeout_ms);
+        let longest_ms = if self.has_unwanted_runs(now) {
+            longest_ms.min(POLL_WAIT_SLACK_MS)
+        } else {
+            longest_ms
+        };
         let slowdown = self.slowdown();
         let first_end_ms = self.runs.values().map(|run| run.remaining_ms(slowdown, now)).min();
         first_end_ms.map_or(0, |left_ms| {
@@ -467,7 +489,8 @@
             task: task.clone(),
             run: run.run,
             route: Rc::clone(&run.route),
-            was_active: run.state != RunState::Stopping && !self.was_silent,
+            was_active: !matches!(run.state, RunState::Stopping | RunState::Stopped)
+                && !self.was_silent,
         };
         let lost = self.runs.iter().filter(|(_, run)| run.state != RunState::Starting);
         let lost = lost.filter(|(task, run)| has_ended(task, run));
@@ -506,7 +529,7 @@
         }
         let loss = self.report_loss(LossCause::Silent);
         let expired = self.runs.values_mut().filter_map(|run| {
-            let job_task = run.task_ref.take()?;
+            let job_task = run.abandon(now)?;
             let evidence = InterruptionEvidence::LeaseExpired;
             Some(RunUpdate::Interrupted { job_task, evidence })
         });
@@ -642,7 +665,6 @@
         changes.extend(self.apply_ended(now, report));
         changes.extend(self.apply_missing(sent_at, report));
         changes.extend(self.apply_running(now, report));
-        changes.extend(self.repeat_unconfirmed_stops(now));
         self.orphaned_runs.retain(|_, orphan| {
             orphan.end.is_none() || now.since(orphan.seen_at) < ADOPTION_WINDOW_MS
         });
@@ -707,7 +729,12 @@
                 let measured = self.measure(&run, now);
                 changes.push(RunUpdate::Ended { job_task, end: ended.end, measured });
             } else {
-                let orphan = OrphanedRun { run: ended.run, end: Some(ended.end), seen_at: now };
+                let orphan = OrphanedRun {
+                    run: ended.run,
+                    end: Some(ended.end),
+                    seen_at: now,
+                    stop_sent_at: None,
+                };
                 let known = self.orphaned_runs.entry(task.clone()).or_insert(orphan);
                 if known.run <= ended.run {
                     *known = orphan;
@@ -758,13 +785,14 @@
                     run.state = RunState::Running;
                     run.since = now;
                 }
-                if run.state == RunState::Stopping && now.since(run.since) > POLL_RETRY_MS {
+                if run.state == RunState::Stopped && now.since(run.since) >= STOP_RETRY_MS {
                     run.since = now;
                     changes.push(RunUpdate::Stop { task: task.clone(), run: run.run });
                 }
                 continue;
             }
-            let new_orphan = OrphanedRun { run: active.run, end: None, seen_at: now };
+            let new_orphan =
+                OrphanedRun { run: active.run, end: None, seen_at: now, stop_sent_at: None };
             if !self.orphaned_runs.contains_key(task) {
                 changes.push(RunUpdate::OrphanFound { task: task.clone(), run: active.run });
             }
@@ -776,7 +804,10 @@
                 .unanswered_starts
                 .iter()
                 .any(|(given_up, run, _)| given_up == task && *run == active.run);
-            if is_given_up || now.since(orphan.seen_at) >= ADOPTION_WINDOW_MS {
+            let may_stop = is_given_up || now.since(orphan.seen_at) >= ADOPTION_WINDOW_MS;
+            let is_repeat = orphan.stop_sent_at.is_some_and(|at| now.since(at) < STOP_RETRY_MS / 2);
+            if may_stop && !is_repeat {
+                orphan.stop_sent_at = Some(now);
                 changes.push(RunUpdate::Stop { task: task.clone(), run: active.run });
             }
         }
@@ -785,17 +816,34 @@
         changes
     }
 
-    /// Stops the runs again that may still begin, because neither their start nor their last stop was
-    /// confirmed. Their resources stay reserved until the worker has fenced them.
-    fn repeat_unconfirmed_stops(&mut self, now: Millis) -> Vec<RunUpdate> {
-        let mut changes = Vec::new();
-        for (task, run) in &mut self.runs {
-            if run.state == RunState::InDoubt && now.since(run.since) > POLL_RETRY_MS {
-                run.since = now;
-                changes.push(RunUpdate::Stop { task: task.clone(), run: run.run });
-            }
+    /// Whether the run's stop has to be repeated until the worker confirms it.
+    const fn awaits_stop(run: &Run) -> bool {
+        matches!(run.state, RunState::InDoubt | RunState::Stopping)
+    }
+
+    /// Returns the runs whose stop is due again, because it has not been confirmed for `interval_ms`.
+    /// Their resources stay reserved until the worker has fenced them. Nothing is sent to a worker
+    /// that leaves polls unanswered, whose runs end with their lease.
+    pub(crate) fn take_due_stops(&mut self, now: Millis, interval_ms: u64) -> Vec<(TaskName, u32)> {
+        if self.unanswered_polls > 0 {
+            return Vec::new();
         }
-        changes
+        let is_due = |run: &Run| Self::awaits_stop(run) && now.since(run.since) >= interval_ms;
+        let due = self.runs.iter_mut().filter(|(_, run)| is_due(run));
+        due.map(|(task, run)| {
+            run.since = now;
+            (task.clone(), run.run)
+        })
+        .collect()
+    }
+
+    /// Returns when the next stop is due again; `None` if none is.
+    pub(crate) fn next_stop_at(&self, interval_ms: u64) -> Option<Millis> {
+        if self.unanswered_polls > 0 {
+            return None;
+        }
+        let awaiting = self.runs.values().filter(|run| Self::awaits_stop(run));
+        awaiting.map(|run| run.since.plus(interval_ms)).min()
     }
 
     fn first_orphan_seen_at(&self) -> Option<Millis> {
--- a/crates/pool/tests/support/fleet.rs
+++ b/crates/pool/tests/support/fleet.rs
@@ -26,6 +26,8 @@
     pub workers: Vec<PoolWorker>,
     /// Until when each worker does not listen.
     pub down_until_ms: Vec<u64>,
+    /// Until when stops get no reply and are not carried out.
+    pub stops_lost_until_ms: u64,
     /// Factor on the run times of each worker.
     pub paces: Vec<f64>,
     /// Factor on the run time of the next task that starts on a worker.
@@ -58,6 +60,7 @@
                 .collect(),
             entries,
             down_until_ms: vec![0; workers],
+            stops_lost_until_ms: 0,
             paces: vec![1.0; workers],
             next_factor: BTreeMap::new(),
             end: End::Done,
@@ -205,6 +208,8 @@
                 let worker: usize = target.id.parse().unwrap();
                 let reply = if self.is_down(worker) {
                     StopReply::Refused(Refusal::NotListening)
+                } else if self.now_ms < self.stops_lost_until_ms {
+                    StopReply::Lost
                 } else {
                     self.workers[worker].stop(self.now_ms, &call)
                 };
