Settle starts without a reply by fencing tokens, and start no task that may still run

A start without a reply was stopped, and the stop repeated for 12 s at whatever process the worker had.

- The calls to one worker get a higher fencing token after a start without a reply.
The next poll that it answers settles all starts before: what it lists goes on, with its work kept, and what it lacks never begins.
Tokens consist of generation, step and order; a handover within a step continues above all orders of the previous owner.
- Such a start is not taken for over by the lapse of a lease alone, since the worker's next process may still carry it out.
- One part answers whether a run of a task may be active or may still begin (Worker::may_run), and no task starts before.
A run of a dropped job, or one that a new owner finds, thus holds a second start back within the cell.
A run that its job has no use for is stopped at once.
- A worker to which a start may still be on its way is polled every 200 ms, so that its next process is fenced soon.
- A next owner counts with the longest lease of an unknown process, 1,040 ms instead of 938.

--- a/crates/entry/src/delegation.rs
+++ b/crates/entry/src/delegation.rs
@@ -483,13 +483,12 @@
     /// holder's.
     fn continue_as_delegate(self: &Rc<Self>, cell: &Cell, token: u64, holder: SocketAddr) {
         self.extend_handover(cell);
-        let now = self.now();
         let before = {
             let mut owned = self.owned.borrow_mut();
             let Some(owned) = owned.get_mut(cell) else { return };
             let before = owned.pool.token();
             owned.holder = Some(holder);
-            owned.pool.raise_token(now, token);
+            owned.pool.raise_token(token);
             before
         };
         if before < token {
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -57,7 +57,8 @@
                 Some((cell.clone(), owned.pool.token(), owned.holder?))
             };
             let delegated: Vec<_> = owned.iter().filter_map(delegated).collect();
-            let owned = owned.iter().map(|(cell, owned)| (cell.clone(), owned.pool.token()));
+            let owned =
+                owned.iter().map(|(cell, owned)| (cell.clone(), owned.pool.handover_token()));
             (owned.collect::<Vec<(Cell, u64)>>(), delegated)
         };
         for (cell, _) in &owned {
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -381,8 +381,8 @@
         }
     }
 
-    /// Takes over a cell from a daemon that shuts down and cannot reach the store. The fencing
-    /// token stays the same, because the previous owner sends no further orders to workers.
+    /// Takes over a cell from a daemon that shuts down and cannot reach the store, in the same step
+    /// of the generation but under a higher token than its orders had.
     pub fn accept_handover(self: &Rc<Self>, cell: Cell, token: u64) -> Reply {
         if !self.can_take_over(&cell, token) {
             return Reply::NotOwner;
--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -10,19 +10,20 @@
 use dispatch::clock::Millis;
 
 use crate::call::End;
-use crate::job::{Job, PreviousOwner, TaskState};
+use crate::job::{Job, PreviousOwner, TaskName, TaskState};
 use crate::pool::{LINK_TIMEOUT_MS, Pool};
 use crate::run::{InterruptionEvidence, Run, RunState, Timing};
-use crate::worker::LEASE_BOUND_MS;
+use crate::worker::MAX_LEASE_BOUND_MS;
 
 /// Returns how long runs of the previous owner can continue without being found, in
 /// milliseconds. An owner that stopped responding may still start runs until it notices the
-/// broken link, which takes up to [`LINK_TIMEOUT_MS`].
+/// broken link, which takes up to [`LINK_TIMEOUT_MS`]. Its last start may have reached a process of the
+/// worker that it did not know, which shortens the lease to its maximum only.
 pub(crate) const fn in_doubt_ms(previous_owner: &PreviousOwner) -> u64 {
     match previous_owner {
         PreviousOwner::None => 0,
-        PreviousOwner::Reported(_) => LEASE_BOUND_MS,
-        PreviousOwner::Unresponsive => LEASE_BOUND_MS + LINK_TIMEOUT_MS,
+        PreviousOwner::Reported(_) => MAX_LEASE_BOUND_MS,
+        PreviousOwner::Unresponsive => MAX_LEASE_BOUND_MS + LINK_TIMEOUT_MS,
     }
 }
 
@@ -65,6 +66,7 @@
                         run: orphan.run,
                         route: Rc::clone(&job.terms.route),
                         is_suspect: task.is_suspect,
+                        token: worker.token,
                         addr: worker.entry.addr,
                         abandoned_at: None,
                         resources: step.task_resources,
@@ -95,6 +97,26 @@
         }
     }
 
+    /// Adopts a run that has just been found, if its job waits for the task to start, and stops it at
+    /// once if the job has no use for it.
+    pub(crate) fn claim_orphan(
+        &mut self,
+        now: Millis,
+        id: Option<&str>,
+        name: &TaskName,
+        run: u32,
+    ) {
+        let Some(number) = self.by_id.get(&name.job).copied() else { return };
+        let Some(mut job) = self.jobs.remove(&number) else { return };
+        self.adopt_runs(number, &mut job);
+        self.jobs.insert(number, job);
+        let Some(id) = id else { return };
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.record_orphan_stop(name, now) {
+            self.send_stop(id, name, run);
+        }
+    }
+
     /// Searches for the runs of tasks in doubt. Tasks become pending again once no such run can
     /// be left.
     pub(crate) fn resolve_in_doubt(&mut self, now: Millis) {
--- a/crates/pool/src/call.rs
+++ b/crates/pool/src/call.rs
@@ -110,6 +110,11 @@
         self.running.iter().any(|active| active.task.as_ref() == Some(task))
     }
 
+    /// Returns whether the run of the task with this number has not ended.
+    pub fn lists_run(&self, task: &TaskName, run: u32) -> bool {
+        self.running.iter().any(|active| active.task.as_ref() == Some(task) && active.run == run)
+    }
+
     /// Returns whether the report contains a run of the task, active or ended.
     pub fn names(&self, task: &TaskName) -> bool {
         self.lists_running(task) || self.ended.iter().any(|ended| ended.task.as_ref() == Some(task))
--- a/crates/pool/src/failover.rs
+++ b/crates/pool/src/failover.rs
@@ -3,9 +3,8 @@
 //! A job that may have been started stays with its cell, because only the cell's next owner can
 //! find its runs. A job that has certainly not been started may go to any cell.
 
+use crate::adoption::in_doubt_ms;
 use crate::job::{Outcome, PreviousOwner, Reason};
-use crate::pool::LINK_TIMEOUT_MS;
-use crate::worker::LEASE_BOUND_MS;
 
 /// Result of submitting a job to the owner of a cell.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -59,7 +58,7 @@
 ) -> Option<Outcome> {
     let required_ms = match previous_owner {
         PreviousOwner::None | PreviousOwner::Reported(_) => 0,
-        PreviousOwner::Unresponsive => LEASE_BOUND_MS + LINK_TIMEOUT_MS + declared_ms,
+        PreviousOwner::Unresponsive => in_doubt_ms(previous_owner) + declared_ms,
     };
     (age_ms + required_ms >= limit_ms).then_some(Outcome::Aborted(Reason::NoOwner))
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -31,6 +31,7 @@
 use crate::run::{Interruption, Run, RunState, Timing};
 use crate::shedding::{Displacement, RouteDemand};
 use crate::speed::{Speed, WorkerSpeed};
+use crate::tokens::next_order;
 use crate::warm_up::WarmUp;
 use crate::worker::{RunUpdate, Worker};
 
@@ -97,14 +98,14 @@
 #[derive(Debug)]
 pub struct Pool {
     token: u64,
-    // When the token was raised last.
-    raised_at: Option<Millis>,
+    // Highest fencing token of any call to a worker.
+    pub(crate) last_token: u64,
     fenced: bool,
     pub(crate) workers: BTreeMap<Rc<str>, Worker>,
     pub(crate) jobs: HashMap<u64, Job>,
     // Maps submission numbers to job numbers. A job has the number of its first submission.
     watchers: HashMap<u64, u64>,
-    by_id: HashMap<Rc<str>, u64>,
+    pub(crate) by_id: HashMap<Rc<str>, u64>,
     // Numbers of the submissions that came from other daemons.
     remote_submissions: HashSet<u64>,
     last_advance_at: Option<Millis>,
@@ -132,7 +133,7 @@
     pub fn new(token: u64) -> Self {
         Self {
             token,
-            raised_at: None,
+            last_token: token,
             fenced: false,
             workers: BTreeMap::new(),
             jobs: HashMap::new(),
@@ -171,16 +172,20 @@
 
     /// Continues under a higher fencing token. Orders that were sent under the previous one may be
     /// refused as fenced from now on, which does not end this ownership.
-    pub fn raise_token(&mut self, now: Millis, token: u64) {
+    pub fn raise_token(&mut self, token: u64) {
         if token > self.token {
             self.token = token;
-            self.raised_at = Some(now);
+            self.last_token = self.last_token.max(token);
+            for worker in self.workers.values_mut() {
+                worker.token = self.last_token;
+            }
         }
     }
 
-    /// Whether a call that was sent at `sent_at` may have had a lower token than the present one.
-    pub(crate) fn is_before_raise(&self, sent_at: Millis) -> bool {
-        self.raised_at.is_some_and(|at| sent_at <= at)
+    /// Returns the fencing token for the next owner in the same step: higher than those of all calls
+    /// of this ownership, so that workers refuse the ones that are still on their way.
+    pub fn handover_token(&self) -> u64 {
+        next_order(self.last_token).unwrap_or(self.last_token)
     }
 
     /// Returns whether this pool has stopped, because a worker reported a later owner or the cell
@@ -224,7 +229,8 @@
         for (id, entry) in entries {
             match self.workers.get_mut(id) {
                 None => {
-                    let mut worker = Worker::new(Rc::clone(id), entry.clone(), now);
+                    let mut worker =
+                        Worker::new(Rc::clone(id), entry.clone(), self.last_token, now);
                     let departed = self.departed.get(id);
                     if departed
                         .is_some_and(|departed| departed.started_at_ms != entry.started_at_ms)
@@ -423,7 +429,7 @@
         let timeout_ms = self.round_trip.timeout_ms();
         let renewal_call = |(id, worker): (&Rc<str>, &mut Worker)| {
             let call = PollCall {
-                token: self.token,
+                token: worker.token,
                 lease_until_ms: Some(worker.renew_lease(now)?),
                 ack_cursor: worker.ack_cursor(),
                 wait_ms: 0,
@@ -524,6 +530,7 @@
             if task.state != TaskState::Pending
                 || !job.is_step_ready(task.step)
                 || task.is_suspect && is_given_up(job, &self.crashes, now)
+                || self.workers.values().any(|worker| worker.may_run(&job.name(task_index), now))
             {
                 continue;
             }
@@ -546,6 +553,7 @@
                 break;
             };
             let Some(worker) = self.workers.get_mut(&id) else { break };
+            let token = worker.token;
             let Some(lease_until_ms) = worker.lease_expiry_at(now) else { break };
             let name = job.name(task_index);
             let run = Run {
@@ -553,6 +561,7 @@
                 run: task.run.saturating_add(1),
                 route: Rc::clone(&job.terms.route),
                 is_suspect: task.is_suspect,
+                token,
                 addr: worker.entry.addr,
                 abandoned_at: None,
                 resources: step.task_resources,
@@ -568,7 +577,7 @@
                 run: run.run,
                 spec: Rc::clone(&job.spec.payload),
                 lease_until_ms,
-                token: self.token,
+                token,
             };
             let target = worker.target(&id, self.round_trip.timeout_ms());
             self.actions.push(Action::Start(target, call));
@@ -590,7 +599,7 @@
             let lease_until_ms = worker.begin_poll(now);
             let wait_ms = worker.poll_wait_ms(timeout_ms, now);
             let call = PollCall {
-                token: self.token,
+                token: worker.token,
                 ack_cursor: worker.ack_cursor(),
                 lease_until_ms,
                 wait_ms,
@@ -659,7 +668,7 @@
 
     pub(crate) fn send_stop(&mut self, id: &str, task: &TaskName, run: u32) {
         let Some((id, worker)) = self.workers.get_key_value(id) else { return };
-        let call = StopCall { task: task.clone(), run, token: self.token };
+        let call = StopCall { task: task.clone(), run, token: worker.token };
         self.actions.push(Action::Stop(worker.target(id, self.round_trip.timeout_ms()), call));
     }
 }
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -13,6 +13,7 @@
 use crate::job::{Outcome, Reason, TaskState};
 use crate::pool::{Action, Pool};
 use crate::run::{Interruption, InterruptionEvidence, Measurement, RunState, Timing};
+use crate::tokens::next_order;
 use crate::worker::RunUpdate;
 
 /// Increment of the run number after a worker refused a start because it knows a higher one, for
@@ -39,9 +40,10 @@
         }
         match reply {
             StartReply::Started { clock_ms } => {
-                if run.state == RunState::Starting {
-                    run.state = RunState::Running;
-                    run.since = now;
+                match run.state {
+                    RunState::Starting => (run.state, run.since) = (RunState::Running, now),
+                    RunState::InDoubt => run.state = RunState::Stopping,
+                    RunState::Running | RunState::Stopping | RunState::Stopped => {}
                 }
                 let first_poll_ms = (run.expected_ms as f64 * FIRST_POLL_FRACTION) as u64;
                 let sent_at = run.sent_at;
@@ -51,18 +53,35 @@
             StartReply::Lost => {
                 run.state = RunState::InDoubt;
                 run.since = now;
+                let has_overtaken = run.token < worker.token;
                 worker.record_unanswered_start(&call.task, call.run, now);
-                self.send_stop(id, &call.task, call.run);
+                worker.poll_no_later_than(now);
+                if !has_overtaken && !self.raise_worker_token(id) {
+                    self.send_stop(id, &call.task, call.run);
+                }
             }
             StartReply::Refused(refusal) => self.start_refused(now, id, call, refusal),
         }
         self.advance(now);
     }
 
+    /// Gives the calls to a worker a higher fencing token from now on, so that the next one that the
+    /// worker answers settles all starts before it: what is not listed then never begins. Returns
+    /// whether there was a token left.
+    fn raise_worker_token(&mut self, id: &str) -> bool {
+        let (Some(worker), Some(token)) = (self.workers.get_mut(id), next_order(self.last_token))
+        else {
+            return false;
+        };
+        self.last_token = token;
+        worker.token = token;
+        true
+    }
+
     /// Handles the reply to a stop.
     pub fn stop_reply(&mut self, now: Millis, id: &str, call: &StopCall, reply: StopReply) {
-        let is_before_raise = call.token < self.token();
         let Some(worker) = self.workers.get_mut(id) else { return };
+        let is_overtaken = call.token < worker.token;
         match reply {
             StopReply::Stopped => {
                 if let Some(run) = worker.runs.get_mut(&call.task)
@@ -73,7 +92,7 @@
                 }
                 worker.poll_no_later_than(now.plus(POLL_AFTER_STOP_MS));
             }
-            StopReply::Refused(Refusal::Fenced) if is_before_raise => {
+            StopReply::Refused(Refusal::Fenced) if is_overtaken => {
                 self.send_stop(id, &call.task, call.run);
             }
             StopReply::Refused(Refusal::Fenced) => self.relinquish(),
@@ -86,14 +105,14 @@
 
     /// Handles the reply to a poll that was sent at `sent_at`.
     pub fn poll_reply(&mut self, now: Millis, id: &str, sent_at: Millis, reply: &PollReply) {
-        let is_before_raise = self.is_before_raise(sent_at);
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.is_newer_than(sent_at) {
             return;
         }
+        let is_overtaken = worker.polled_token < worker.token;
         let changes = match reply {
             PollReply::Report(report) => worker.apply_report(now, sent_at, report),
-            PollReply::Refused(Refusal::Fenced) if is_before_raise => {
+            PollReply::Refused(Refusal::Fenced) if is_overtaken => {
                 worker.repeat_poll(now);
                 Vec::new()
             }
@@ -111,11 +130,11 @@
     }
 
     fn start_refused(&mut self, now: Millis, id: &str, call: &StartCall, refusal: Refusal) {
-        if refusal == Refusal::Fenced && call.token >= self.token() {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if refusal == Refusal::Fenced && call.token >= worker.token {
             self.relinquish();
             return;
         }
-        let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(run) = worker.remove(&call.task) else { return };
         match refusal {
             Refusal::NoCapacity | Refusal::LeaseExpired => worker.recheck_capacity(now),
@@ -175,8 +194,10 @@
                 }
                 RunUpdate::OrphanFound { task, run } => {
                     if let Some((id, _)) = id.and_then(|id| self.workers.get_key_value(id)) {
-                        self.actions.push(Action::ReportOrphan(Rc::clone(id), task, run));
+                        let report = Action::ReportOrphan(Rc::clone(id), task.clone(), run);
+                        self.actions.push(report);
                     }
+                    self.claim_orphan(now, id, &task, run);
                 }
             }
         }
--- a/crates/pool/src/run.rs
+++ b/crates/pool/src/run.rs
@@ -16,7 +16,8 @@
     Starting,
     /// The worker confirmed the start.
     Running,
-    /// Neither the start nor a stop has been confirmed so far; the run may still begin.
+    /// The start got no reply. The run may have begun or may still begin, until a poll with a higher
+    /// fencing token has been answered or a stop has been confirmed.
     InDoubt,
     /// A stop was sent for a run that had begun, and has not been confirmed.
     Stopping,
@@ -104,6 +105,8 @@
     pub route: Rc<str>,
     /// Whether a worker has crashed under the task before, so that no other job may share this one.
     pub is_suspect: bool,
+    /// Fencing token of the start.
+    pub token: u64,
     /// Address that the start was sent to.
     pub addr: SocketAddr,
     /// Since when nobody waits for the run.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -27,7 +27,7 @@
 /// whose expiry was computed from another process's clock may last that long from its arrival.
 const MAX_LEASE_MS: u64 = 1_000;
 /// Upper bound on a lease of [`MAX_LEASE_MS`] as measured by the owner's clock, in milliseconds.
-const MAX_LEASE_BOUND_MS: u64 = longest_span_ms(MAX_LEASE_MS);
+pub const MAX_LEASE_BOUND_MS: u64 = longest_span_ms(MAX_LEASE_MS);
 /// How long before its expiry a lease is renewed, in milliseconds.
 pub const RENEW_AHEAD_MS: u64 = 500;
 /// Longest time that a poll may wait at the worker for a run to end, in milliseconds. Less than
@@ -44,6 +44,8 @@
 pub const MIN_POLL_INTERVAL_MS: u64 = 4;
 /// Backoff step before an unanswered poll is repeated, in milliseconds.
 const POLL_RETRY_MS: u64 = 150;
+/// Number of backoff steps after which unanswered polls are repeated at a constant interval.
+const MAX_POLL_RETRY_STEPS: u32 = 8;
 /// Interval after which a stop is repeated whose run has not ended although it was confirmed, or
 /// whose run this owner does not know, in milliseconds.
 const STOP_RETRY_MS: u64 = 150;
@@ -53,6 +55,9 @@
 const ABANDONED_RENEWAL_MS: u64 = 200;
 /// How long a start without a reply may still be carried out, in milliseconds.
 const LATE_START_MS: u64 = 12_000;
+/// Interval between two polls of an idle worker to which a start may still be on its way, in
+/// milliseconds. The first poll fences the worker's next process.
+const LATE_START_POLL_INTERVAL_MS: u64 = 200;
 /// Interval between two polls of an idle worker, in milliseconds. It keeps the reading of the worker's
 /// clock recent, and with it the lease of the next start close to [`LEASE_MS`].
 const IDLE_POLL_INTERVAL_MS: u64 = 10_000;
@@ -69,6 +74,11 @@
 /// Consecutive failed runs, of different jobs, after which a worker counts as unhealthy.
 const MAX_CONSECUTIVE_FAILURES: u32 = 3;
 
+/// Whether a start that got no reply may still be carried out.
+const fn may_begin(run: &Run, now: Millis) -> bool {
+    now.since(run.sent_at) < LATE_START_MS
+}
+
 /// A consequence of a worker's report, or of a missing one, for the runs of jobs.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RunUpdate {
@@ -132,6 +142,10 @@
     /// Starts without a reply in the last [`LATE_START_MS`], with the time at which they were given up.
     /// The next process of the worker has neither their fences nor the clock of their expiry.
     unanswered_starts: Vec<(TaskName, u32, Millis)>,
+    /// Fencing token of the next call.
+    pub(crate) token: u64,
+    /// Fencing token of the last poll.
+    pub(crate) polled_token: u64,
     /// Latest time, on this daemon's clock, at which a run can still be active without a renewal.
     pub lease_bound: Millis,
     /// When the next poll is due; `None` when there is nothing to poll for.
@@ -172,8 +186,9 @@
 }
 
 impl Worker {
-    /// Creates a worker that has to be polled before tasks are sent to it.
-    pub fn new(id: Rc<str>, entry: WorkerEntry, now: Millis) -> Self {
+    /// Creates a worker that has to be polled before tasks are sent to it. `token` is the fencing token
+    /// of the calls to it.
+    pub(crate) fn new(id: Rc<str>, entry: WorkerEntry, token: u64, now: Millis) -> Self {
         let polled_addr = entry.addr;
         let is_leaving = entry.state == WorkerState::Draining;
         let mut cold_start = ColdStart::default();
@@ -188,6 +203,8 @@
             runs: HashMap::new(),
             orphaned_runs: HashMap::new(),
             unanswered_starts: Vec::new(),
+            token,
+            polled_token: token,
             lease_bound: now,
             next_poll_at: Some(now),
             poll_sent_at: None,
@@ -314,7 +331,27 @@
     /// Returns whether runs of this daemon are active, or may be: those of a lost worker have ended
     /// with their lease.
     pub fn may_have_active_runs(&self, now: Millis) -> bool {
-        !(self.runs.is_empty() || self.is_lost() && now >= self.lease_bound)
+        let has_lapsed = self.is_lost() && now >= self.lease_bound;
+        let may_begin = |run: &Run| run.state == RunState::InDoubt && may_begin(run, now);
+        !(self.runs.is_empty() || has_lapsed) || self.runs.values().any(may_begin)
+    }
+
+    /// Returns whether a run of the task may be active on this worker, or may still begin. No other
+    /// run of the task starts before.
+    pub(crate) fn may_run(&self, task: &TaskName, now: Millis) -> bool {
+        let is_silent = self.unanswered_polls > 0;
+        let may_run = |run: &Run| match run.state {
+            RunState::InDoubt => may_begin(run, now),
+            RunState::Starting | RunState::Running | RunState::Stopping | RunState::Stopped => {
+                !is_silent || now < self.lease_bound
+            }
+        };
+        let is_active = |orphan: &OrphanedRun| {
+            let has_lapsed = is_silent && now.since(orphan.seen_at) >= MAX_LEASE_BOUND_MS;
+            orphan.end.is_none() && !has_lapsed
+        };
+        self.runs.get(task).is_some_and(may_run)
+            || self.orphaned_runs.get(task).is_some_and(is_active)
     }
 
     /// Returns whether a task of the route is, or may be, running on this worker.
@@ -383,6 +420,7 @@
     /// `None` if the lease is not to be renewed.
     pub fn begin_poll(&mut self, now: Millis) -> Option<u64> {
         self.poll_sent_at = Some(now);
+        self.polled_token = self.token;
         self.polled_addr = self.entry.addr;
         self.next_poll_at = None;
         self.acking = self.ack_cursor();
@@ -443,8 +481,9 @@
         self.poll_sent_at = None;
         self.presence.record_silence(now);
         self.unanswered_polls += 1;
-        self.next_poll_at =
-            Some(now.plus(POLL_RETRY_MS * u64::from((self.unanswered_polls - 1).min(8))));
+        let most_steps = if self.may_get_late_starts(now) { 1 } else { MAX_POLL_RETRY_STEPS };
+        let steps = u64::from((self.unanswered_polls - 1).min(most_steps));
+        self.next_poll_at = Some(now.plus(POLL_RETRY_MS * steps));
         self.expire_runs(now)
     }
 
@@ -517,18 +556,22 @@
     /// Returns when the lease of a worker that leaves polls unanswered expires, or `None` if no job
     /// waits for that.
     pub fn next_expiry(&self) -> Option<Millis> {
-        let is_awaited = self.runs.values().any(|run| run.task_ref.is_some());
+        let is_awaited =
+            self.runs.values().any(|run| run.task_ref.is_some() && run.state != RunState::InDoubt);
         (is_awaited && self.unanswered_polls > 0).then_some(self.lease_bound)
     }
 
     /// Returns the runs whose lease has certainly expired as interrupted, so that their tasks can
-    /// be restarted. Their resources stay reserved until a poll shows that they are free.
+    /// be restarted. Their resources stay reserved until a poll shows that they are free. A run whose
+    /// start got no reply may still begin at the worker's next process, and is kept until a poll has
+    /// settled it.
     pub fn expire_runs(&mut self, now: Millis) -> Vec<RunUpdate> {
         if now < self.lease_bound {
             return Vec::new();
         }
         let loss = self.report_loss(LossCause::Silent);
-        let expired = self.runs.values_mut().filter_map(|run| {
+        let has_expired = |run: &&mut Run| run.state != RunState::InDoubt || !may_begin(run, now);
+        let expired = self.runs.values_mut().filter(has_expired).filter_map(|run| {
             let job_task = run.abandon(now)?;
             let evidence = InterruptionEvidence::LeaseExpired;
             Some(RunUpdate::Interrupted { job_task, evidence })
@@ -696,11 +739,6 @@
             self.last_failed_job = None;
             self.paused_until = Millis(0);
             self.pause_ms = MIN_PAUSE_MS;
-            let stop = |(task, run, _): &(TaskName, u32, Millis)| RunUpdate::Stop {
-                task: task.clone(),
-                run: *run,
-            };
-            changes.extend(self.unanswered_starts.iter().map(stop));
         }
         if self.reported_loss.take().is_some() {
             changes.push(RunUpdate::WorkerReturned(self.life()));
@@ -755,12 +793,16 @@
         }
     }
 
-    /// Removes runs that the report lacks although they were confirmed before the poll was sent.
+    /// Removes runs that the report lacks although they were confirmed before the poll was sent, or
+    /// although the poll had a higher fencing token than their start, which can have no effect after it.
     fn apply_missing(&mut self, sent_at: Millis, report: &Report) -> Vec<RunUpdate> {
         let missing = |(name, run): (&TaskName, &Run)| {
-            let may_start = matches!(run.state, RunState::Starting | RunState::InDoubt);
-            let is_confirmed = !may_start && run.since < sent_at;
-            (is_confirmed && !report.lists_running(name)).then(|| name.clone())
+            let is_settled = match run.state {
+                RunState::Starting => false,
+                RunState::InDoubt => run.token < self.polled_token,
+                RunState::Running | RunState::Stopping | RunState::Stopped => run.since < sent_at,
+            };
+            (is_settled && !report.lists_run(name, run.run)).then(|| name.clone())
         };
         let names: Vec<TaskName> = self.runs.iter().filter_map(missing).collect();
         let mut changes = Vec::new();
@@ -777,17 +819,25 @@
         let mut changes = Vec::new();
         for active in &report.running {
             let Some(task) = &active.task else { continue };
-            if let Some(run) = self.runs.get_mut(task) {
-                if run.run == active.run {
-                    run.update_progress(active.percent, now);
-                }
-                if run.state == RunState::Starting && run.run == active.run {
-                    run.state = RunState::Running;
-                    run.since = now;
-                }
-                if run.state == RunState::Stopped && now.since(run.since) >= STOP_RETRY_MS {
-                    run.since = now;
-                    changes.push(RunUpdate::Stop { task: task.clone(), run: run.run });
+            if let Some(run) = self.runs.get_mut(task).filter(|run| run.run == active.run) {
+                run.update_progress(active.percent, now);
+                let is_wanted = run.abandoned_at.is_none();
+                match run.state {
+                    RunState::Starting | RunState::InDoubt if is_wanted => {
+                        (run.state, run.since) = (RunState::Running, now);
+                    }
+                    RunState::InDoubt => {
+                        (run.state, run.since) = (RunState::Stopping, now);
+                        changes.push(RunUpdate::Stop { task: task.clone(), run: run.run });
+                    }
+                    RunState::Stopped if now.since(run.since) >= STOP_RETRY_MS => {
+                        run.since = now;
+                        changes.push(RunUpdate::Stop { task: task.clone(), run: run.run });
+                    }
+                    RunState::Starting
+                    | RunState::Running
+                    | RunState::Stopping
+                    | RunState::Stopped => {}
                 }
                 continue;
             }
@@ -816,9 +866,24 @@
         changes
     }
 
+    /// Records that a stop is sent for an active run of a previous owner. Returns `false` if there is
+    /// no such run, or if one was sent already.
+    pub(crate) fn record_orphan_stop(&mut self, task: &TaskName, now: Millis) -> bool {
+        let orphan = self.orphaned_runs.get_mut(task).filter(|orphan| orphan.end.is_none());
+        let Some(orphan) = orphan.filter(|orphan| orphan.stop_sent_at.is_none()) else {
+            return false;
+        };
+        orphan.stop_sent_at = Some(now);
+        true
+    }
+
     /// Whether the run's stop has to be repeated until the worker confirms it.
-    const fn awaits_stop(run: &Run) -> bool {
-        matches!(run.state, RunState::InDoubt | RunState::Stopping)
+    const fn awaits_stop(&self, run: &Run) -> bool {
+        match run.state {
+            RunState::Stopping => true,
+            RunState::InDoubt => run.abandoned_at.is_some() || run.token >= self.token,
+            RunState::Starting | RunState::Running | RunState::Stopped => false,
+        }
     }
 
     /// Returns the runs whose stop is due again, because it has not been confirmed for `interval_ms`.
@@ -828,13 +893,15 @@
         if self.unanswered_polls > 0 {
             return Vec::new();
         }
-        let is_due = |run: &Run| Self::awaits_stop(run) && now.since(run.since) >= interval_ms;
-        let due = self.runs.iter_mut().filter(|(_, run)| is_due(run));
-        due.map(|(task, run)| {
-            run.since = now;
-            (task.clone(), run.run)
-        })
-        .collect()
+        let is_due = |run: &Run| self.awaits_stop(run) && now.since(run.since) >= interval_ms;
+        let due = self.runs.iter().filter(|(_, run)| is_due(run));
+        let due: Vec<(TaskName, u32)> = due.map(|(task, run)| (task.clone(), run.run)).collect();
+        for (task, _) in &due {
+            if let Some(run) = self.runs.get_mut(task) {
+                run.since = now;
+            }
+        }
+        due
     }
 
     /// Returns when the next stop is due again; `None` if none is.
@@ -842,10 +909,16 @@
         if self.unanswered_polls > 0 {
             return None;
         }
-        let awaiting = self.runs.values().filter(|run| Self::awaits_stop(run));
+        let awaiting = self.runs.values().filter(|run| self.awaits_stop(run));
         awaiting.map(|run| run.since.plus(interval_ms)).min()
     }
 
+    /// Whether a start that got no reply may still be carried out by a process of the worker that has
+    /// not been polled yet.
+    fn may_get_late_starts(&self, now: Millis) -> bool {
+        self.unanswered_starts.iter().any(|(.., at)| now.since(*at) < LATE_START_MS)
+    }
+
     fn first_orphan_seen_at(&self) -> Option<Millis> {
         let running = self.orphaned_runs.values().filter(|orphan| orphan.end.is_none());
         running.map(|orphan| orphan.seen_at).min()
@@ -854,12 +927,17 @@
     /// Schedules the next poll: soon if runs may end, late if ended runs only await acknowledgement or
     /// the worker is idle.
     fn schedule_poll(&mut self, now: Millis) {
-        self.next_poll_at = if self.process_doubted_at.is_some() {
+        let is_overtaken =
+            |run: &Run| run.state == RunState::InDoubt && run.token >= self.polled_token;
+        let awaits_fence = self.polled_token < self.token && self.runs.values().any(is_overtaken);
+        self.next_poll_at = if self.process_doubted_at.is_some() || awaits_fence {
             Some(now)
         } else if !self.runs.is_empty() {
             Some(now.plus(MIN_POLL_INTERVAL_MS))
         } else if let Some(seen_at) = self.first_orphan_seen_at() {
             Some(seen_at.plus(ADOPTION_WINDOW_MS).max(now.plus(MIN_POLL_INTERVAL_MS)))
+        } else if self.may_get_late_starts(now) {
+            Some(now.plus(LATE_START_POLL_INTERVAL_MS))
         } else if self.cursor > self.acked {
             Some(now.plus(ACK_DELAY_MS))
         } else {
--- a/crates/pool/tests/worker_processes.rs
+++ b/crates/pool/tests/worker_processes.rs
@@ -12,7 +12,8 @@
 };
 use pool::catalogue::{WorkerEntry, WorkerState};
 use pool::job::{Outcome, Placed, PreviousOwner, Progress};
-use pool::pool::{Action, Pool, Submission};
+use pool::pool::{Action, LINK_TIMEOUT_MS, Pool, Submission};
+use pool::tokens::first_token;
 use standins::pool_worker::{PoolWorker, Work};
 use support::{cores, entry, job, terms};
 
@@ -217,6 +218,47 @@
     assert_eq!(overlaps, Vec::<String>::new());
 }
 
+/// Guards against a next owner that counts with a shorter lease than the last start of the previous
+/// one may have: at a process that it did not know, the lease is shortened to its maximum only.
+#[test]
+fn no_task_starts_twice_after_an_owner_that_did_not_know_the_process() {
+    for previous_owner in ["reported", "unresponsive"] {
+        let mut pool = pool_with(0);
+        let mut b = PoolWorker::new(entry(0, 64).capacity, 0, 20);
+        let (id, call) = submit(&mut pool, 600);
+        let work = Work { resources: cores(27), duration_ms: 2_000, end: End::Done };
+        // An owner whose link is cut notices that after up to the link's time-out, and starts until then.
+        let started_ms = if previous_owner == "reported" { 601 } else { 600 + LINK_TIMEOUT_MS };
+        assert!(b.start(started_ms, &call, work).1);
+        let placed = Placed { task_index: 0, run: 1, worker: id };
+        let progress = Progress { placed: vec![placed], ..Progress::default() };
+        let mut pool = Pool::new(first_token(8));
+        set_entries(&mut pool, 600, Some((1, 100)));
+        pool.poll_reply(Millis(601), "1", Millis(600), &report(1, &[]));
+        let submission = Submission {
+            spec: job(ID, 1, 27, 200),
+            terms: terms("r", 2_000, 2),
+            age_ms: 0,
+            limit_ms: 9_000,
+            previous_owner: match previous_owner {
+                "reported" => PreviousOwner::Reported(progress),
+                _ => PreviousOwner::Unresponsive,
+            },
+            may_wait: true,
+            is_remote: false,
+        };
+        pool.submit(Millis(601), submission);
+        let is_start = |action: &Action| matches!(action, Action::Start(..));
+        let restarted_ms = (602..3_500).find(|now| {
+            pool.advance(Millis(*now));
+            pool.take_actions().iter().any(is_start)
+        });
+        let restarted_ms = restarted_ms.expect("the task starts elsewhere");
+        b.advance_to(restarted_ms);
+        assert!(b.active.is_empty(), "{previous_owner}: run 1 is on B at {restarted_ms} ms");
+    }
+}
+
 #[test]
 fn a_worker_whose_address_another_had_is_polled_again() {
     let mut pool = pool_with(0);
--- a/crates/standins/src/pool_worker.rs
+++ b/crates/standins/src/pool_worker.rs
@@ -10,6 +10,7 @@
 };
 use pool::job::TaskName;
 use pool::resources::Resources;
+use pool::tokens::step_of;
 
 /// A defect planted in a worker, to check that the test detects it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +19,8 @@
     Nothing,
     /// Carries out calls of previous owners, whose fencing token is outdated.
     IgnoresFencingTokens,
+    /// Carries out calls that a later call of the same owner has overtaken.
+    IgnoresOvertakenCalls,
     /// Continues its runs after the lease has expired.
     IgnoresLeases,
     /// Starts runs although a stop call or the end of a run has fenced their run number.
@@ -159,7 +162,13 @@
     /// Whether a call's fencing token is outdated; a newer token is remembered.
     fn has_outdated_token(&mut self, token: u64) -> bool {
         self.token = self.token.max(token);
-        token < self.token && self.defect != WorkerDefect::IgnoresFencingTokens
+        match self.defect {
+            WorkerDefect::IgnoresFencingTokens => false,
+            WorkerDefect::IgnoresOvertakenCalls => step_of(token) < step_of(self.token),
+            WorkerDefect::Nothing
+            | WorkerDefect::IgnoresLeases
+            | WorkerDefect::IgnoresFencedRuns => token < self.token,
+        }
     }
 
     /// Whether a call with a newer fencing token than `token` was received.
