Let the stand-in of a worker carry out starts and stops late

The stand-in could lose replies or all orders, but not what the platform's protocol allows: a call without a reply that is carried out seconds later, while polls are answered.

Behaviour::LateOrders leaves a share of the starts and stops without a reply and carries them out after a delay, in the process that received them only.

--- a/crates/standins/src/pool_worker_server.rs
+++ b/crates/standins/src/pool_worker_server.rs
@@ -34,6 +34,20 @@
     Unhealthy,
     /// Carries out orders and breaks the replies.
     LosesReplies,
+    /// Leaves a share of the starts and stops without a reply and carries them out later. Polls are
+    /// answered.
+    LateOrders(LateOrders),
+}
+
+/// Starts and stops that a worker carries out late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LateOrders {
+    /// Share of the starts and stops, in percent.
+    pub share_percent: u32,
+    /// Shortest delay, in milliseconds.
+    pub min_delay_ms: u64,
+    /// Longest delay, in milliseconds.
+    pub max_delay_ms: u64,
 }
 
 /// A worker served over HTTP in real time, with a record of the runs that it started.
@@ -180,12 +194,20 @@
         match self.behaviour.get() {
             Behaviour::Silent => std::future::pending().await,
             Behaviour::Unhealthy => return Response::text(503, ""),
-            Behaviour::Normal | Behaviour::LosesReplies => {}
+            Behaviour::Normal | Behaviour::LosesReplies | Behaviour::LateOrders(_) => {}
         }
         let body = request.body.as_deref().unwrap_or_default();
         let Some(order) = read_worker_call(&request.path, body) else {
             return render_refusal(Refusal::Unreadable, 0);
         };
+        if let Behaviour::LateOrders(late) = self.behaviour.get()
+            && !matches!(order, WorkerCall::Poll(_))
+            && rand::random_ratio(late.share_percent, 100)
+        {
+            let delay_ms = rand::random_range(late.min_delay_ms..=late.max_delay_ms);
+            actix_rt::spawn(self.execute_later(order, Duration::from_millis(delay_ms)));
+            return std::future::pending().await;
+        }
         let response = self.execute(order).await;
         if self.behaviour.get() == Behaviour::LosesReplies {
             Response::truncated()
@@ -194,6 +216,21 @@
         }
     }
 
+    /// Carries out an order after a delay, unless the process that received it has ended by then.
+    fn execute_later(
+        self: Rc<Self>,
+        order: WorkerCall,
+        delay: Duration,
+    ) -> impl Future<Output = ()> + 'static {
+        let receiver_started_at_ms = self.started_at_ms();
+        async move {
+            actix_rt::time::sleep(delay).await;
+            if !self.is_down.get() && self.started_at_ms() == receiver_started_at_ms {
+                self.execute(order).await;
+            }
+        }
+    }
+
     async fn execute(&self, order: WorkerCall) -> Response {
         let now_ms = self.now_ms();
         let clock_ms = self.worker.borrow().clock(now_ms);
