Play late starts and stops, and runs that outlast their callers, in the soak

Workers now leave 70 to 100% of their starts and stops without a reply for four to eight seconds and carry them out late, and three jobs in ten have a run of 6 s and a caller that waits 1,500 ms.

--- a/crates/soak/src/evacuations.rs
+++ b/crates/soak/src/evacuations.rs
@@ -3,7 +3,7 @@
 //! A daemon has to know once its link to the store has worked for the bound, and keeps the knowledge
 //! until its process ends. A process that starts later knows from the start, as it owns no cell
 //! before it has read the records. Daemons of other zones take a cell only after 5.5 s without any of
-//! its zone, which is longer than any fault.
+//! its zone, which is longer than any fault of a daemon or the store.
 
 use std::time::{Duration, Instant};
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,10 +1,12 @@
 //! Generates a random schedule of faults and injects them into an installation.
 
+use std::ops::{Range, RangeInclusive};
+
 use rand::Rng as _;
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
 use standins::metastore::StoreBehaviour;
-use standins::pool_worker_server::Behaviour;
+use standins::pool_worker_server::{Behaviour, LateOrders};
 
 use crate::cluster::{Cluster, Layout, Publication};
 use crate::proxy::Link;
@@ -53,6 +55,14 @@
 /// lasts without renewal, so that the cell goes from one to the other.
 const OWNER_END_INTERVAL_MS: u64 = 1_200;
 
+/// How long a worker carries out orders late, in milliseconds: for longer than the caller of a
+/// lasting run waits and delays its next request.
+const LATE_ORDERS_DURATION_MS: Range<u64> = 4_000..8_000;
+/// Share of a worker's starts and stops that it carries out late, in percent.
+const LATE_SHARE_PERCENT: RangeInclusive<u32> = 70..=100;
+/// Delays of orders that are carried out late, in milliseconds.
+const LATE_DELAY_MS: RangeInclusive<u64> = 300..=6_000;
+
 /// Generates the evacuations of a run: of one zone, and now and then of others too. They begin early
 /// and last until about the end of the other faults. Meanwhile the daemons of the zone are killed
 /// one after the other, so that the cell gets new owners.
@@ -91,7 +101,11 @@
     let mut at_ms = 500;
     while at_ms < span_ms {
         let fault = random_fault(rng, daemons, workers);
-        let duration_ms = rng.random_range(200..3_000);
+        let durations_ms = match fault {
+            Fault::Behaviour(_, Behaviour::LateOrders(_)) => LATE_ORDERS_DURATION_MS,
+            _ => 200..3_000,
+        };
+        let duration_ms = rng.random_range(durations_ms);
         faults.push(ScheduledFault { fault, starts_at_ms: at_ms, ends_at_ms: at_ms + duration_ms });
         at_ms += rng.random_range(150..1_200);
     }
@@ -106,7 +120,7 @@
     let behaviours = [Behaviour::Silent, Behaviour::Unhealthy, Behaviour::LosesReplies];
     let store_behaviours =
         [StoreBehaviour::Silent, StoreBehaviour::Busy, StoreBehaviour::LosesReplies];
-    match rng.random_range(0..12) {
+    match rng.random_range(0..17) {
         0 => Fault::Terminate(daemon, Signal::TERM),
         1 => Fault::Terminate(daemon, Signal::KILL),
         2 => Fault::Pause(daemon),
@@ -118,7 +132,16 @@
         8 => Fault::Rebalance,
         9 => Fault::RestartWorker(worker, Publication::draw(rng)),
         10 => Fault::Trim,
-        _ => Fault::Compact,
+        11 => Fault::Compact,
+        _ => Fault::Behaviour(worker, Behaviour::LateOrders(draw_late_orders(rng))),
+    }
+}
+
+fn draw_late_orders(rng: &mut SmallRng) -> LateOrders {
+    LateOrders {
+        share_percent: rng.random_range(LATE_SHARE_PERCENT),
+        min_delay_ms: *LATE_DELAY_MS.start(),
+        max_delay_ms: *LATE_DELAY_MS.end(),
     }
 }
 
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -21,6 +21,12 @@
 const RESEND_DELAY: Duration = Duration::from_millis(1_300);
 /// How long a caller waits for an answer, in milliseconds.
 const CALLER_WAIT_MS: u64 = 2_500;
+/// Share of the jobs whose run outlasts its caller. Such a job declares far less.
+const OUTLASTING_SHARE: f64 = 0.3;
+/// Duration of such a run, in milliseconds: beyond the caller's next request.
+const OUTLASTING_RUN_MS: u64 = 6_000;
+/// How long the caller of such a run waits for an answer, in milliseconds.
+const OUTLASTED_WAIT_MS: u64 = 1_500;
 /// Number of times that a caller sends a job before it gives up.
 const MAX_SENDS: u32 = 4;
 /// Shares of a core that the daemons of each zone state with even seeds, so that they delegate cells
@@ -213,15 +219,21 @@
     let mut id = 1;
     while started_at.elapsed() < Duration::from_millis(span_ms) {
         let takes_ms = if rng.random_bool(0.1) { 2_000 } else { rng.random_range(20..500) };
-        let mut spec = job(id, rng.random_range(1..=3), takes_ms, &takes_ms.to_string());
+        let (mut count, mut wait_ms, mut runs_ms) =
+            (rng.random_range(1..=3), CALLER_WAIT_MS, takes_ms);
+        if rng.random_bool(OUTLASTING_SHARE) {
+            (count, wait_ms, runs_ms) = (1, OUTLASTED_WAIT_MS, OUTLASTING_RUN_MS);
+        }
+        let mut spec = job(id, count, takes_ms, &runs_ms.to_string());
         if id.is_multiple_of(CRASHING_JOB_INTERVAL) {
-            spec.payload = Rc::from(format!("{takes_ms} crash"));
+            spec.payload = Rc::from(format!("{runs_ms} crash"));
             stats.crashing.borrow_mut().push(spec.clone());
         }
         let caller_rng = SmallRng::seed_from_u64(rng.random());
         stats.jobs.set(stats.jobs.get() + 1);
         stats.pending.set(stats.pending.get() + 1);
-        actix_rt::spawn(run_caller(Rc::clone(&cluster), Rc::clone(&stats), spec, caller_rng));
+        let (cluster, stats) = (Rc::clone(&cluster), Rc::clone(&stats));
+        actix_rt::spawn(run_caller(cluster, stats, spec, wait_ms, caller_rng));
         id += 1;
         actix_rt::time::sleep(Duration::from_millis(rng.random_range(10..90))).await;
     }
@@ -232,6 +244,7 @@
     cluster: Rc<RefCell<Cluster>>,
     stats: Rc<Stats>,
     spec: JobSpec,
+    wait_ms: u64,
     mut rng: SmallRng,
 ) {
     let mut all_rejected = true;
@@ -239,7 +252,7 @@
         let sent = {
             let cluster = cluster.borrow();
             let at = rng.random_range(0..cluster.daemons.len());
-            cluster.request(at, &spec, CALLER_WAIT_MS)
+            cluster.request(at, &spec, wait_ms)
         };
         match sent.await {
             Ok(200) => {
