Know whether an owner was chosen by a holder, instead of deriving it from its token

A holder that delegated a cell under the first token of a generation forgot the owner 1.5 s later and refused every job of the cell, because step 0 counted as "the holder owns the cell itself". Renewals of the delegation did not put the owner back.

The table of owners now keeps the holder that chose each owner. Owners state it in their announcements and in the reply to a query; daemons of the version before read both messages, and theirs are read. A renewal confirms the owner, and a holder keeps its delegate when that one denies a single job. is_chosen and the checks of it have no use any more.

--- a/crates/entry/src/delegation.rs
+++ b/crates/entry/src/delegation.rs
@@ -12,7 +12,8 @@
 use peers::links::LinkError;
 use pool::balance::{MeasuredLoad, Member, Move, SAMPLE_INTERVAL_MS, Zone, ZoneCell};
 use pool::cells::Cell;
-use pool::tokens::{generation_of, is_chosen, next_token};
+use pool::owners::Claim;
+use pool::tokens::{generation_of, next_token};
 use rustix::time::{ClockId, clock_gettime};
 
 use crate::ownership::{PEER_TIMEOUT_MS, RENEWALS_PER_TTL};
@@ -175,7 +176,7 @@
             }
             used.push(token);
             let of_zone = owners.iter().filter(|(known, _)| known.zone == cell.zone);
-            used.extend(of_zone.map(|(_, owner)| owner.token));
+            used.extend(of_zone.map(|(_, owner)| owner.claim.token));
             let own_of_zone = owned.iter().filter(|(known, _)| known.zone == cell.zone);
             used.extend(own_of_zone.map(|(_, owned)| owned.pool.token()));
         }
@@ -325,7 +326,8 @@
                 "part=ownership event=cell_delegated cell={cell} to={to} token={token} how={how}"
             );
             self.metrics.delegations.with_label_values(&[how]).inc();
-            self.record_owner(&Ownership { cell: cell.clone(), addr: to, token });
+            let holder = Some(self.settings.advertised);
+            self.record_owner(&Ownership { cell: cell.clone(), addr: to, token }, holder);
             self.balance.borrow_mut().record_change(cell, self.now());
             if self.holds(cell) {
                 let delegation = Delegation {
@@ -379,6 +381,9 @@
                     Ok(Reply::Delegated { is_saturated }) => {
                         delegation.is_saturated = is_saturated;
                         delegation.failures = 0;
+                        let (addr, token) = (known.addr, known.token);
+                        let claim = Claim { addr, token, holder: Some(self.settings.advertised) };
+                        self.owners.borrow_mut().record(&cell, claim, self.now());
                     }
                     Ok(Reply::KeepsCell) => {
                         delegations.remove(&cell);
@@ -471,7 +476,7 @@
                     return Reply::NotOwner;
                 }
                 self.extend_handover(cell);
-                self.start_ownership(cell.clone(), *token, "delegated");
+                self.start_ownership(cell.clone(), *token, "delegated", Some(*holder));
                 self.continue_as_delegate(cell, *token, *holder);
                 delegated()
             }
@@ -499,7 +504,8 @@
             );
             self.metrics.delegations.with_label_values(&["token_raised"]).inc();
             let addr = self.settings.advertised;
-            self.broadcast(&Request::AnnounceOwner(Ownership { cell: cell.clone(), addr, token }));
+            let ownership = Ownership { cell: cell.clone(), addr, token };
+            self.broadcast(&Request::AnnounceOwner(ownership, Some(holder)));
         }
     }
 
@@ -552,21 +558,24 @@
         Reply::TakenOver
     }
 
-    /// Announces the cells that holders delegated to this daemon to one that has just started: the
-    /// store lists only the holders.
-    pub fn announce_chosen_cells_to(self: &Rc<Self>, addr: SocketAddr) {
-        let chosen: Vec<Ownership> = {
+    /// Announces the cells that this daemon owns without being listed by the store to a daemon that
+    /// has just started: holders have delegated them, or this daemon keeps them for a while.
+    pub fn announce_unlisted_cells_to(self: &Rc<Self>, addr: SocketAddr) {
+        let own_addr = self.settings.advertised;
+        let unlisted: Vec<(Ownership, Option<SocketAddr>)> = {
             let owned = self.owned.borrow();
-            let chosen = owned.iter().filter(|(_, owned)| is_chosen(owned.pool.token()));
-            let ownership = |(cell, owned): (&Cell, &OwnedCell)| Ownership {
-                cell: cell.clone(),
-                addr: self.settings.advertised,
-                token: owned.pool.token(),
+            let assignment = self.assignment.borrow();
+            let is_unlisted = |(cell, owned): &(&Cell, &OwnedCell)| {
+                owned.holder.is_some() || !assignment.1.contains(*cell)
+            };
+            let ownership = |(cell, owned): (&Cell, &OwnedCell)| {
+                let token = owned.pool.token();
+                (Ownership { cell: cell.clone(), addr: own_addr, token }, owned.holder)
             };
-            chosen.map(ownership).collect()
+            owned.iter().filter(is_unlisted).map(ownership).collect()
         };
-        for ownership in chosen {
-            self.announce_to(addr, ownership);
+        for (ownership, holder) in unlisted {
+            self.announce_to(addr, ownership, holder);
         }
     }
 
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -137,7 +137,7 @@
             knows_workers: self.knows_workers.get(),
             cells: cells.collect(),
             owners: owners
-                .map(|(cell, owner)| (cell.to_string(), owner.addr.to_string()))
+                .map(|(cell, owner)| (cell.to_string(), owner.claim.addr.to_string()))
                 .collect(),
             knows_evacuations: self.knows_evacuations.get(),
             evacuated_zones: to_strings(&self.evacuated_zones()),
--- a/crates/entry/src/owners.rs
+++ b/crates/entry/src/owners.rs
@@ -1,6 +1,6 @@
 //! Keeps the table of the cells' owners up to date, from the store and from other daemons.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +8,7 @@
 use adapter::store::Owner;
 use dispatch::clock::Millis;
 use pool::cells::Cell;
+use pool::owners::Claim;
 
 use crate::delegation::Delegation;
 use crate::ownership::{GROUP, PEER_TIMEOUT_MS, TOPIC_PREFIX};
@@ -54,23 +55,19 @@
         }
     }
 
-    /// Records a cell's owner as announced by another daemon, which shows that it responds. If both
-    /// claim the cell, the one with the lower fencing token gives it up: this daemon at once, the
-    /// other one when it learns of this daemon's ownership.
-    pub fn record_owner(self: &Rc<Self>, ownership: &Ownership) {
+    /// Records a cell's owner as announced by another daemon, which shows that it responds, with the
+    /// holder that chose it, if any. If both claim the cell, the one with the lower fencing token
+    /// gives it up: this daemon at once, the other one when it learns of this daemon's ownership.
+    pub fn record_owner(self: &Rc<Self>, ownership: &Ownership, holder: Option<SocketAddr>) {
         let Ownership { cell, addr, token } = ownership;
-        let own_token = self.owned.borrow().get(cell).map(|owned| owned.pool.token());
-        match own_token {
-            Some(own_token) if own_token < *token => self.release_cell(cell, "overtaken"),
-            Some(own_token) if own_token > *token => {
-                self.announce_to(
-                    *addr,
-                    Ownership {
-                        cell: cell.clone(),
-                        addr: self.settings.advertised,
-                        token: own_token,
-                    },
-                );
+        let own_claim =
+            self.owned.borrow().get(cell).map(|owned| (owned.pool.token(), owned.holder));
+        match own_claim {
+            Some((own_token, _)) if own_token < *token => self.release_cell(cell, "overtaken"),
+            Some((own_token, own_holder)) if own_token > *token => {
+                let own_addr = self.settings.advertised;
+                let own = Ownership { cell: cell.clone(), addr: own_addr, token: own_token };
+                self.announce_to(*addr, own, own_holder);
                 return;
             }
             Some(_) | None => {}
@@ -79,39 +76,48 @@
         if self.delegations.borrow().get(cell).is_some_and(is_overtaken) {
             self.delegations.borrow_mut().remove(cell);
         }
-        if self.owners.borrow_mut().record(cell, *addr, *token, self.now()) {
+        let claim = Claim { addr: *addr, token: *token, holder };
+        if self.owners.borrow_mut().record(cell, claim, self.now()) {
             self.responsiveness.borrow_mut().record_reply(*addr);
         }
     }
 
-    pub(crate) fn announce_to(self: &Rc<Self>, addr: SocketAddr, ownership: Ownership) {
+    pub(crate) fn announce_to(
+        self: &Rc<Self>,
+        addr: SocketAddr,
+        ownership: Ownership,
+        holder: Option<SocketAddr>,
+    ) {
         let entry = Rc::clone(self);
         actix_rt::spawn(async move {
-            let request = Request::AnnounceOwner(ownership);
+            let request = Request::AnnounceOwner(ownership, holder);
             if let Err(error) = entry.links.notify(addr, request).await {
                 log::info!("part=ownership event=announce_failed why=\"{error}\"");
             }
         });
     }
 
-    /// Returns the known owners of cells, including this daemon.
-    pub fn known_owners(&self) -> Vec<Ownership> {
+    /// Returns the known owners of cells, including this daemon, and the holder of each cell whose
+    /// owner was chosen by the holder.
+    pub fn known_owners(&self) -> (Vec<Ownership>, Vec<(Cell, SocketAddr)>) {
+        let own_addr = self.settings.advertised;
         let owned = self.owned.borrow();
-        let own = owned.iter().map(|(cell, owned)| Ownership {
-            cell: cell.clone(),
-            addr: self.settings.advertised,
-            token: owned.pool.token(),
+        let own = owned.iter().map(|(cell, owned)| {
+            (cell, Claim { addr: own_addr, token: owned.pool.token(), holder: owned.holder })
         });
         let owners = self.owners.borrow();
-        let known_remote = owners.iter().filter(|(cell, owner)| {
-            owner.token > 0 && owner.addr != self.settings.advertised && !owned.contains_key(*cell)
+        let known_remote = owners.iter().map(|(cell, owner)| (cell, owner.claim));
+        let known_remote = known_remote.filter(|(cell, claim)| {
+            claim.token > 0 && claim.addr != own_addr && !owned.contains_key(*cell)
         });
-        let known_remote = known_remote.map(|(cell, owner)| Ownership {
-            cell: cell.clone(),
-            addr: owner.addr,
-            token: owner.token,
-        });
-        own.chain(known_remote).collect()
+        let claims: Vec<(&Cell, Claim)> = own.chain(known_remote).collect();
+        let ownership = |(cell, claim): &(&Cell, Claim)| Ownership {
+            cell: (*cell).clone(),
+            addr: claim.addr,
+            token: claim.token,
+        };
+        let holder = |(cell, claim): &(&Cell, Claim)| Some(((*cell).clone(), claim.holder?));
+        (claims.iter().map(ownership).collect(), claims.iter().filter_map(holder).collect())
     }
 
     /// Queries a random other daemon for the owners of cells and the evacuations of zones, while the
@@ -128,11 +134,12 @@
     /// Queries another daemon for the owners of cells and for the evacuations.
     pub(crate) async fn query_owners(self: Rc<Self>, addr: SocketAddr) {
         let asked_at = self.now();
-        if let Ok(Reply::Owners(owners, evacuations)) =
+        if let Ok(Reply::Owners(owners, evacuations, holders)) =
             self.links.call(addr, Request::Owners, PEER_TIMEOUT_MS).await
         {
+            let holders: BTreeMap<Cell, SocketAddr> = holders.into_iter().collect();
             for ownership in &owners {
-                self.record_owner(ownership);
+                self.record_owner(ownership, holders.get(&ownership.cell).copied());
             }
             self.learn_evacuations(&evacuations, asked_at, addr);
         }
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -349,31 +349,34 @@
             return;
         }
         self.record_issued(&cell, token, now);
-        self.start_ownership(cell, token, how);
+        self.start_ownership(cell, token, how, None);
     }
 
-    pub(crate) fn start_ownership(self: &Rc<Self>, cell: Cell, token: u64, how: &str) {
+    pub(crate) fn start_ownership(
+        self: &Rc<Self>,
+        cell: Cell,
+        token: u64,
+        how: &str,
+        holder: Option<SocketAddr>,
+    ) {
         let mut pool = Pool::new(token).with_crashes(self.crashes.borrow().clone());
         self.apply_start_limits(&cell, &mut pool);
         log::info!("part=ownership event=cell_gained cell={cell} token={token} how={how}");
         self.metrics.cells.with_label_values(&["gained"]).inc();
-        let owned = OwnedCell { serial: self.allocate_serial(), pool, holder: None };
+        let owned = OwnedCell { serial: self.allocate_serial(), pool, holder };
         self.owned.borrow_mut().insert(cell.clone(), owned);
         self.restore_speeds(&cell);
         self.refresh_workers(&cell);
         let addr = self.settings.advertised;
-        self.broadcast(&Request::AnnounceOwner(Ownership { cell, addr, token }));
+        self.broadcast(&Request::AnnounceOwner(Ownership { cell, addr, token }, holder));
     }
 
     /// Announces all owned cells to the other daemons.
     pub fn announce_owned_cells(self: &Rc<Self>) {
         let addr = self.settings.advertised;
         let announce = |(cell, owned): (&Cell, &OwnedCell)| {
-            Request::AnnounceOwner(Ownership {
-                cell: cell.clone(),
-                addr,
-                token: owned.pool.token(),
-            })
+            let ownership = Ownership { cell: cell.clone(), addr, token: owned.pool.token() };
+            Request::AnnounceOwner(ownership, owned.holder)
         };
         let announcements: Vec<Request> = self.owned.borrow().iter().map(announce).collect();
         for announcement in &announcements {
@@ -388,7 +391,7 @@
             return Reply::NotOwner;
         }
         self.extend_handover(&cell);
-        self.start_ownership(cell, token, "handed");
+        self.start_ownership(cell, token, "handed", None);
         Reply::TakenOver
     }
 
@@ -401,7 +404,7 @@
             match self.links.call(*addr, request, PEER_TIMEOUT_MS).await {
                 Ok(Reply::TakenOver) => {
                     log::info!("part=ownership event=cell_handed cell={cell} to={addr}");
-                    self.record_owner(&Ownership { cell: cell.clone(), addr: *addr, token });
+                    self.record_owner(&Ownership { cell: cell.clone(), addr: *addr, token }, None);
                     return;
                 }
                 Ok(_) => {}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -41,11 +41,11 @@
             }
             Request::Hello(addr, zone) => {
                 self.add_peer(addr, &zone);
-                self.announce_chosen_cells_to(addr);
+                self.announce_unlisted_cells_to(addr);
                 None
             }
-            Request::AnnounceOwner(ownership) => {
-                self.record_owner(&ownership);
+            Request::AnnounceOwner(ownership, holder) => {
+                self.record_owner(&ownership, holder);
                 self.send_speeds(&ownership);
                 None
             }
@@ -73,7 +73,8 @@
             Request::Crashes => Some(Reply::Crashes(self.crashes.borrow().export(self.now()))),
             Request::Owners => {
                 let evacuations = self.evacuations.borrow().iter().collect();
-                Some(Reply::Owners(self.known_owners(), evacuations))
+                let (owners, holders) = self.known_owners();
+                Some(Reply::Owners(owners, evacuations, holders))
             }
             Request::CellLoad(report) => {
                 self.metrics.free_notices.with_label_values(&["received"]).inc();
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -53,8 +53,10 @@
     /// Notification that the store rebalances the cells: the receiver should rejoin the group at
     /// once.
     Rejoin,
-    /// Notification that the sender has acquired a cell.
-    AnnounceOwner(Ownership),
+    /// Notification that the sender owns a cell, with the address of the holder that chose it as the
+    /// owner; `None` from a daemon that owns the cell for another reason, or of a version that does
+    /// not state the holder.
+    AnnounceOwner(Ownership, #[serde(deserialize_with = "or_default")] Option<SocketAddr>),
     /// Take over a cell under this fencing token. Sent by an owner that shuts down and cannot reach
     /// the store.
     TakeOver(Cell, u64),
@@ -154,8 +156,14 @@
     NotOwner,
     /// The sender has taken over the cell.
     TakenOver,
-    /// Owners of cells and evacuations of zones that the sender knows.
-    Owners(Vec<Ownership>, Vec<ZoneRecord>),
+    /// Owners of cells and evacuations of zones that the sender knows, and the address of the holder
+    /// of each cell whose owner was chosen by the holder. The last is empty from a daemon of a
+    /// version that does not state it.
+    Owners(
+        Vec<Ownership>,
+        Vec<ZoneRecord>,
+        #[serde(deserialize_with = "or_default")] Vec<(Cell, SocketAddr)>,
+    ),
     /// The sender has cancelled the job.
     Cancelled,
     /// No caller of the job is connected to the sender.
--- a/crates/pool/src/owners.rs
+++ b/crates/pool/src/owners.rs
@@ -12,27 +12,41 @@
 use dispatch::clock::Millis;
 
 use crate::cells::Cell;
-use crate::tokens::is_chosen;
 
 /// How long an owner is kept after a read of the store first lacked it, in milliseconds. Slightly
 /// longer than an ownership lasts without renewal.
 const UNLISTED_OWNER_GRACE_MS: u64 = 1_500;
 
-/// Last known owner of a cell.
+/// A daemon that may own a cell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Owner {
+pub struct Claim {
     /// Address on which the daemon accepts connections from other daemons.
     pub addr: SocketAddr,
     /// Fencing token of the ownership as announced by a daemon; zero if only the store lists it.
     pub token: u64,
+    /// Address of the holder that chose the daemon as the owner; `None` if it owns the cell for
+    /// another reason, or if its announcement does not state the holder.
+    pub holder: Option<SocketAddr>,
+}
+
+impl Claim {
+    const fn of_listed(addr: SocketAddr) -> Self {
+        Self { addr, token: 0, holder: None }
+    }
+}
+
+/// Last known owner of a cell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// The owner.
+    pub claim: Claim,
     /// When the store or a daemon last confirmed the owner.
     pub confirmed_at: Millis,
     /// When a read of the store first lacked the owner; `None` if it is confirmed.
     pub unlisted_since: Option<Millis>,
-    /// Address and fencing token of the owner that announced itself before the store listed this
-    /// one. With the token zero, the holder of the partition that the store lists in place of this
-    /// owner.
-    pub displaced: Option<(SocketAddr, u64)>,
+    /// The owner that announced itself before the store listed this one. With the token zero, the
+    /// holder of the partition that the store lists in place of this owner.
+    pub displaced: Option<Claim>,
 }
 
 /// The last known owner of each cell.
@@ -55,20 +69,20 @@
 
     /// Returns the address of a cell's owner, or `None` if it is unknown or this daemon.
     pub fn remote_owner(&self, cell: &Cell) -> Option<SocketAddr> {
-        let addr = self.cells.get(cell)?.addr;
+        let addr = self.cells.get(cell)?.claim.addr;
         (addr != self.own_addr).then_some(addr)
     }
 
     /// Returns the address of the daemon that the store lists for a cell in place of its owner, or
     /// `None` if there is none or it is this daemon.
     pub fn listed_holder(&self, cell: &Cell) -> Option<SocketAddr> {
-        let (addr, _) = self.cells.get(cell)?.displaced.filter(|(_, token)| *token == 0)?;
-        (addr != self.own_addr).then_some(addr)
+        let listed = self.cells.get(cell)?.displaced.filter(|claim| claim.token == 0)?;
+        (listed.addr != self.own_addr).then_some(listed.addr)
     }
 
     /// Returns the fencing token with which a cell's owner announced itself, or zero.
     pub fn token(&self, cell: &Cell) -> u64 {
-        self.cells.get(cell).map_or(0, |owner| owner.token)
+        self.cells.get(cell).map_or(0, |owner| owner.claim.token)
     }
 
     /// Iterates over all known owners in order of cell.
@@ -76,27 +90,34 @@
         self.cells.iter()
     }
 
-    /// Records the owner announced by a daemon, unless an owner with a higher fencing token is
-    /// known. Returns whether the announcement was recorded.
-    pub fn record(&mut self, cell: &Cell, addr: SocketAddr, token: u64, now: Millis) -> bool {
-        if self.cells.get(cell).is_some_and(|known| known.token > token) {
+    /// Records an owner that a daemon announced or that this daemon chose, unless an owner with a
+    /// higher fencing token is known. Returns whether it was recorded.
+    pub fn record(&mut self, cell: &Cell, claim: Claim, now: Millis) -> bool {
+        let known = self.cells.get(cell).map(|known| known.claim);
+        if known.is_some_and(|known| known.token > claim.token) {
             return false;
         }
-        let owner = Owner { addr, token, confirmed_at: now, unlisted_since: None, displaced: None };
+        // Daemons of a version that does not state the holder repeat what others announced.
+        let same = known.filter(|known| known.addr == claim.addr && known.token == claim.token);
+        let holder = claim.holder.or(same.and_then(|known| known.holder));
+        let claim = Claim { holder, ..claim };
+        let owner = Owner { claim, confirmed_at: now, unlisted_since: None, displaced: None };
         self.cells.insert(cell.clone(), owner);
         true
     }
 
     /// Records that a daemon does not own a cell although it is listed as the owner. The owner that
     /// it displaced, if any, takes its place. An owner that the holder chose is kept beside the
-    /// holder, in case the holder still denies the cell.
+    /// holder, in case the holder still denies the cell, and in its place if the holder is this
+    /// daemon.
     pub fn reject(&mut self, cell: &Cell, addr: SocketAddr) {
-        let Some(owner) = self.cells.get_mut(cell).filter(|owner| owner.addr == addr) else {
+        let own_addr = self.own_addr;
+        let Some(owner) = self.cells.get_mut(cell).filter(|owner| owner.claim.addr == addr) else {
             return;
         };
-        if let Some((addr, token)) = owner.displaced.take() {
-            owner.displaced = (token == 0).then_some((owner.addr, owner.token));
-            (owner.addr, owner.token) = (addr, token);
+        if let Some(next) = owner.displaced.filter(|next| next.addr != own_addr) {
+            owner.displaced = (next.token == 0).then_some(owner.claim);
+            owner.claim = next;
         }
     }
 
@@ -117,7 +138,7 @@
         let mut listed = BTreeMap::new();
         for (cell, addr) in rows {
             if let Some(chosen) = self.chosen_owner(&cell, addr) {
-                let displaced = Some((addr, 0));
+                let displaced = Some(Claim::of_listed(addr));
                 let owner = Owner { confirmed_at: now, unlisted_since: None, displaced, ..*chosen };
                 listed.insert(cell, owner);
                 continue;
@@ -125,12 +146,15 @@
             if addr == self.own_addr && !owns(&cell) {
                 continue;
             }
-            let (token, displaced) = match self.cells.get(&cell) {
-                Some(known) if known.addr == addr => (known.token, known.displaced),
-                Some(known) if known.token > 0 => (0, Some((known.addr, known.token))),
-                _ => (0, None),
+            let claim = Claim::of_listed(addr);
+            let (claim, displaced) = match self.cells.get(&cell) {
+                Some(known) if known.claim.addr == addr => {
+                    (Claim { holder: None, ..known.claim }, known.displaced)
+                }
+                Some(known) if known.claim.token > 0 => (claim, Some(known.claim)),
+                _ => (claim, None),
             };
-            let owner = Owner { addr, token, confirmed_at: now, unlisted_since: None, displaced };
+            let owner = Owner { claim, confirmed_at: now, unlisted_since: None, displaced };
             listed.insert(cell, owner);
         }
         for (cell, known) in &self.cells {
@@ -146,8 +170,8 @@
     /// Returns the known owner of a cell if a holder chose it and the store lists another daemon.
     fn chosen_owner(&self, cell: &Cell, listed: SocketAddr) -> Option<&Owner> {
         let known = self.cells.get(cell)?;
-        let is_other = known.addr != listed && known.addr != self.own_addr;
-        (is_other && is_chosen(known.token)).then_some(known)
+        let Claim { addr, holder, .. } = known.claim;
+        (addr != listed && addr != self.own_addr && holder.is_some()).then_some(known)
     }
 
     /// Whether the owner of each of `cells` was confirmed at `since` or later.
--- a/crates/pool/src/tokens.rs
+++ b/crates/pool/src/tokens.rs
@@ -19,12 +19,6 @@
     token / STEPS_PER_GENERATION
 }
 
-/// Whether the holder of the cell's partition has chosen the owner with this token, instead of
-/// owning the cell because it holds the partition.
-pub const fn is_chosen(token: u64) -> bool {
-    !token.is_multiple_of(STEPS_PER_GENERATION)
-}
-
 /// Returns the lowest token of a generation that is higher than all of `used`. Tokens of other
 /// generations are ignored, since they are ordered by their generations. Returns `None` if the
 /// generation has no steps left.
