Agree on the owner of a cell after any order of changes

- A holder that restarts within a generation issues lower tokens than before.
A daemon that knew the higher one took no later owner, although the one that it knew denied every job.
An owner that denies the cell now yields to any other one.
- Such a holder was fenced once a second until its token was above all that the workers had seen.
It now asks its zone for the owners when it is fenced, and goes on from the tokens of its previous process.

--- a/crates/entry/src/owners.rs
+++ b/crates/entry/src/owners.rs
@@ -60,6 +60,13 @@
     /// gives it up: this daemon at once, the other one when it learns of this daemon's ownership.
     pub fn record_owner(self: &Rc<Self>, ownership: &Ownership, holder: Option<SocketAddr>) {
         let Ownership { cell, addr, token } = ownership;
+        if *addr == self.settings.advertised {
+            // A previous process of this daemon issued the token.
+            let mut issued = self.issued_tokens.borrow_mut();
+            let last = issued.entry(cell.clone()).or_default();
+            *last = (*last).max(*token);
+            return;
+        }
         let own_claim =
             self.owned.borrow().get(cell).map(|owned| (owned.pool.token(), owned.holder));
         match own_claim {
@@ -131,6 +138,15 @@
         Rc::clone(self).query_owners(addr).await;
     }
 
+    /// Queries the zone's other daemons for the owners, in case the previous process of this daemon
+    /// announced higher tokens to them than this one knows.
+    pub(crate) fn query_zone_for_owners(self: &Rc<Self>) {
+        let peers = self.peers.borrow();
+        for (addr, _) in peers.iter().filter(|(_, zone)| **zone == self.settings.zone) {
+            actix_rt::spawn(Rc::clone(self).query_owners(*addr));
+        }
+    }
+
     /// Queries another daemon for the owners of cells and for the evacuations.
     pub(crate) async fn query_owners(self: Rc<Self>, addr: SocketAddr) {
         let asked_at = self.now();
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -444,6 +444,7 @@
         self.metrics.cells.with_label_values(&["fenced"]).inc();
         self.fenced.borrow_mut().insert(cell.clone(), (token, self.now()));
         self.remove_cell(cell);
+        self.query_zone_for_owners();
         self.rejoin.notify_one();
     }
 
--- a/crates/pool/src/owners.rs
+++ b/crates/pool/src/owners.rs
@@ -40,6 +40,8 @@
 pub struct Owner {
     /// The owner.
     pub claim: Claim,
+    /// Whether the owner has denied the cell since it was recorded, and no other one is known.
+    pub is_denied: bool,
     /// When the store or a daemon last confirmed the owner.
     pub confirmed_at: Millis,
     /// When a read of the store first lacked the owner; `None` if it is confirmed.
@@ -91,17 +93,25 @@
     }
 
     /// Records an owner that a daemon announced or that this daemon chose, unless an owner with a
-    /// higher fencing token is known. Returns whether it was recorded.
+    /// higher fencing token is known that has not denied the cell: a holder that has restarted may
+    /// issue lower tokens than before. Returns whether the owner was recorded.
     pub fn record(&mut self, cell: &Cell, claim: Claim, now: Millis) -> bool {
-        let known = self.cells.get(cell).map(|known| known.claim);
-        if known.is_some_and(|known| known.token > claim.token) {
+        let known = self.cells.get(cell);
+        if known.is_some_and(|known| known.claim.token > claim.token && !known.is_denied) {
             return false;
         }
+        let known = known.map(|known| known.claim);
         // Daemons of a version that does not state the holder repeat what others announced.
         let same = known.filter(|known| known.addr == claim.addr && known.token == claim.token);
         let holder = claim.holder.or(same.and_then(|known| known.holder));
         let claim = Claim { holder, ..claim };
-        let owner = Owner { claim, confirmed_at: now, unlisted_since: None, displaced: None };
+        let owner = Owner {
+            claim,
+            is_denied: false,
+            confirmed_at: now,
+            unlisted_since: None,
+            displaced: None,
+        };
         self.cells.insert(cell.clone(), owner);
         true
     }
@@ -118,6 +128,8 @@
         if let Some(next) = owner.displaced.filter(|next| next.addr != own_addr) {
             owner.displaced = (next.token == 0).then_some(owner.claim);
             owner.claim = next;
+        } else {
+            owner.is_denied = true;
         }
     }
 
@@ -147,14 +159,15 @@
                 continue;
             }
             let claim = Claim::of_listed(addr);
-            let (claim, displaced) = match self.cells.get(&cell) {
+            let (claim, is_denied, displaced) = match self.cells.get(&cell) {
                 Some(known) if known.claim.addr == addr => {
-                    (Claim { holder: None, ..known.claim }, known.displaced)
+                    (Claim { holder: None, ..known.claim }, known.is_denied, known.displaced)
                 }
-                Some(known) if known.claim.token > 0 => (claim, Some(known.claim)),
-                _ => (claim, None),
+                Some(known) if known.claim.token > 0 => (claim, false, Some(known.claim)),
+                _ => (claim, false, None),
             };
-            let owner = Owner { claim, confirmed_at: now, unlisted_since: None, displaced };
+            let owner =
+                Owner { claim, is_denied, confirmed_at: now, unlisted_since: None, displaced };
             listed.insert(cell, owner);
         }
         for (cell, known) in &self.cells {
--- a/crates/pool/tests/owners.rs
+++ b/crates/pool/tests/owners.rs
@@ -187,3 +187,16 @@
     owners.apply_store_rows([(cell(0), addr(4))].into_iter(), |_| false, Millis(1_200));
     assert_eq!(owners.remote_owner(&cell(0)), Some(addr(4)));
 }
+
+/// Guards against a daemon that sends all jobs of a cell to its previous owner for good: a holder
+/// that has restarted does not know the tokens that it issued, and may delegate under a lower one.
+#[test]
+fn an_owner_under_a_lower_token_replaces_one_that_denies_the_cell() {
+    let mut owners = owners();
+    owners.record(&cell(0), holds(3, first_token(7) + 4), Millis(1_000));
+    assert!(!owners.record(&cell(0), chosen(2, first_token(7) + 2, 3), Millis(1_100)));
+    owners.reject(&cell(0), addr(3));
+    assert_eq!(owners.remote_owner(&cell(0)), Some(addr(3)), "no other owner is known");
+    assert!(owners.record(&cell(0), chosen(2, first_token(7) + 2, 3), Millis(1_200)));
+    assert_eq!(owners.remote_owner(&cell(0)), Some(addr(2)));
+}
