--- a/crates/pool/src/tokens.rs
+++ b/crates/pool/src/tokens.rs
@@ -28,12 +28,6 @@
     token / (STEPS_PER_GENERATION * ORDERS_PER_STEP)
 }
 
-/// Whether the holder of the cell's partition has chosen the owner with this token, instead of
-/// owning the cell because it holds the partition.
-pub const fn is_chosen(token: u64) -> bool {
-    !step_of(token).is_multiple_of(STEPS_PER_GENERATION)
-}
-
 /// Returns the first token of the lowest step of a generation that is above those of all of `used`.
 /// Tokens of other generations are ignored, since they are ordered by their generations. Returns
 /// `None` if the generation has no steps left.
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -5,9 +5,7 @@
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
-use pool::call::{
-    ActiveRun, End, EndedRun, PollCall, PollReply, Refusal, Report, StartReply, StopReply,
-};
+use pool::call::{ActiveRun, End, EndedRun, PollCall, PollReply, Refusal, Report, StartReply};
 use pool::catalogue::{WorkerEntry, WorkerState};
 use pool::job::{JobSpec, Outcome, Placed, PreviousOwner, Progress, Reason, TaskName};
 use pool::pool::{Action, MAX_STALL_MS, Pool, Submission};
