Draw orders of events that could give a task two active runs

Cause: the simulation draws its faults at fixed rates, so that idle workers, late entries and lost stops meet seldom.

Change: proptest draws scripts of a few timed events on two cells in virtual time: lost and late calls, restarts under the same or another id, cuts, owners that stall, freeze, die, hand over or lose the store, callers that leave and send again.

--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses only a part of the fixtures")]
 
+pub mod event_orders;
 pub mod fleet;
 pub mod simulation;
 
