--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -178,7 +178,7 @@
     owner: usize,
     target: Target,
     call: Call,
-    sent_ms: u64,
+    since_ms: u64,
     /// The process that has received the call, which its death would end.
     process: Option<u64>,
     has_reply: bool,
@@ -403,7 +403,7 @@
         let waits_ms = if let Call::Poll(poll) = &call { poll.wait_ms } else { 0 };
         let timeout_ms = target.timeout_ms + waits_ms;
         let mut sent =
-            Sent { owner, target, call, sent_ms: now_ms, process: None, has_reply: true };
+            Sent { owner, target, call, since_ms: now_ms, process: None, has_reply: true };
         let arrives_ms = match fate {
             None => Some(1),
             Some(Fate::Slow(ms)) => Some(ms),
@@ -537,7 +537,7 @@
                 );
             }
             Due::Reply(sent, reply) => {
-                let Sent { owner, target, call, sent_ms, .. } = sent;
+                let Sent { owner, target, call, since_ms, .. } = sent;
                 self.with_pool(owner, |pool, now| match (&call, reply) {
                     (Call::Start(call), Reply::Start(reply)) => {
                         pool.start_reply(now, &target.id, call, reply);
@@ -546,7 +546,7 @@
                         pool.stop_reply(now, &target.id, call, reply);
                     }
                     (_, Reply::Poll(reply)) => {
-                        pool.poll_reply(now, &target.id, Millis(sent_ms), &reply);
+                        pool.poll_reply(now, &target.id, Millis(since_ms), &reply);
                     }
                     _ => {}
                 });
