--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -11,6 +11,7 @@
 use pool::cells::{Cell, cell_of_worker, cells_of_zone, is_cell_partition};
 use pool::pool::Pool;
 use pool::resettle::ReleaseDecision;
+use pool::tokens::next_revision;
 
 use crate::protocol::{Ownership, ReleaseRequest, Reply, Request};
 use crate::state::{Entry, OwnedCell, Phase};
@@ -395,8 +396,9 @@
         Reply::TakenOver
     }
 
-    /// Hands over a released cell to the first other daemon of its zone that accepts it.
-    pub async fn hand_over(self: &Rc<Self>, cell: &Cell, token: u64) {
+    /// Hands over a released cell to the first other daemon of its zone that accepts it. One whose
+    /// reply is lost may own the cell, so that the next one gets a higher token.
+    pub async fn hand_over(self: &Rc<Self>, cell: &Cell, mut token: u64) {
         let peers = self.peers.borrow().clone();
         let own_zone = peers.iter().filter(|(_, zone)| **zone == *cell.zone);
         for (addr, _) in own_zone {
@@ -410,6 +412,7 @@
                 Ok(_) => {}
                 Err(error) => {
                     log::info!("part=ownership event=hand_over_failed cell={cell} why=\"{error}\"");
+                    token = next_revision(token).unwrap_or(token);
                 }
             }
         }
--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -68,7 +68,6 @@
                         is_suspect: task.is_suspect,
                         token: worker.token,
                         addr: worker.entry.addr,
-                        abandoned_at: None,
                         resources: step.task_resources,
                         state: RunState::Running,
                         since: orphan.seen_at,
@@ -77,7 +76,7 @@
                         timing: Timing::Adopted,
                         ends_at: None,
                     };
-                    worker.place(name.clone(), run);
+                    worker.place_adopted(name.clone(), run);
                     task.state = TaskState::Placed;
                 }
                 Some(End::Done) => task.state = TaskState::Done,
--- a/crates/pool/src/call.rs
+++ b/crates/pool/src/call.rs
@@ -131,7 +131,7 @@
     },
     /// The run has not started and will not start.
     Refused(Refusal),
-    /// No reply came: the run may have started, or may still start until its lease expires.
+    /// No reply came: the run may have started, or may still start.
     Lost,
 }
 
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -31,7 +31,7 @@
 use crate::run::{Interruption, Run, RunState, Timing};
 use crate::shedding::{Displacement, RouteDemand};
 use crate::speed::{Speed, WorkerSpeed};
-use crate::tokens::next_order;
+use crate::tokens::next_revision;
 use crate::warm_up::WarmUp;
 use crate::worker::{RunUpdate, Worker};
 
@@ -185,7 +185,7 @@
     /// Returns the fencing token for the next owner in the same step: higher than those of all calls
     /// of this ownership, so that workers refuse the ones that are still on their way.
     pub fn handover_token(&self) -> u64 {
-        next_order(self.last_token).unwrap_or(self.last_token)
+        next_revision(self.last_token).unwrap_or(self.last_token)
     }
 
     /// Returns whether this pool has stopped, because a worker reported a later owner or the cell
@@ -563,7 +563,6 @@
                 is_suspect: task.is_suspect,
                 token,
                 addr: worker.entry.addr,
-                abandoned_at: None,
                 resources: step.task_resources,
                 state: RunState::Starting,
                 since: now,
@@ -651,7 +650,7 @@
                 if run.task_ref.is_none_or(|(job, _)| job != number) {
                     continue;
                 }
-                run.abandon(now);
+                run.task_ref = None;
                 run.state = match run.state {
                     RunState::Starting | RunState::InDoubt => RunState::InDoubt,
                     RunState::Running | RunState::Stopping => RunState::Stopping,
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -1,8 +1,8 @@
 //! Handles the replies of workers to starts, stops and polls, and the ends of runs.
 //!
 //! Replies can be lost, late, or from a worker process that has since restarted. A task changes
-//! state only if it is certain what the worker did; otherwise the run is stopped and the worker is
-//! polled.
+//! state only if it is certain what the worker did; otherwise the worker is polled under a higher
+//! fencing token.
 
 use std::rc::Rc;
 
@@ -10,10 +10,10 @@
 
 use crate::call::{End, PollReply, Refusal, StartCall, StartReply, StopCall, StopReply};
 use crate::crashes::Crash;
-use crate::job::{Outcome, Reason, TaskState};
+use crate::job::{Outcome, Reason, TaskName, TaskState};
 use crate::pool::{Action, Pool};
 use crate::run::{Interruption, InterruptionEvidence, Measurement, RunState, Timing};
-use crate::tokens::next_order;
+use crate::tokens::next_revision;
 use crate::worker::RunUpdate;
 
 /// Increment of the run number after a worker refused a start because it knows a higher one, for
@@ -69,13 +69,11 @@
     /// worker answers settles all starts before it: what is not listed then never begins. Returns
     /// whether there was a token left.
     fn raise_worker_token(&mut self, id: &str) -> bool {
-        let (Some(worker), Some(token)) = (self.workers.get_mut(id), next_order(self.last_token))
-        else {
-            return false;
-        };
-        self.last_token = token;
-        worker.token = token;
-        true
+        let Some(worker) = self.workers.get_mut(id) else { return false };
+        self.last_token = next_revision(self.last_token).unwrap_or(self.last_token);
+        let is_higher = worker.token < self.last_token;
+        worker.token = self.last_token;
+        is_higher
     }
 
     /// Handles the reply to a stop.
@@ -169,7 +167,8 @@
                     self.task_ended(now, number, at, End::Interrupted);
                 }
                 RunUpdate::Stop { task, run } => {
-                    if let Some(id) = id {
+                    // A job may have adopted the run since the report was applied.
+                    if let Some(id) = id.filter(|id| !self.is_wanted(id, &task, run)) {
                         self.send_stop(id, &task, run);
                     }
                 }
@@ -203,6 +202,11 @@
         }
     }
 
+    fn is_wanted(&self, id: &str, task: &TaskName, run: u32) -> bool {
+        let known = self.workers.get(id).and_then(|worker| worker.runs.get(task));
+        known.is_some_and(|known| known.run == run && known.task_ref.is_some())
+    }
+
     /// Updates the ramp from an ended run, and the estimate to which its duration applies.
     fn record_run(&mut self, number: u64, at: usize, end: End, measured: Measurement) {
         if let (Some(ramp), 1..) = (&mut self.ramp, measured.ramp_millicores)
--- a/crates/pool/src/run.rs
+++ b/crates/pool/src/run.rs
@@ -109,8 +109,6 @@
     pub token: u64,
     /// Address that the start was sent to.
     pub addr: SocketAddr,
-    /// Since when nobody waits for the run.
-    pub abandoned_at: Option<Millis>,
     /// Resources that the run occupies on the worker.
     pub resources: Resources,
     /// State as last reported by the worker or requested by this daemon.
@@ -134,14 +132,7 @@
 impl Run {
     /// Whether nobody waits for the run, and it may go on or begin because no stop is confirmed.
     pub(crate) fn is_unstopped(&self) -> bool {
-        self.abandoned_at.is_some() && self.state != RunState::Stopped
-    }
-
-    /// Stops waiting for the run, if anybody did.
-    pub(crate) fn abandon(&mut self, now: Millis) -> Option<(u64, usize)> {
-        let task_ref = self.task_ref.take()?;
-        self.abandoned_at = Some(now);
-        Some(task_ref)
+        self.task_ref.is_none() && self.state != RunState::Stopped
     }
 
     /// Updates the expected end of the run from its progress.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -49,10 +49,6 @@
 /// Interval after which a stop is repeated whose run has not ended although it was confirmed, or
 /// whose run this owner does not know, in milliseconds.
 const STOP_RETRY_MS: u64 = 150;
-/// How long a run that nobody waits for is renewed with the others of its worker, in milliseconds.
-/// This time and a lease together end before a caller resends its request, also where the owner has
-/// learned late that the caller has gone.
-const ABANDONED_RENEWAL_MS: u64 = 200;
 /// How long a start without a reply may still be carried out, in milliseconds.
 const LATE_START_MS: u64 = 12_000;
 /// Interval between two polls of an idle worker to which a start may still be on its way, in
@@ -74,8 +70,8 @@
 /// Consecutive failed runs, of different jobs, after which a worker counts as unhealthy.
 const MAX_CONSECUTIVE_FAILURES: u32 = 3;
 
-/// Whether a start that got no reply may still be carried out.
-const fn may_begin(run: &Run, now: Millis) -> bool {
+/// Whether the start of a run may still be carried out although it got no reply.
+const fn is_late_start(run: &Run, now: Millis) -> bool {
     now.since(run.sent_at) < LATE_START_MS
 }
 
@@ -293,19 +289,16 @@
             && self.unanswered_polls == 0
             && self.process_doubted_at.is_none()
             && now >= self.paused_until
-            && !self.has_unwanted_runs(now)
+            && !self.has_unwanted_runs()
     }
 
     /// Whether runs may go on that nobody waits for: those of a previous owner that no job has
-    /// adopted, and those that stops have not ended in time. Neither a renewal nor a start is sent
-    /// then, since both extend the lease of all runs of a worker.
-    fn has_unwanted_runs(&self, now: Millis) -> bool {
-        let is_overdue = |run: &Run| {
-            run.is_unstopped()
-                && run.abandoned_at.is_some_and(|at| now.since(at) >= ABANDONED_RENEWAL_MS)
-        };
+    /// adopted, and those whose stop is not confirmed. Neither a renewal nor a start is sent then,
+    /// since both extend the lease of all runs of a worker. The lease and the time in which an owner
+    /// may learn late that a caller has gone together end before the caller resends its request.
+    fn has_unwanted_runs(&self) -> bool {
         self.orphaned_runs.values().any(|orphan| orphan.end.is_none())
-            || self.runs.values().any(is_overdue)
+            || self.runs.values().any(Run::is_unstopped)
     }
 
     /// Whether the worker can get new tasks once it has replied to a poll and no pause is in force.
@@ -332,16 +325,16 @@
     /// with their lease.
     pub fn may_have_active_runs(&self, now: Millis) -> bool {
         let has_lapsed = self.is_lost() && now >= self.lease_bound;
-        let may_begin = |run: &Run| run.state == RunState::InDoubt && may_begin(run, now);
-        !(self.runs.is_empty() || has_lapsed) || self.runs.values().any(may_begin)
+        let is_in_doubt = |run: &Run| run.state == RunState::InDoubt && is_late_start(run, now);
+        !(self.runs.is_empty() || has_lapsed) || self.runs.values().any(is_in_doubt)
     }
 
     /// Returns whether a run of the task may be active on this worker, or may still begin. No other
     /// run of the task starts before.
     pub(crate) fn may_run(&self, task: &TaskName, now: Millis) -> bool {
         let is_silent = self.unanswered_polls > 0;
-        let may_run = |run: &Run| match run.state {
-            RunState::InDoubt => may_begin(run, now),
+        let is_possible = |run: &Run| match run.state {
+            RunState::InDoubt => is_late_start(run, now),
             RunState::Starting | RunState::Running | RunState::Stopping | RunState::Stopped => {
                 !is_silent || now < self.lease_bound
             }
@@ -350,7 +343,7 @@
             let has_lapsed = is_silent && now.since(orphan.seen_at) >= MAX_LEASE_BOUND_MS;
             orphan.end.is_none() && !has_lapsed
         };
-        self.runs.get(task).is_some_and(may_run)
+        self.runs.get(task).is_some_and(is_possible)
             || self.orphaned_runs.get(task).is_some_and(is_active)
     }
 
@@ -404,6 +397,13 @@
         self.runs.insert(name, run);
     }
 
+    /// Records a run that a previous owner started. That owner may not have known the worker's process,
+    /// so that the lease may be the longest one that a worker grants.
+    pub(crate) fn place_adopted(&mut self, name: TaskName, run: Run) {
+        self.lease_bound = self.lease_bound.max(run.sent_at.plus(MAX_LEASE_BOUND_MS));
+        self.place(name, run);
+    }
+
     /// Removes a run and frees its resources.
     pub fn remove(&mut self, name: &TaskName) -> Option<Run> {
         let run = self.runs.remove(name)?;
@@ -435,7 +435,7 @@
         if self.runs.is_empty()
             || self.unanswered_polls > 0
             || self.is_clock_doubted()
-            || self.has_unwanted_runs(now)
+            || self.has_unwanted_runs()
         {
             return None;
         }
@@ -463,11 +463,8 @@
         }
         let lease_ms = self.shortest_lease_ms(now);
         let longest_ms = lease_ms.saturating_sub(RENEWAL_MARGIN_MS + 2 * timeout_ms);
-        let longest_ms = if self.has_unwanted_runs(now) {
-            longest_ms.min(POLL_WAIT_SLACK_MS)
-        } else {
-            longest_ms
-        };
+        let longest_ms =
+            if self.has_unwanted_runs() { longest_ms.min(POLL_WAIT_SLACK_MS) } else { longest_ms };
         let slowdown = self.slowdown();
         let first_end_ms = self.runs.values().map(|run| run.remaining_ms(slowdown, now)).min();
         first_end_ms.map_or(0, |left_ms| {
@@ -556,9 +553,21 @@
     /// Returns when the lease of a worker that leaves polls unanswered expires, or `None` if no job
     /// waits for that.
     pub fn next_expiry(&self) -> Option<Millis> {
-        let is_awaited =
-            self.runs.values().any(|run| run.task_ref.is_some() && run.state != RunState::InDoubt);
-        (is_awaited && self.unanswered_polls > 0).then_some(self.lease_bound)
+        if self.unanswered_polls == 0 {
+            return None;
+        }
+        let awaited = self.runs.values().filter(|run| run.task_ref.is_some());
+        awaited.map(|run| self.expires_at(run)).min()
+    }
+
+    /// Returns when a run of a silent worker has certainly ended, and will not begin.
+    fn expires_at(&self, run: &Run) -> Millis {
+        match run.state {
+            RunState::InDoubt => self.lease_bound.max(run.sent_at.plus(LATE_START_MS)),
+            RunState::Starting | RunState::Running | RunState::Stopping | RunState::Stopped => {
+                self.lease_bound
+            }
+        }
     }
 
     /// Returns the runs whose lease has certainly expired as interrupted, so that their tasks can
@@ -570,9 +579,10 @@
             return Vec::new();
         }
         let loss = self.report_loss(LossCause::Silent);
-        let has_expired = |run: &&mut Run| run.state != RunState::InDoubt || !may_begin(run, now);
+        let has_expired =
+            |run: &&mut Run| run.state != RunState::InDoubt || !is_late_start(run, now);
         let expired = self.runs.values_mut().filter(has_expired).filter_map(|run| {
-            let job_task = run.abandon(now)?;
+            let job_task = run.task_ref.take()?;
             let evidence = InterruptionEvidence::LeaseExpired;
             Some(RunUpdate::Interrupted { job_task, evidence })
         });
@@ -821,7 +831,7 @@
             let Some(task) = &active.task else { continue };
             if let Some(run) = self.runs.get_mut(task).filter(|run| run.run == active.run) {
                 run.update_progress(active.percent, now);
-                let is_wanted = run.abandoned_at.is_none();
+                let is_wanted = run.task_ref.is_some();
                 match run.state {
                     RunState::Starting | RunState::InDoubt if is_wanted => {
                         (run.state, run.since) = (RunState::Running, now);
@@ -855,7 +865,7 @@
                 .iter()
                 .any(|(given_up, run, _)| given_up == task && *run == active.run);
             let may_stop = is_given_up || now.since(orphan.seen_at) >= ADOPTION_WINDOW_MS;
-            let is_repeat = orphan.stop_sent_at.is_some_and(|at| now.since(at) < STOP_RETRY_MS / 2);
+            let is_repeat = orphan.stop_sent_at.is_some_and(|at| now.since(at) < STOP_RETRY_MS);
             if may_stop && !is_repeat {
                 orphan.stop_sent_at = Some(now);
                 changes.push(RunUpdate::Stop { task: task.clone(), run: active.run });
@@ -881,7 +891,7 @@
     const fn awaits_stop(&self, run: &Run) -> bool {
         match run.state {
             RunState::Stopping => true,
-            RunState::InDoubt => run.abandoned_at.is_some() || run.token >= self.token,
+            RunState::InDoubt => run.task_ref.is_none() || run.token >= self.token,
             RunState::Starting | RunState::Running | RunState::Stopped => false,
         }
     }
