Send starts only to the process whose clock gave their expiry

The expiry of a start is a time of one process's clock. A start on a new connection that the worker's next process accepts may be carried out there seconds late: the expiry means nothing to that process, and it knows no fencing token. Neither the cell's next owner nor another cell, to which the caller's next request may come, knows of the start.

Evidence: late_starts.rs plays the orders.

Why it works: a connection ends in one process, so that bytes on it never reach the next one. Calls to workers have connections of their own (hyper), each marked with the process that has answered a poll on it. A start goes over one that is marked with the process that the owner knows. On a connection without a mark a poll with the start's token goes first, which fences a new process as well. If another process answers, the start is refused as other_lifetime, not sent; without an answer as not_sent, not lost. A worker to which a start was not sent is polled at once, and starts that fail in the same moment pause it once. A reply to a start sets the worker's clock only if it is of the process that is known.

Cost: one round trip and one probe for each connection that a start opens; the number of connections stays as it was. The stand-in's connections now end with its process; they went on to the next one, which then carried out calls to the one before.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -338,11 +338,12 @@
         let level = if is_usual { log::Level::Debug } else { log::Level::Info };
         log::log!(
             level,
-            "part=owner event=start task={} run={} worker={} token={} lease_until={} clock={} \
-             reply={label}",
+            "part=owner event=start task={} run={} worker={} process={} token={} lease_until={} \
+             clock={} reply={label}",
             call.task,
             call.run,
             target.id,
+            target.process.map_or_else(|| "-".to_owned(), |ms| ms.to_string()),
             call.token,
             call.lease_until_ms,
             clock_ms.map_or_else(|| "-".to_owned(), |ms| ms.to_string()),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -249,7 +249,7 @@
             in_flight: Value::new(0),
             open_jobs: OpenJobs::default(),
             links,
-            workers: WorkerClient::new(caller.clone()),
+            workers: WorkerClient::new(),
             store: StoreClient::new(settings.store, caller),
             metrics: Metrics::new()?,
             rejoin: Notify::new(),
--- a/crates/httpedge/src/client.rs
+++ b/crates/httpedge/src/client.rs
@@ -15,7 +15,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_CONNECTIONS: usize = 8_192;
-const MAX_REPLY_BYTES: usize = 64 << 20;
+pub(crate) const MAX_REPLY_BYTES: usize = 64 << 20;
 
 /// The reason why a request got no usable reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/httpedge/src/lib.rs
+++ b/crates/httpedge/src/lib.rs
@@ -4,4 +4,5 @@
 //! plain values instead of streams.
 
 pub mod client;
+pub mod connections;
 pub mod server;
--- a/crates/httpedge/src/server.rs
+++ b/crates/httpedge/src/server.rs
@@ -1,5 +1,6 @@
 //! HTTP server on the local thread. Handlers get complete requests and return complete responses.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,6 +11,7 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{HttpMessage as _, HttpService, KeepAlive, Method, StatusCode};
 use actix_rt::net::{TcpListener, TcpStream};
+use actix_rt::task::JoinHandle;
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -140,11 +142,55 @@
     }
 }
 
+/// Connections that a server has accepted and can close.
+#[derive(Debug, Default)]
+pub struct Accepted {
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+}
+
+impl Accepted {
+    /// Closes all connections, as the end of the server's process does.
+    pub fn close_all(&self) {
+        self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+    }
+
+    fn add(&self, task: JoinHandle<()>) {
+        let mut tasks = self.tasks.borrow_mut();
+        tasks.retain(|task| !task.is_finished());
+        tasks.push(task);
+    }
+}
+
 /// Accepts and serves connections on the local thread until the returned future is dropped.
 pub async fn serve<F, Fut>(listener: TcpListener, limits: Limits, handler: F)
 where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response> + 'static,
+{
+    accept_each(listener, limits, handler, |_| {}).await;
+}
+
+/// Like [`serve`], with connections that can be closed.
+pub async fn serve_closable<F, Fut>(
+    listener: TcpListener,
+    limits: Limits,
+    accepted: Rc<Accepted>,
+    handler: F,
+) where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response> + 'static,
+{
+    accept_each(listener, limits, handler, |task| accepted.add(task)).await;
+}
+
+async fn accept_each<F, Fut>(
+    listener: TcpListener,
+    limits: Limits,
+    handler: F,
+    on_accept: impl Fn(JoinHandle<()>),
+) where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response> + 'static,
 {
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
@@ -162,9 +208,9 @@
             Ok((stream, peer)) => {
                 let _ = stream.set_nodelay(true);
                 let service = Rc::clone(&service);
-                actix_rt::spawn(async move {
+                on_accept(actix_rt::spawn(async move {
                     let _ = service.call((stream, Some(peer))).await;
-                });
+                }));
             }
             Err(_) => actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -68,6 +68,7 @@
                         is_suspect: task.is_suspect,
                         token: worker.token,
                         addr: worker.entry.addr,
+                        process: None,
                         resources: step.task_resources,
                         state: RunState::Running,
                         since: orphan.seen_at,
--- a/crates/pool/src/call.rs
+++ b/crates/pool/src/call.rs
@@ -12,6 +12,10 @@
     pub id: Rc<str>,
     /// Address on which the worker accepts calls.
     pub addr: SocketAddr,
+    /// Start time of the process whose clock gave the expiry of a start, in Unix milliseconds; `None` if
+    /// it is not known. A start goes only over a connection that this process has accepted: the
+    /// expiry means nothing to another one, which may carry the start out seconds late.
+    pub process: Option<u64>,
     /// How long to wait for the reply, beyond the wait that a poll requests, in milliseconds.
     pub timeout_ms: u64,
 }
@@ -152,7 +156,8 @@
     Unhealthy,
     /// The worker could not parse the call.
     Unreadable,
-    /// No connection could be opened, so the call was not sent.
+    /// No connection could be opened, or the process that has accepted it did not show which one it is,
+    /// so the call was not sent.
     NotSent,
     /// The worker's address refused the connection, so the call was not sent: no process listens
     /// there, which a silent or cut-off worker does not show.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -563,6 +563,7 @@
                 is_suspect: task.is_suspect,
                 token,
                 addr: worker.entry.addr,
+                process: worker.clock_process(),
                 resources: step.task_resources,
                 state: RunState::Starting,
                 since: now,
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -46,8 +46,8 @@
                     RunState::Running | RunState::Stopping | RunState::Stopped => {}
                 }
                 let first_poll_ms = (run.expected_ms as f64 * FIRST_POLL_FRACTION) as u64;
-                let sent_at = run.sent_at;
-                worker.confirm_start(clock_ms, sent_at, now);
+                let (process, sent_at) = (run.process, run.sent_at);
+                worker.confirm_start(clock_ms, process, sent_at, now);
                 worker.poll_no_later_than(now.plus(first_poll_ms));
             }
             StartReply::Lost => {
@@ -136,7 +136,8 @@
         let Some(run) = worker.remove(&call.task) else { return };
         match refusal {
             Refusal::NoCapacity | Refusal::LeaseExpired => worker.recheck_capacity(now),
-            Refusal::Unhealthy | Refusal::NotSent | Refusal::NotListening => worker.pause(now),
+            Refusal::Unhealthy | Refusal::NotListening => worker.pause(now),
+            Refusal::NotSent => worker.record_unsent_start(now),
             Refusal::InstanceMismatch => worker.doubt_process(now),
             Refusal::OldRun | Refusal::Unreadable | Refusal::Fenced => {}
         }
--- a/crates/pool/src/run.rs
+++ b/crates/pool/src/run.rs
@@ -109,6 +109,9 @@
     pub token: u64,
     /// Address that the start was sent to.
     pub addr: SocketAddr,
+    /// Start time of the only process that the start can have reached, in Unix milliseconds; `None` if
+    /// it may have reached any.
+    pub process: Option<u64>,
     /// Resources that the run occupies on the worker.
     pub resources: Resources,
     /// State as last reported by the worker or requested by this daemon.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -383,7 +383,13 @@
 
     /// Returns the destination of a call to the worker that is given up after `timeout_ms`.
     pub fn target(&self, id: &Rc<str>, timeout_ms: u64) -> Target {
-        Target { id: Rc::clone(id), addr: self.entry.addr, timeout_ms }
+        let process = self.clock_process();
+        Target { id: Rc::clone(id), addr: self.entry.addr, process, timeout_ms }
+    }
+
+    /// Returns the start time of the process whose clock is known, in Unix milliseconds, if it is known.
+    pub(crate) fn clock_process(&self) -> Option<u64> {
+        self.clock.and_then(|clock| clock.process)
     }
 
     /// Records a run that is being started: reserves its resources and schedules the renewal of
@@ -639,22 +645,33 @@
         self.poll_no_later_than(now);
     }
 
-    /// Records the worker's clock from the reply to a start that was sent at `asked_at`, which also
-    /// ends a series of unanswered polls. A clock that has jumped is that of another process.
-    pub fn confirm_start(&mut self, clock_ms: u64, asked_at: Millis, now: Millis) {
-        if self.clock.is_some_and(|reading| asked_at < reading.asked_at) {
+    /// Records the worker's clock from the reply of `process` to a start that was sent at `asked_at`,
+    /// which also ends a series of unanswered polls. The reply of a process before the known one tells
+    /// nothing. A clock that has jumped is that of another process.
+    pub fn confirm_start(
+        &mut self,
+        clock_ms: u64,
+        process: Option<u64>,
+        asked_at: Millis,
+        now: Millis,
+    ) {
+        let is_outdated = |reading: ClockReading| {
+            let is_of_other_process = process.is_some() && process != reading.process;
+            asked_at < reading.asked_at || is_of_other_process
+        };
+        if self.clock.is_some_and(is_outdated) {
             return;
         }
         if self.clock.is_some_and(|reading| reading.has_jumped(clock_ms, asked_at, now)) {
             self.doubt_process(now);
         }
-        self.update_clock(clock_ms, asked_at, now);
+        self.update_clock(ClockReading { clock_ms, process, asked_at, read_at: now });
     }
 
-    fn update_clock(&mut self, clock_ms: u64, asked_at: Millis, now: Millis) {
+    fn update_clock(&mut self, reading: ClockReading) {
         self.unanswered_polls = 0;
-        self.presence.record_reply(now);
-        self.clock = Some(ClockReading { clock_ms, asked_at, read_at: now });
+        self.presence.record_reply(reading.read_at);
+        self.clock = Some(reading);
     }
 
     /// Stops sending tasks to the worker for a time, which doubles with each pause until a run
@@ -664,6 +681,15 @@
         self.pause_ms = (self.pause_ms * 2).min(MAX_PAUSE_MS);
     }
 
+    /// Polls the worker at once and pauses it, because a start could not be sent to it. Starts that could
+    /// not be sent in the same moment count as one.
+    pub fn record_unsent_start(&mut self, now: Millis) {
+        if now >= self.paused_until {
+            self.pause(now);
+        }
+        self.poll_no_later_than(now);
+    }
+
     /// Polls the worker at once and sends it no tasks meanwhile, because a refusal showed that its
     /// free resources or its clock differ from what is recorded here.
     pub fn recheck_capacity(&mut self, now: Millis) {
@@ -713,7 +739,12 @@
         if self.process_doubted_at.is_some_and(|doubted_at| sent_at >= doubted_at) {
             self.process_doubted_at = None;
         }
-        self.update_clock(report.clock_ms, sent_at, now);
+        self.update_clock(ClockReading {
+            clock_ms: report.clock_ms,
+            process: report.started_at_ms,
+            asked_at: sent_at,
+            read_at: now,
+        });
         self.acked = self.acking;
         changes.extend(self.apply_ended(now, report));
         changes.extend(self.apply_missing(sent_at, report));
--- a/crates/pool/src/worker_clock.rs
+++ b/crates/pool/src/worker_clock.rs
@@ -27,6 +27,8 @@
 pub(crate) struct ClockReading {
     /// Time that the clock showed, in milliseconds.
     pub clock_ms: u64,
+    /// Start time of the process whose clock it is, in Unix milliseconds, if it is known.
+    pub process: Option<u64>,
     /// When the call was sent whose reply had the reading.
     pub asked_at: Millis,
     /// When the reply arrived.
--- /dev/null
+++ b/crates/pool/tests/late_starts.rs
@@ -0,0 +1,127 @@
+//! Guards against a start that the next process of its worker accepts and carries out late, beside a run
+//! that was started after it. See `docs/design/on-the-platform.md`.
+
+mod support;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use support::event_orders::{CELLS, Change, Event, Fate, Kind, NextProcess, Pick, Script, World};
+
+/// Number of cases, unless the environment variable `PROPTEST_CASES` has another one.
+const CASES: u32 = 500;
+
+const fn submission(cell: usize, resends_elsewhere: bool) -> Event {
+    Event::Submit { cell, resends_elsewhere, tasks: 1, task_ms: 6_000, declared_ms: 60 }
+}
+
+const fn late_starts(after_ms: u64, late_ms: u64, is_verified: bool) -> Event {
+    let fate = Fate::Accepted { after_ms, late_ms, is_verified };
+    Event::Calls { kind: Kind::Start, fate, for_ms: 1 }
+}
+
+const fn restart(pick: Pick, down_ms: u64) -> Event {
+    let next = NextProcess::SameId;
+    Event::Restart { pick, next, down_ms, entry_ms: 9_000, old_entry_ms: None }
+}
+
+/// Idle workers have restarted, and their owner, which does not know that, starts a task and is then cut
+/// off from its worker.
+fn prelude(
+    workers: usize,
+    down_ms: u64,
+    late: Event,
+    submission: Event,
+    cut_ms: u64,
+) -> Vec<(u64, Event)> {
+    let cut = Event::Cut { pick: Pick::Silent, fate: Fate::Lost, for_ms: cut_ms };
+    let restarts = (0..workers).map(|number| (0, restart(Pick::Number(number), down_ms)));
+    let mut events: Vec<_> = restarts.chain([(0, late), (0, submission), (2, cut)]).collect();
+    events[0].0 = 500;
+    events
+}
+
+/// The owner dies, and the next one is cut off from the worker from the start.
+fn death() -> Vec<(u64, Event)> {
+    let lost = Event::Calls { kind: Kind::Poll, fate: Fate::Lost, for_ms: 10 };
+    let cut = Event::Cut { pick: Pick::Silent, fate: Fate::Lost, for_ms: 8_000 };
+    let death = Event::Owner { cell: 0, change: Change::Death, pause_ms: 600, missing: 9 };
+    vec![(50, death), (595, lost), (55, cut)]
+}
+
+#[test]
+fn a_start_that_the_next_process_accepts_does_not_run_beside_a_later_one() {
+    let cases = [
+        ("the caller's next request comes to another cell", 2, submission(0, true), Vec::new()),
+        ("the cell's next owner knows nothing of it", 4, submission(0, false), death()),
+    ];
+    for (case, workers, submission, change) in cases {
+        for is_verified in [false, true] {
+            let late = late_starts(40, 5_000, is_verified);
+            let mut events = prelude(workers, 20, late, submission.clone(), 8_000);
+            events.extend(change.clone());
+            let world = World::play(&Script { slow_permille: vec![0; workers], events }, false);
+            let trace = world.trace();
+            assert_eq!(
+                world.overlap.is_none(),
+                is_verified,
+                "{case}: {:?}\n{trace}",
+                world.overlap
+            );
+        }
+    }
+}
+
+fn events(is_verified: bool) -> impl Strategy<Value = Event> {
+    let picks =
+        || prop_oneof![Just(Pick::Silent), Just(Pick::Busy), (0..4_usize).prop_map(Pick::Number)];
+    let lost = (prop_oneof![Just(Kind::Poll), Just(Kind::Stop)], 2_u64..4_000);
+    let changes = prop_oneof![Just(Change::Death), Just(Change::StoreLost), Just(Change::Handover)];
+    let change = (0..CELLS, changes, 300_u64..1_200);
+    let late = prop_oneof![0_u64..1_200, 1_000_u64..9_000];
+    prop_oneof![
+        3 => (0..CELLS, any::<bool>()).prop_map(|(cell, elsewhere)| submission(cell, elsewhere)),
+        3 => (0_u64..100, late).prop_map(move |(ms, late_ms)| late_starts(ms, late_ms, is_verified)),
+        3 => (picks(), prop_oneof![0_u64..90, 0_u64..2_000]).prop_map(|(pick, ms)| restart(pick, ms)),
+        2 => (picks(), 200_u64..6_000)
+            .prop_map(|(pick, for_ms)| Event::Cut { pick, fate: Fate::Lost, for_ms }),
+        1 => lost.prop_map(|(kind, for_ms)| Event::Calls { kind, fate: Fate::Lost, for_ms }),
+        1 => change.prop_map(|(cell, change, pause_ms)| {
+            Event::Owner { cell, change, pause_ms, missing: 9 }
+        }),
+        1 => (1_u64..50).prop_map(|noticed_ms| Event::Leave { noticed_ms }),
+    ]
+}
+
+/// Plays drawn orders; returns the number of runs that started, or the first case with two runs of a task.
+fn play(is_verified: bool) -> Result<usize, String> {
+    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|cases| cases.parse().ok());
+    let config =
+        Config { cases: cases.unwrap_or(CASES), failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let pauses = prop_oneof![4 => 0_u64..3, 2 => 0_u64..100, 1 => 0_u64..3_000];
+    let slow_permille = vec(prop_oneof![Just(0), Just(20), 0..=20_u64], 4);
+    let late = (0_u64..100, 0_u64..9_000);
+    let first = (0_u64..90, late, (0..CELLS, any::<bool>()), 1_000_u64..8_000);
+    let scripts = (slow_permille, first, vec((pauses, events(is_verified)), 0..8));
+    let starts = std::cell::Cell::new(0);
+    let played =
+        TestRunner::new_with_rng(config, rng).run(&scripts, |(slow_permille, first, rest)| {
+            let (down_ms, (after_ms, late_ms), (cell, elsewhere), cut_ms) = first;
+            let late = late_starts(after_ms, late_ms, is_verified);
+            let mut events = prelude(4, down_ms, late, submission(cell, elsewhere), cut_ms);
+            events.extend(rest);
+            let world = World::play(&Script { slow_permille, events }, false);
+            starts.set(starts.get() + world.starts);
+            prop_assert!(world.overlap.is_none(), "{:?}\n{}", world.overlap, world.trace());
+            Ok(())
+        });
+    played.map(|()| starts.get()).map_err(|error| error.to_string())
+}
+
+#[test]
+fn no_task_has_two_active_runs_when_starts_go_to_the_process_that_they_are_meant_for() {
+    let starts = play(true).unwrap_or_else(|error| panic!("{error}"));
+    assert!(starts > CASES as usize, "only {starts} runs started");
+    assert!(play(false).is_err(), "the orders do not show starts at other processes");
+}
--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -49,6 +49,14 @@
     Slow(u64),
     /// Gets no reply, and is carried out after this time.
     Late(u64),
+    /// Goes over a connection that is accepted after `after_ms`, gets no reply, and is carried out
+    /// `late_ms` later by the process that has accepted it, unless that one has ended. Whether the sender
+    /// of a start makes sure which process that is.
+    Accepted {
+        after_ms: u64,
+        late_ms: u64,
+        is_verified: bool,
+    },
 }
 
 /// A worker of the fleet.
@@ -186,6 +194,9 @@
 
 enum Due {
     Script(Event),
+    /// The process that listens accepts the connection of a call, whose caller gives up after the first
+    /// time. It is carried out after the second one.
+    Accept(Sent, u64, u64),
     Arrival(Sent),
     /// A poll waits at its worker until this time.
     Wait(Sent, u64),
@@ -345,7 +356,7 @@
         let is_open = |request: &Request| !request.is_answered && request.arrived_ms.is_some();
         let may_start = |due: &Due| match due {
             Due::Script(_) | Due::Send(_) => true,
-            Due::Arrival(sent) => sent.call.kind() == Kind::Start,
+            Due::Accept(sent, ..) | Due::Arrival(sent) => sent.call.kind() == Kind::Start,
             _ => false,
         };
         !self.requests.iter().any(is_open) && !self.due.values().any(may_start)
@@ -407,6 +418,17 @@
         let arrives_ms = match fate {
             None => Some(1),
             Some(Fate::Slow(ms)) => Some(ms),
+            Some(Fate::Accepted { after_ms, late_ms, is_verified }) => {
+                sent.has_reply = false;
+                sent.target.process = sent.target.process.filter(|_| is_verified);
+                if sent.call.kind() == Kind::Start {
+                    self.silent = node;
+                }
+                let after_ms = after_ms.min(timeout_ms);
+                let rest_ms = timeout_ms - after_ms;
+                self.push(after_ms, Due::Accept(sent.clone(), rest_ms, late_ms));
+                None
+            }
             Some(Fate::ReplyLost | Fate::Lost | Fate::Late(_)) => {
                 sent.has_reply = false;
                 if sent.call.kind() == Kind::Start {
@@ -418,6 +440,10 @@
                     Some(Fate::Late(ms)) => {
                         let process = self.nodes[node].worker.started_at_ms;
                         sent.process = (!self.late_calls_outlive_processes).then_some(process);
+                        if self.late_calls_outlive_processes {
+                            // The process that receives the call is not the one that was asked.
+                            sent.target.process = None;
+                        }
                         Some(ms)
                     }
                     _ => None,
@@ -444,8 +470,32 @@
         }
     }
 
+    /// Whether a start has reached another process than the one that it is meant for. Its sender notices
+    /// that before it sends the start.
+    fn is_misdirected(&self, sent: &Sent) -> bool {
+        let process = self.nodes[self.node_at(&sent.target)].worker.started_at_ms;
+        let is_other = sent.target.process.is_some_and(|expected| expected != process);
+        sent.call.kind() == Kind::Start && is_other
+    }
+
+    fn accept(&mut self, mut sent: Sent, rest_ms: u64, late_ms: u64) {
+        let node = &self.nodes[self.node_at(&sent.target)];
+        let lost = sent.call.lost();
+        if self.now_ms < node.down_until_ms {
+            self.push(rest_ms, Due::Reply(sent, lost));
+        } else if self.is_misdirected(&sent) {
+            let reply = sent.call.refused(Refusal::InstanceMismatch);
+            self.push(1, Due::Reply(sent, reply));
+        } else {
+            sent.process = Some(node.worker.started_at_ms);
+            self.push(rest_ms, Due::Reply(sent.clone(), lost));
+            self.push(late_ms, Due::Arrival(sent));
+        }
+    }
+
     fn arrive(&mut self, sent: Sent) {
         let number = self.node_at(&sent.target);
+        let is_misdirected = self.is_misdirected(&sent);
         let node = &mut self.nodes[number];
         let worker = &mut node.worker;
         if sent.process.is_some_and(|process| process != worker.started_at_ms) {
@@ -454,7 +504,7 @@
         let refusal = if self.now_ms < node.down_until_ms {
             Some(Refusal::NotListening)
         } else {
-            (node.id != sent.target.id).then_some(Refusal::InstanceMismatch)
+            (node.id != sent.target.id || is_misdirected).then_some(Refusal::InstanceMismatch)
         };
         if let Some(refusal) = refusal {
             let reply = sent.call.refused(refusal);
@@ -509,6 +559,7 @@
                 self.note(&format!("{event:?}"));
                 self.apply(event);
             }
+            Due::Accept(sent, rest_ms, late_ms) => self.accept(sent, rest_ms, late_ms),
             Due::Arrival(sent) => self.arrive(sent),
             Due::Wait(sent, until_ms) => {
                 let number = self.node_at(&sent.target);
--- a/crates/pool/tests/support/fleet.rs
+++ b/crates/pool/tests/support/fleet.rs
@@ -200,6 +200,8 @@
                 let work = Work { resources: cores(TASK_CORES), duration_ms, end: self.end };
                 let reply = if self.is_down(worker) {
                     StartReply::Refused(Refusal::NotListening)
+                } else if target.process.is_some_and(|p| p != self.workers[worker].started_at_ms) {
+                    StartReply::Refused(Refusal::InstanceMismatch)
                 } else {
                     self.workers[worker].start(self.now_ms, &call, work).0
                 };
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -93,7 +93,8 @@
 
 enum Event {
     /// Daemon, worker, call, and for a call that is carried out late the clock that it was sent by.
-    Start(usize, usize, StartCall, Option<u64>),
+    /// The last field is the start time of the process that the start is meant for.
+    Start(usize, usize, StartCall, Option<u64>, Option<u64>),
     Stop(usize, usize, StopCall, Option<u64>),
     PollArrives(usize, usize, PollCall, u64),
     /// Daemon, worker, the process that received the poll, when it was sent and until when it waits.
@@ -573,7 +574,7 @@
             match action {
                 Action::Start(target, call) => {
                     self.send_order(daemon, &target, |worker, late| {
-                        Event::Start(daemon, worker, call, late)
+                        Event::Start(daemon, worker, call, late, target.process)
                     });
                 }
                 Action::Stop(target, call) => {
@@ -652,7 +653,7 @@
         let event = event(worker, is_late.then_some(self.clocks_begun[worker]));
         if is_lost || is_late {
             let reply = match &event {
-                Event::Start(_, _, call, _) => {
+                Event::Start(_, _, call, ..) => {
                     Event::StartReply(daemon, worker, call.clone(), StartReply::Lost)
                 }
                 Event::Stop(_, _, call, _) => {
@@ -675,13 +676,19 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Start(_, worker, _, Some(clock)) | Event::Stop(_, worker, _, Some(clock))
+            Event::Start(_, worker, _, Some(clock), _) | Event::Stop(_, worker, _, Some(clock))
                 if clock != self.clocks_begun[worker] && !self.faults.late_calls_outlive_clocks => {
             }
-            Event::Start(daemon, worker, call, _) if self.is_down(worker) => {
+            Event::Start(daemon, worker, call, ..) if self.is_down(worker) => {
                 let refused = StartReply::Refused(Refusal::NotListening);
                 self.push(self.now_ms + 1, Event::StartReply(daemon, worker, call, refused));
             }
+            Event::Start(daemon, worker, call, None, Some(process))
+                if process != self.workers[worker].started_at_ms =>
+            {
+                let refused = StartReply::Refused(Refusal::InstanceMismatch);
+                self.push(self.now_ms + 1, Event::StartReply(daemon, worker, call, refused));
+            }
             Event::Stop(daemon, worker, call, _) if self.is_down(worker) => {
                 let refused = StopReply::Refused(Refusal::NotListening);
                 self.push(self.now_ms + 1, Event::StopReply(daemon, worker, call, refused));
@@ -701,7 +708,9 @@
             Event::Crash(worker, task) => self.crash(worker, &task),
             Event::Delegation(cell, event) => self.continue_delegation(cell, event),
             Event::Publish(worker, started_at_ms) => self.publish(worker, started_at_ms),
-            Event::Start(daemon, worker, call, late) => self.start_run(daemon, worker, call, late),
+            Event::Start(daemon, worker, call, late, _) => {
+                self.start_run(daemon, worker, call, late);
+            }
             Event::Stop(daemon, worker, call, late) => {
                 let reply = self.workers[worker].stop(self.now_ms, &call);
                 let line = format!("stop of {} by {daemon} at {worker}: {reply:?}", call.task);
--- a/crates/standins/src/pool_worker_server.rs
+++ b/crates/standins/src/pool_worker_server.rs
@@ -9,7 +9,7 @@
 use adapter::worker_calls::{
     WorkerCall, read_worker_call, render_refusal, render_report, render_success,
 };
-use httpedge::server::{Limits, Request, Response, serve};
+use httpedge::server::{Accepted, Limits, Request, Response, serve_closable};
 use pool::call::{End, PollReply, Refusal, StartCall, StartReply, StopReply};
 use pool::job::TaskName;
 use pool::resources::Resources;
@@ -64,6 +64,8 @@
     worker: RefCell<PoolWorker>,
     /// Whether no process listens at the address.
     is_down: Cell<bool>,
+    /// Connections of the worker's process, which end with it.
+    accepted: Rc<Accepted>,
     start_hook: RefCell<StartHook>,
     crash_hook: RefCell<StartHook>,
     resources: Resources,
@@ -116,6 +118,7 @@
             polls: Cell::new(0),
             worker: RefCell::new(worker),
             is_down: Cell::new(true),
+            accepted: Rc::default(),
             start_hook: RefCell::default(),
             crash_hook: RefCell::default(),
             resources,
@@ -123,8 +126,10 @@
         });
         server.start_process();
         let shared = Rc::clone(&server);
+        let (limits, accepted) =
+            (Limits::with_max_body(MAX_BODY_BYTES), Rc::clone(&server.accepted));
         let handler = move |request| Rc::clone(&shared).handle(request);
-        actix_rt::spawn(serve(listener, Limits::with_max_body(MAX_BODY_BYTES), handler));
+        actix_rt::spawn(serve_closable(listener, limits, accepted, handler));
         Ok(server)
     }
 
@@ -149,9 +154,11 @@
         self.worker.borrow().started_at_ms
     }
 
-    /// Ends the worker's process and its runs. Calls get no reply until the next process starts.
+    /// Ends the worker's process, its runs and its connections. Calls get no reply until the next
+    /// process starts.
     pub fn end_process(&self) {
         self.is_down.set(true);
+        self.accepted.close_all();
         self.worker.borrow_mut().active.clear();
     }
 
--- a/crates/standins/tests/late_orders.rs
+++ b/crates/standins/tests/late_orders.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use adapter::worker_calls::WorkerClient;
-use httpedge::client::HttpClient;
 use pool::call::{PollCall, PollReply, StartCall, StartReply, StopCall, StopReply, Target};
 use pool::job::TaskName;
 use pool::resources::Resources;
@@ -28,8 +27,9 @@
     async fn start() -> Self {
         let one = Resources { cpu_millicores: 1_000, memory_mb: 64, accelerators: 0 };
         let server = PoolWorkerServer::start(one, one).await.unwrap();
-        let target = Target { id: Rc::from("w0"), addr: server.addr, timeout_ms: TIMEOUT_MS };
-        let client = WorkerClient::new(HttpClient::new());
+        let target =
+            Target { id: Rc::from("w0"), addr: server.addr, process: None, timeout_ms: TIMEOUT_MS };
+        let client = WorkerClient::new();
         let task = TaskName::parse("0000000000000001.0.0.0").unwrap();
         Self { server, client, target, task }
     }
