End the doubt of a start with its lease

What callers saw: no answer in time. A start in doubt at a worker that is gone for good held its task for 12 s in the cell, longer than a caller waits.

Cause: the next process of the worker might have carried the start out seconds late, for which its expiry means nothing. Since a start goes to one process only, its expiry holds: 938 ms after the decision it is refused there. A poll with a higher token that has settled a start is final for the same reason, whatever process comes next.

A worker whose reports do not name their process keeps the 12 s and the longest lease. The case of worker_processes.rs in which another process runs a start whose owner knows the first one can no longer occur; it is played with reports that do not name their process, all else unchanged, and a_start_is_meant_for_the_process_whose_clock_gave_its_expiry checks the other one.

--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -54,7 +54,7 @@
                 run.state = RunState::InDoubt;
                 run.since = now;
                 let has_overtaken = run.token < worker.token;
-                worker.record_unanswered_start(&call.task, call.run, now);
+                worker.record_unanswered_start(&call.task, now);
                 worker.poll_no_later_than(now);
                 if !has_overtaken && !self.raise_worker_token(id) {
                     self.send_stop(id, &call.task, call.run);
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -49,7 +49,8 @@
 /// Interval after which a stop is repeated whose run has not ended although it was confirmed, or
 /// whose run this owner does not know, in milliseconds.
 const STOP_RETRY_MS: u64 = 150;
-/// How long a start without a reply may still be carried out, in milliseconds.
+/// How long a start without a reply may still be carried out, in milliseconds, if it may have reached a
+/// process whose clock gives its expiry no meaning.
 const LATE_START_MS: u64 = 12_000;
 /// Interval between two polls of an idle worker to which a start may still be on its way, in
 /// milliseconds. The first poll fences the worker's next process.
@@ -70,9 +71,19 @@
 /// Consecutive failed runs, of different jobs, after which a worker counts as unhealthy.
 const MAX_CONSECUTIVE_FAILURES: u32 = 3;
 
-/// Whether the start of a run may still be carried out although it got no reply.
-const fn is_late_start(run: &Run, now: Millis) -> bool {
-    now.since(run.sent_at) < LATE_START_MS
+/// Returns until when the start of a run may be carried out although it got no reply. The only process
+/// that it can have reached refuses it after its expiry.
+const fn late_until(run: &Run) -> Millis {
+    run.sent_at.plus(if run.process.is_some() { LEASE_BOUND_MS } else { LATE_START_MS })
+}
+
+/// A start that got no reply.
+#[derive(Clone, Debug)]
+struct UnansweredStart {
+    task: TaskName,
+    run: u32,
+    given_up_at: Millis,
+    late_until: Millis,
 }
 
 /// A consequence of a worker's report, or of a missing one, for the runs of jobs.
@@ -135,9 +146,8 @@
     pub runs: HashMap<TaskName, Run>,
     /// Runs, and ends of runs, that a previous owner started and no job has adopted yet.
     pub orphaned_runs: HashMap<TaskName, OrphanedRun>,
-    /// Starts without a reply in the last [`LATE_START_MS`], with the time at which they were given up.
-    /// The next process of the worker has neither their fences nor the clock of their expiry.
-    unanswered_starts: Vec<(TaskName, u32, Millis)>,
+    /// Starts without a reply that may still have been carried out when the last of them was given up.
+    unanswered_starts: Vec<UnansweredStart>,
     /// Fencing token of the next call.
     pub(crate) token: u64,
     /// Fencing token of the last poll.
@@ -325,7 +335,7 @@
     /// with their lease.
     pub fn may_have_active_runs(&self, now: Millis) -> bool {
         let has_lapsed = self.is_lost() && now >= self.lease_bound;
-        let is_in_doubt = |run: &Run| run.state == RunState::InDoubt && is_late_start(run, now);
+        let is_in_doubt = |run: &Run| run.state == RunState::InDoubt && now < late_until(run);
         !(self.runs.is_empty() || has_lapsed) || self.runs.values().any(is_in_doubt)
     }
 
@@ -333,12 +343,7 @@
     /// run of the task starts before.
     pub(crate) fn may_run(&self, task: &TaskName, now: Millis) -> bool {
         let is_silent = self.unanswered_polls > 0;
-        let is_possible = |run: &Run| match run.state {
-            RunState::InDoubt => is_late_start(run, now),
-            RunState::Starting | RunState::Running | RunState::Stopping | RunState::Stopped => {
-                !is_silent || now < self.lease_bound
-            }
-        };
+        let is_possible = |run: &Run| !is_silent || now < self.expires_at(run);
         let is_active = |orphan: &OrphanedRun| {
             let has_lapsed = is_silent && now.since(orphan.seen_at) >= MAX_LEASE_BOUND_MS;
             orphan.end.is_none() && !has_lapsed
@@ -454,7 +459,7 @@
     /// or may have received a start that got no reply.
     fn is_clock_doubted(&self) -> bool {
         let is_newer = |clock: ClockReading| {
-            self.unanswered_starts.iter().all(|(.., given_up_at)| *given_up_at <= clock.asked_at)
+            self.unanswered_starts.iter().all(|start| start.given_up_at <= clock.asked_at)
         };
         self.process_doubted_at.is_some() || !self.clock.is_some_and(is_newer)
     }
@@ -569,7 +574,7 @@
     /// Returns when a run of a silent worker has certainly ended, and will not begin.
     fn expires_at(&self, run: &Run) -> Millis {
         match run.state {
-            RunState::InDoubt => self.lease_bound.max(run.sent_at.plus(LATE_START_MS)),
+            RunState::InDoubt => self.lease_bound.max(late_until(run)),
             RunState::Starting | RunState::Running | RunState::Stopping | RunState::Stopped => {
                 self.lease_bound
             }
@@ -578,15 +583,13 @@
 
     /// Returns the runs whose lease has certainly expired as interrupted, so that their tasks can
     /// be restarted. Their resources stay reserved until a poll shows that they are free. A run whose
-    /// start got no reply may still begin at the worker's next process, and is kept until a poll has
-    /// settled it.
+    /// start got no reply is kept for as long as it may still begin, unless a poll settles it before.
     pub fn expire_runs(&mut self, now: Millis) -> Vec<RunUpdate> {
         if now < self.lease_bound {
             return Vec::new();
         }
         let loss = self.report_loss(LossCause::Silent);
-        let has_expired =
-            |run: &&mut Run| run.state != RunState::InDoubt || !is_late_start(run, now);
+        let has_expired = |run: &&mut Run| run.state != RunState::InDoubt || now >= late_until(run);
         let expired = self.runs.values_mut().filter(has_expired).filter_map(|run| {
             let job_task = run.task_ref.take()?;
             let evidence = InterruptionEvidence::LeaseExpired;
@@ -623,12 +626,22 @@
         named.is_none() || reported.is_none() || named == reported
     }
 
-    /// Records that a start got no reply: it may have reached a process that is not known, or may
-    /// still do so.
-    pub fn record_unanswered_start(&mut self, task: &TaskName, run: u32, now: Millis) {
-        self.unanswered_starts.retain(|(.., at)| now.since(*at) < LATE_START_MS);
-        self.unanswered_starts.push((task.clone(), run, now));
-        self.assume_longest_lease(now);
+    /// Records that a start got no reply. If it was not meant for a certain process, it may have reached
+    /// one that is not known, or may still do so.
+    pub fn record_unanswered_start(&mut self, task: &TaskName, now: Millis) {
+        let Some(run) = self.runs.get(task) else { return };
+        let start = UnansweredStart {
+            task: task.clone(),
+            run: run.run,
+            given_up_at: now,
+            late_until: late_until(run),
+        };
+        let is_process_known = run.process.is_some();
+        self.unanswered_starts.retain(|start| now < start.late_until);
+        self.unanswered_starts.push(start);
+        if !is_process_known {
+            self.assume_longest_lease(now);
+        }
     }
 
     /// Counts with the longest lease that a worker grants, because the last one may have been computed
@@ -894,7 +907,7 @@
             let is_given_up = self
                 .unanswered_starts
                 .iter()
-                .any(|(given_up, run, _)| given_up == task && *run == active.run);
+                .any(|start| start.task == *task && start.run == active.run);
             let may_stop = is_given_up || now.since(orphan.seen_at) >= ADOPTION_WINDOW_MS;
             let is_repeat = orphan.stop_sent_at.is_some_and(|at| now.since(at) < STOP_RETRY_MS);
             if may_stop && !is_repeat {
@@ -954,10 +967,9 @@
         awaiting.map(|run| run.since.plus(interval_ms)).min()
     }
 
-    /// Whether a start that got no reply may still be carried out by a process of the worker that has
-    /// not been polled yet.
+    /// Whether a start that got no reply may still be carried out.
     fn may_get_late_starts(&self, now: Millis) -> bool {
-        self.unanswered_starts.iter().any(|(.., at)| now.since(*at) < LATE_START_MS)
+        self.unanswered_starts.iter().any(|start| now < start.late_until)
     }
 
     fn first_orphan_seen_at(&self) -> Option<Millis> {
--- a/crates/pool/tests/late_starts.rs
+++ b/crates/pool/tests/late_starts.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use pool::worker::LEASE_MS;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -125,3 +126,26 @@
     assert!(starts > CASES as usize, "only {starts} runs started");
     assert!(play(false).is_err(), "the orders do not show starts at other processes");
 }
+
+/// Guards against a start in doubt that holds its task for longer than the caller waits, because its worker
+/// is gone for good.
+#[test]
+fn a_task_starts_elsewhere_once_the_lease_of_its_start_in_doubt_is_over() {
+    let lost = Event::Calls { kind: Kind::Start, fate: Fate::Lost, for_ms: 1 };
+    let gone = Event::Cut { pick: Pick::Silent, fate: Fate::Lost, for_ms: 60_000 };
+    for slow_permille in [0, 20] {
+        let events = vec![(500, lost.clone()), (0, submission(0, false)), (2, gone.clone())];
+        let world = World::play(&Script { slow_permille: vec![slow_permille; 4], events }, false);
+        let trace = world.trace();
+        let at_ms = |text: &str| {
+            let line = trace.lines().find(|line| line.contains(text));
+            let line = line.unwrap_or_else(|| panic!("no {text:?} in\n{trace}"));
+            line.split_whitespace().next().unwrap().parse::<u64>().unwrap()
+        };
+        let held_ms = at_ms(": start of") - at_ms("Submit");
+        assert!(
+            (LEASE_MS..=1_041).contains(&held_ms),
+            "the task is held for {held_ms} ms\n{trace}"
+        );
+    }
+}
--- a/crates/pool/tests/worker_processes.rs
+++ b/crates/pool/tests/worker_processes.rs
@@ -51,6 +51,14 @@
     pool.set_workers(Millis(at_ms), entries.iter().map(|(id, entry)| (id, entry)));
 }
 
+/// Has worker 0 report without the start time of its process. Only then may a start reach any process.
+fn report_without_process(pool: &mut Pool, at_ms: u64) {
+    let PollReply::Report(report) = report(1, &[]) else { return };
+    let report = PollReply::Report(Report { started_at_ms: None, ..report });
+    pool.poll_reply(Millis(at_ms), "0", Millis(at_ms - 1), &report);
+    pool.take_actions();
+}
+
 fn pool_with(ended: u64) -> Pool {
     let mut pool = Pool::new(7);
     set_entries(&mut pool, 0, Some((1, 100)));
@@ -143,7 +151,24 @@
     }
 }
 
-/// The owner knows process A. Process B runs the start and is cut off. B's clock is behind A's, so the
+#[test]
+fn a_start_is_meant_for_the_process_whose_clock_gave_its_expiry() {
+    for process in [Some(1), Some(2), None] {
+        let mut pool = pool_with(0);
+        match process {
+            Some(started_at_ms) => {
+                pool.poll_reply(Millis(500), "0", Millis(499), &report(started_at_ms, &[]));
+            }
+            None => report_without_process(&mut pool, 500),
+        }
+        pool.take_actions();
+        let call = start_on_worker_0(&mut pool, 600);
+        let run = pool.workers().find_map(|(_, worker)| worker.runs.get(&call.task));
+        assert_eq!(run.map(|run| run.process), Some(process));
+    }
+}
+
+/// The owner knows process A, whose reports do not name it. Process B runs the start and is cut off. B's clock is behind A's, so the
 /// lease is shortened to the maximum, from the arrival on. B still receives the polls that are sent
 /// before `cut_at_ms`, and its entry is read then.
 fn restart_while_b_is_cut_off(
@@ -151,6 +176,7 @@
     cut_at_ms: Option<u64>,
 ) -> Vec<String> {
     let mut pool = pool_with(0);
+    report_without_process(&mut pool, 500);
     let mut b = PoolWorker::new(entry(0, 64).capacity, 0, 20);
     b.started_at_ms = 2;
     let (id, call) = submit(&mut pool, 600);
