Poll silent workers soon after a change of owner

Cause: a worker that does not answer its new owner was polled ever more seldom, up to 1.2 s after the last lost poll. Its next process knows no fencing token until a poll arrives, and may carry out what the owner before has sent to it: where reports do not name their process, for 12 s.

Evidence: the test failed before with "no poll for 300 ms at 10750". Now no pause between a lost poll and the next one is over 200 ms for 12 s. Cost, by computation: about 48 probes of a silent worker in these 12 s, in place of about 15.

--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -489,7 +489,8 @@
         self.poll_sent_at = None;
         self.presence.record_silence(now);
         self.unanswered_polls += 1;
-        let most_steps = if self.may_get_late_starts(now) { 1 } else { MAX_POLL_RETRY_STEPS };
+        let is_polled_soon = self.may_get_late_starts(now) || self.awaits_first_token(now);
+        let most_steps = if is_polled_soon { 1 } else { MAX_POLL_RETRY_STEPS };
         let steps = u64::from((self.unanswered_polls - 1).min(most_steps));
         self.next_poll_at = Some(now.plus(POLL_RETRY_MS * steps));
         self.expire_runs(now)
@@ -972,6 +973,12 @@
         self.unanswered_starts.iter().any(|start| now < start.late_until)
     }
 
+    /// Whether the worker may not know this owner's token yet while starts of the previous owner may be on
+    /// their way to it.
+    const fn awaits_first_token(&self, now: Millis) -> bool {
+        !self.has_replied() && now.since(self.created_at) < LATE_START_MS
+    }
+
     fn first_orphan_seen_at(&self) -> Option<Millis> {
         let running = self.orphaned_runs.values().filter(|orphan| orphan.end.is_none());
         running.map(|orphan| orphan.seen_at).min()
--- a/crates/pool/tests/late_starts.rs
+++ b/crates/pool/tests/late_starts.rs
@@ -3,10 +3,16 @@
 
 mod support;
 
+use std::rc::Rc;
+
+use dispatch::clock::Millis;
+use pool::call::PollReply;
+use pool::pool::{Action, Pool};
 use pool::worker::LEASE_MS;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use support::entry;
 use support::event_orders::{CELLS, Change, Event, Fate, Kind, NextProcess, Pick, Script, World};
 
 /// Number of cases, unless the environment variable `PROPTEST_CASES` has another one.
@@ -149,3 +155,28 @@
         );
     }
 }
+
+/// Guards against a next owner that gives the next process of a silent worker its token late: until then
+/// that process would carry out what the previous owner has sent.
+#[test]
+fn a_next_owner_polls_silent_workers_soon_while_starts_before_it_may_be_on_their_way() {
+    let mut pool = Pool::new(1);
+    let listed = (Rc::from("0"), entry(0, 16));
+    pool.set_workers(Millis(10_000), std::iter::once((&listed.0, &listed.1)));
+    let (mut lost_at_ms, mut polled_at_ms) = (None, 10_000);
+    for now_ms in 10_000..22_000 {
+        let now = Millis(now_ms);
+        if lost_at_ms == Some(now_ms) {
+            pool.poll_reply(now, "0", Millis(polled_at_ms), &PollReply::Lost);
+        }
+        pool.advance(now);
+        for action in pool.take_actions() {
+            if let Action::Poll(target, _) = action {
+                let pause_ms = now_ms - lost_at_ms.unwrap_or(now_ms);
+                assert!(pause_ms <= 200, "no poll for {pause_ms} ms at {now_ms}");
+                (lost_at_ms, polled_at_ms) = (Some(now_ms + target.timeout_ms), now_ms);
+            }
+        }
+    }
+    assert!(22_000 - polled_at_ms <= 600, "the last poll was sent at {polled_at_ms}");
+}
