Lengthen the time-out after starts that were not sent in time

What callers would see on a slow link: tasks that never start. A start whose connection is not verified within the time-out is reported as not sent, which did not count for the time-out of calls, while the start that got lost before did. The time-out then stayed at 100 ms. Found by reading; the test failed before with "not sent at 700 ms, left: Some(100), right: Some(150)".

--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -12,6 +12,7 @@
 use crate::crashes::Crash;
 use crate::job::{Outcome, Reason, TaskName, TaskState};
 use crate::pool::{Action, Pool};
+use crate::round_trip::MIN_TIMEOUT_MS;
 use crate::run::{Interruption, InterruptionEvidence, Measurement, RunState, Timing};
 use crate::tokens::next_revision;
 use crate::worker::RunUpdate;
@@ -33,6 +34,10 @@
         };
         match reply {
             StartReply::Lost => self.round_trip.record_timeout(),
+            // No connection was open and verified within the time-out.
+            StartReply::Refused(Refusal::NotSent) if now.since(run.sent_at) >= MIN_TIMEOUT_MS => {
+                self.round_trip.record_timeout();
+            }
             StartReply::Refused(Refusal::NotSent | Refusal::NotListening) => {}
             StartReply::Started { .. } | StartReply::Refused(_) => {
                 self.round_trip.record_reply(now.since(run.sent_at));
--- a/crates/pool/tests/worker_processes.rs
+++ b/crates/pool/tests/worker_processes.rs
@@ -578,3 +578,21 @@
     pool.poll_reply(Millis(150), "0", Millis(149), &report(2, &[]));
     assert_eq!(starts(&pool.take_actions()), [("0".to_owned(), 2)]);
 }
+
+/// Guards against a time-out that stays too short for a slow link: starts whose connection is not verified
+/// in time are not sent, so that none of them is ever lost or answered.
+#[test]
+fn a_start_that_is_not_sent_within_the_time_out_lengthens_it() {
+    for (not_sent_at_ms, timeout_ms) in [(601, 100), (700, 150)] {
+        let mut pool = pool_with(0);
+        let (id, call) = submit(&mut pool, 600);
+        let reply = StartReply::Refused(Refusal::NotSent);
+        pool.start_reply(Millis(not_sent_at_ms), &id, &call, reply);
+        let actions = pool.take_actions();
+        let again = actions.iter().find_map(|action| match action {
+            Action::Start(target, _) => Some(target.timeout_ms),
+            _ => None,
+        });
+        assert_eq!(again, Some(timeout_ms), "not sent at {not_sent_at_ms} ms");
+    }
+}
