--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -12,6 +12,7 @@
 use crate::crashes::Crash;
 use crate::job::{Outcome, Reason, TaskName, TaskState};
 use crate::pool::{Action, Pool};
+use crate::round_trip::MIN_TIMEOUT_MS;
 use crate::run::{Interruption, InterruptionEvidence, Measurement, RunState, Timing};
 use crate::tokens::next_revision;
 use crate::worker::RunUpdate;
@@ -33,6 +34,10 @@
         };
         match reply {
             StartReply::Lost => self.round_trip.record_timeout(),
+            // No connection was open and verified within the time-out.
+            StartReply::Refused(Refusal::NotSent) if now.since(run.sent_at) >= MIN_TIMEOUT_MS => {
+                self.round_trip.record_timeout();
+            }
             StartReply::Refused(Refusal::NotSent | Refusal::NotListening) => {}
             StartReply::Started { .. } | StartReply::Refused(_) => {
                 self.round_trip.record_reply(now.since(run.sent_at));
@@ -46,15 +51,15 @@
                     RunState::Running | RunState::Stopping | RunState::Stopped => {}
                 }
                 let first_poll_ms = (run.expected_ms as f64 * FIRST_POLL_FRACTION) as u64;
-                let sent_at = run.sent_at;
-                worker.confirm_start(clock_ms, sent_at, now);
+                let (process, sent_at) = (run.process, run.sent_at);
+                worker.confirm_start(clock_ms, process, sent_at, now);
                 worker.poll_no_later_than(now.plus(first_poll_ms));
             }
             StartReply::Lost => {
                 run.state = RunState::InDoubt;
                 run.since = now;
                 let has_overtaken = run.token < worker.token;
-                worker.record_unanswered_start(&call.task, call.run, now);
+                worker.record_unanswered_start(&call.task, now);
                 worker.poll_no_later_than(now);
                 if !has_overtaken && !self.raise_worker_token(id) {
                     self.send_stop(id, &call.task, call.run);
@@ -136,7 +141,8 @@
         let Some(run) = worker.remove(&call.task) else { return };
         match refusal {
             Refusal::NoCapacity | Refusal::LeaseExpired => worker.recheck_capacity(now),
-            Refusal::Unhealthy | Refusal::NotSent | Refusal::NotListening => worker.pause(now),
+            Refusal::Unhealthy | Refusal::NotListening => worker.pause(now),
+            Refusal::NotSent => worker.record_unsent_start(now),
             Refusal::InstanceMismatch => worker.doubt_process(now),
             Refusal::OldRun | Refusal::Unreadable | Refusal::Fenced => {}
         }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -49,7 +49,8 @@
 /// Interval after which a stop is repeated whose run has not ended although it was confirmed, or
 /// whose run this owner does not know, in milliseconds.
 const STOP_RETRY_MS: u64 = 150;
-/// How long a start without a reply may still be carried out, in milliseconds.
+/// How long a start without a reply may still be carried out, in milliseconds, if it may have reached a
+/// process whose clock gives its expiry no meaning.
 const LATE_START_MS: u64 = 12_000;
 /// Interval between two polls of an idle worker to which a start may still be on its way, in
 /// milliseconds. The first poll fences the worker's next process.
@@ -70,9 +71,19 @@
 /// Consecutive failed runs, of different jobs, after which a worker counts as unhealthy.
 const MAX_CONSECUTIVE_FAILURES: u32 = 3;
 
-/// Whether the start of a run may still be carried out although it got no reply.
-const fn is_late_start(run: &Run, now: Millis) -> bool {
-    now.since(run.sent_at) < LATE_START_MS
+/// Returns until when the start of a run may be carried out although it got no reply. The only process
+/// that it can have reached refuses it after its expiry.
+const fn late_until(run: &Run) -> Millis {
+    run.sent_at.plus(if run.process.is_some() { LEASE_BOUND_MS } else { LATE_START_MS })
+}
+
+/// A start that got no reply.
+#[derive(Clone, Debug)]
+struct UnansweredStart {
+    task: TaskName,
+    run: u32,
+    given_up_at: Millis,
+    late_until: Millis,
 }
 
 /// A consequence of a worker's report, or of a missing one, for the runs of jobs.
@@ -135,9 +146,8 @@
     pub runs: HashMap<TaskName, Run>,
     /// Runs, and ends of runs, that a previous owner started and no job has adopted yet.
     pub orphaned_runs: HashMap<TaskName, OrphanedRun>,
-    /// Starts without a reply in the last [`LATE_START_MS`], with the time at which they were given up.
-    /// The next process of the worker has neither their fences nor the clock of their expiry.
-    unanswered_starts: Vec<(TaskName, u32, Millis)>,
+    /// Starts without a reply that may still have been carried out when the last of them was given up.
+    unanswered_starts: Vec<UnansweredStart>,
     /// Fencing token of the next call.
     pub(crate) token: u64,
     /// Fencing token of the last poll.
@@ -325,7 +335,7 @@
     /// with their lease.
     pub fn may_have_active_runs(&self, now: Millis) -> bool {
         let has_lapsed = self.is_lost() && now >= self.lease_bound;
-        let is_in_doubt = |run: &Run| run.state == RunState::InDoubt && is_late_start(run, now);
+        let is_in_doubt = |run: &Run| run.state == RunState::InDoubt && now < late_until(run);
         !(self.runs.is_empty() || has_lapsed) || self.runs.values().any(is_in_doubt)
     }
 
@@ -333,12 +343,7 @@
     /// run of the task starts before.
     pub(crate) fn may_run(&self, task: &TaskName, now: Millis) -> bool {
         let is_silent = self.unanswered_polls > 0;
-        let is_possible = |run: &Run| match run.state {
-            RunState::InDoubt => is_late_start(run, now),
-            RunState::Starting | RunState::Running | RunState::Stopping | RunState::Stopped => {
-                !is_silent || now < self.lease_bound
-            }
-        };
+        let is_possible = |run: &Run| !is_silent || now < self.expires_at(run);
         let is_active = |orphan: &OrphanedRun| {
             let has_lapsed = is_silent && now.since(orphan.seen_at) >= MAX_LEASE_BOUND_MS;
             orphan.end.is_none() && !has_lapsed
@@ -383,7 +388,13 @@
 
     /// Returns the destination of a call to the worker that is given up after `timeout_ms`.
     pub fn target(&self, id: &Rc<str>, timeout_ms: u64) -> Target {
-        Target { id: Rc::clone(id), addr: self.entry.addr, timeout_ms }
+        let process = self.clock_process();
+        Target { id: Rc::clone(id), addr: self.entry.addr, process, timeout_ms }
+    }
+
+    /// Returns the start time of the process whose clock is known, in Unix milliseconds, if it is known.
+    pub(crate) fn clock_process(&self) -> Option<u64> {
+        self.clock.and_then(|clock| clock.process)
     }
 
     /// Records a run that is being started: reserves its resources and schedules the renewal of
@@ -448,7 +459,7 @@
     /// or may have received a start that got no reply.
     fn is_clock_doubted(&self) -> bool {
         let is_newer = |clock: ClockReading| {
-            self.unanswered_starts.iter().all(|(.., given_up_at)| *given_up_at <= clock.asked_at)
+            self.unanswered_starts.iter().all(|start| start.given_up_at <= clock.asked_at)
         };
         self.process_doubted_at.is_some() || !self.clock.is_some_and(is_newer)
     }
@@ -478,7 +489,8 @@
         self.poll_sent_at = None;
         self.presence.record_silence(now);
         self.unanswered_polls += 1;
-        let most_steps = if self.may_get_late_starts(now) { 1 } else { MAX_POLL_RETRY_STEPS };
+        let is_polled_soon = self.may_get_late_starts(now) || self.awaits_first_token(now);
+        let most_steps = if is_polled_soon { 1 } else { MAX_POLL_RETRY_STEPS };
         let steps = u64::from((self.unanswered_polls - 1).min(most_steps));
         self.next_poll_at = Some(now.plus(POLL_RETRY_MS * steps));
         self.expire_runs(now)
@@ -563,7 +575,7 @@
     /// Returns when a run of a silent worker has certainly ended, and will not begin.
     fn expires_at(&self, run: &Run) -> Millis {
         match run.state {
-            RunState::InDoubt => self.lease_bound.max(run.sent_at.plus(LATE_START_MS)),
+            RunState::InDoubt => self.lease_bound.max(late_until(run)),
             RunState::Starting | RunState::Running | RunState::Stopping | RunState::Stopped => {
                 self.lease_bound
             }
@@ -572,15 +584,13 @@
 
     /// Returns the runs whose lease has certainly expired as interrupted, so that their tasks can
     /// be restarted. Their resources stay reserved until a poll shows that they are free. A run whose
-    /// start got no reply may still begin at the worker's next process, and is kept until a poll has
-    /// settled it.
+    /// start got no reply is kept for as long as it may still begin, unless a poll settles it before.
     pub fn expire_runs(&mut self, now: Millis) -> Vec<RunUpdate> {
         if now < self.lease_bound {
             return Vec::new();
         }
         let loss = self.report_loss(LossCause::Silent);
-        let has_expired =
-            |run: &&mut Run| run.state != RunState::InDoubt || !is_late_start(run, now);
+        let has_expired = |run: &&mut Run| run.state != RunState::InDoubt || now >= late_until(run);
         let expired = self.runs.values_mut().filter(has_expired).filter_map(|run| {
             let job_task = run.task_ref.take()?;
             let evidence = InterruptionEvidence::LeaseExpired;
@@ -617,12 +627,22 @@
         named.is_none() || reported.is_none() || named == reported
     }
 
-    /// Records that a start got no reply: it may have reached a process that is not known, or may
-    /// still do so.
-    pub fn record_unanswered_start(&mut self, task: &TaskName, run: u32, now: Millis) {
-        self.unanswered_starts.retain(|(.., at)| now.since(*at) < LATE_START_MS);
-        self.unanswered_starts.push((task.clone(), run, now));
-        self.assume_longest_lease(now);
+    /// Records that a start got no reply. If it was not meant for a certain process, it may have reached
+    /// one that is not known, or may still do so.
+    pub fn record_unanswered_start(&mut self, task: &TaskName, now: Millis) {
+        let Some(run) = self.runs.get(task) else { return };
+        let start = UnansweredStart {
+            task: task.clone(),
+            run: run.run,
+            given_up_at: now,
+            late_until: late_until(run),
+        };
+        let is_process_known = run.process.is_some();
+        self.unanswered_starts.retain(|start| now < start.late_until);
+        self.unanswered_starts.push(start);
+        if !is_process_known {
+            self.assume_longest_lease(now);
+        }
     }
 
     /// Counts with the longest lease that a worker grants, because the last one may have been computed
@@ -639,22 +659,33 @@
         self.poll_no_later_than(now);
     }
 
-    /// Records the worker's clock from the reply to a start that was sent at `asked_at`, which also
-    /// ends a series of unanswered polls. A clock that has jumped is that of another process.
-    pub fn confirm_start(&mut self, clock_ms: u64, asked_at: Millis, now: Millis) {
-        if self.clock.is_some_and(|reading| asked_at < reading.asked_at) {
+    /// Records the worker's clock from the reply of `process` to a start that was sent at `asked_at`,
+    /// which also ends a series of unanswered polls. The reply of a process before the known one tells
+    /// nothing. A clock that has jumped is that of another process.
+    pub fn confirm_start(
+        &mut self,
+        clock_ms: u64,
+        process: Option<u64>,
+        asked_at: Millis,
+        now: Millis,
+    ) {
+        let is_outdated = |reading: ClockReading| {
+            let is_of_other_process = process.is_some() && process != reading.process;
+            asked_at < reading.asked_at || is_of_other_process
+        };
+        if self.clock.is_some_and(is_outdated) {
             return;
         }
         if self.clock.is_some_and(|reading| reading.has_jumped(clock_ms, asked_at, now)) {
             self.doubt_process(now);
         }
-        self.update_clock(clock_ms, asked_at, now);
+        self.update_clock(ClockReading { clock_ms, process, asked_at, read_at: now });
     }
 
-    fn update_clock(&mut self, clock_ms: u64, asked_at: Millis, now: Millis) {
+    fn update_clock(&mut self, reading: ClockReading) {
         self.unanswered_polls = 0;
-        self.presence.record_reply(now);
-        self.clock = Some(ClockReading { clock_ms, asked_at, read_at: now });
+        self.presence.record_reply(reading.read_at);
+        self.clock = Some(reading);
     }
 
     /// Stops sending tasks to the worker for a time, which doubles with each pause until a run
@@ -664,6 +695,15 @@
         self.pause_ms = (self.pause_ms * 2).min(MAX_PAUSE_MS);
     }
 
+    /// Polls the worker at once and pauses it, because a start could not be sent to it. Starts that could
+    /// not be sent in the same moment count as one.
+    pub fn record_unsent_start(&mut self, now: Millis) {
+        if now >= self.paused_until {
+            self.pause(now);
+        }
+        self.poll_no_later_than(now);
+    }
+
     /// Polls the worker at once and sends it no tasks meanwhile, because a refusal showed that its
     /// free resources or its clock differ from what is recorded here.
     pub fn recheck_capacity(&mut self, now: Millis) {
@@ -713,7 +753,12 @@
         if self.process_doubted_at.is_some_and(|doubted_at| sent_at >= doubted_at) {
             self.process_doubted_at = None;
         }
-        self.update_clock(report.clock_ms, sent_at, now);
+        self.update_clock(ClockReading {
+            clock_ms: report.clock_ms,
+            process: report.started_at_ms,
+            asked_at: sent_at,
+            read_at: now,
+        });
         self.acked = self.acking;
         changes.extend(self.apply_ended(now, report));
         changes.extend(self.apply_missing(sent_at, report));
@@ -863,7 +908,7 @@
             let is_given_up = self
                 .unanswered_starts
                 .iter()
-                .any(|(given_up, run, _)| given_up == task && *run == active.run);
+                .any(|start| start.task == *task && start.run == active.run);
             let may_stop = is_given_up || now.since(orphan.seen_at) >= ADOPTION_WINDOW_MS;
             let is_repeat = orphan.stop_sent_at.is_some_and(|at| now.since(at) < STOP_RETRY_MS);
             if may_stop && !is_repeat {
@@ -923,10 +968,15 @@
         awaiting.map(|run| run.since.plus(interval_ms)).min()
     }
 
-    /// Whether a start that got no reply may still be carried out by a process of the worker that has
-    /// not been polled yet.
+    /// Whether a start that got no reply may still be carried out.
     fn may_get_late_starts(&self, now: Millis) -> bool {
-        self.unanswered_starts.iter().any(|(.., at)| now.since(*at) < LATE_START_MS)
+        self.unanswered_starts.iter().any(|start| now < start.late_until)
+    }
+
+    /// Whether the worker may not know this owner's token yet while starts of the previous owner may be on
+    /// their way to it.
+    const fn awaits_first_token(&self, now: Millis) -> bool {
+        !self.has_replied() && now.since(self.created_at) < LATE_START_MS
     }
 
     fn first_orphan_seen_at(&self) -> Option<Millis> {
