Give each owner of a handover revisions of its own

Callers saw nothing of it; the fault was found by reading and by the property over orders of ownership events. An owner that ends while the store is out offers its cell to one daemon after the other under the next revision of its step. The daemon whose reply was lost may own the cell under the first one, and raises its token by one for each start without a reply: to the token of the second daemon. Two owners then use one token, and no worker can tell their runs apart. Without revisions left, the next owner got the token of the orders that were still on their way (`next_revision(..).unwrap_or(same)`).

The first token of an owner now tells which revisions it may use: a quarter of its range for its own calls, and a quarter each for three daemons, which divide theirs again. Ranges never meet, whoever can reach whom. Without a token left there is no handover, and the cell waits for the store. Revisions are counted worker by worker now, since a worker compares only the tokens that it has seen, so that a quarter of them lasts for longer than all did for a cell of many workers.

`owners_that_hand_over_within_a_step_never_share_a_token` walks through all 9,841 owners of a step. Tests that use an owner's revisions begin it with the first token of a step now: a token such as 7 has none.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -58,17 +58,16 @@
             };
             let delegated: Vec<_> = owned.iter().filter_map(delegated).collect();
             let owned =
-                owned.iter().map(|(cell, owned)| (cell.clone(), owned.pool.handover_token()));
-            (owned.collect::<Vec<(Cell, u64)>>(), delegated)
+                owned.iter().map(|(cell, owned)| (cell.clone(), owned.pool.handover_tokens()));
+            (owned.collect::<Vec<_>>(), delegated)
         };
         for (cell, _) in &owned {
             self.release_cell(cell, "drain");
         }
         let handover = async {
             let returned = self.return_cells(delegated).await;
-            let left: Vec<(Cell, u64)> =
-                owned.into_iter().filter(|(cell, _)| !returned.contains(cell)).collect();
-            self.hand_over_and_leave(&left).await;
+            let left = owned.into_iter().filter(|(cell, _)| !returned.contains(cell));
+            self.hand_over_and_leave(left).await;
         };
         let handover = std::pin::pin!(handover);
         if timeout(Duration::from_millis(HANDOVER_TIMEOUT_MS), handover).await.is_err() {
@@ -113,9 +112,12 @@
 
     /// Leaves the group, if that has not been done. If the store is unreachable, first hands over
     /// the cells to other daemons directly.
-    async fn hand_over_and_leave(self: &Rc<Self>, released: &[(Cell, u64)]) {
+    async fn hand_over_and_leave(
+        self: &Rc<Self>,
+        released: impl Iterator<Item = (Cell, impl Iterator<Item = u64>)>,
+    ) {
         if !self.is_store_reachable.get() {
-            let handovers = released.iter().map(|(cell, token)| self.hand_over(cell, *token));
+            let handovers = released.map(|(cell, tokens)| self.hand_over(cell, tokens));
             join_all(handovers).await;
         }
         let has_left = self.releases_cells_at.get().is_some();
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -11,7 +11,6 @@
 use pool::cells::{Cell, cell_of_worker, cells_of_zone, is_cell_partition};
 use pool::pool::Pool;
 use pool::resettle::ReleaseDecision;
-use pool::tokens::next_revision;
 
 use crate::protocol::{Ownership, ReleaseRequest, Reply, Request};
 use crate::state::{Entry, OwnedCell, Phase};
@@ -397,11 +396,16 @@
     }
 
     /// Hands over a released cell to the first other daemon of its zone that accepts it. One whose
-    /// reply is lost may own the cell, so that the next one gets a higher token.
-    pub async fn hand_over(self: &Rc<Self>, cell: &Cell, mut token: u64) {
+    /// reply is lost may own the cell, so that the next one gets the next one of `tokens`.
+    pub async fn hand_over(self: &Rc<Self>, cell: Cell, mut tokens: impl Iterator<Item = u64>) {
         let peers = self.peers.borrow().clone();
         let own_zone = peers.iter().filter(|(_, zone)| **zone == *cell.zone);
+        let mut next = tokens.next();
         for (addr, _) in own_zone {
+            let Some(token) = next else {
+                log::warn!("part=ownership event=hand_over_ended cell={cell} why=no_token");
+                return;
+            };
             let request = Request::TakeOver(cell.clone(), token);
             match self.links.call(*addr, request, PEER_TIMEOUT_MS).await {
                 Ok(Reply::TakenOver) => {
@@ -412,7 +416,7 @@
                 Ok(_) => {}
                 Err(error) => {
                     log::info!("part=ownership event=hand_over_failed cell={cell} why=\"{error}\"");
-                    token = next_revision(token).unwrap_or(token);
+                    next = tokens.next();
                 }
             }
         }
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -22,6 +22,7 @@
 use pool::queue::Backlog;
 use pool::resources::Resources;
 use pool::spill::{CellSearch, Offer};
+use pool::tokens::first_token;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use standins::pool_worker::{PoolWorker, STOP_DELAY_MS, Work};
@@ -191,7 +192,7 @@
         }
         for number in 0..self.scenario.cells {
             let workers = entries.iter().skip(number).step_by(self.scenario.cells);
-            let mut pool = Pool::new(1);
+            let mut pool = Pool::new(first_token(1));
             pool.set_workers(Millis(0), workers.map(|(id, entry)| (id, entry)));
             self.pools.push(pool);
             self.perform_actions(zone * self.scenario.cells + number);
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -31,7 +31,7 @@
 use crate::run::{Interruption, Run, RunState, Timing};
 use crate::shedding::{Displacement, RouteDemand};
 use crate::speed::{Speed, WorkerSpeed};
-use crate::tokens::next_revision;
+use crate::tokens::handover_tokens;
 use crate::warm_up::WarmUp;
 use crate::worker::{RunUpdate, Worker};
 
@@ -182,10 +182,11 @@
         }
     }
 
-    /// Returns the fencing token for the next owner in the same step: higher than those of all calls
-    /// of this ownership, so that workers refuse the ones that are still on their way.
-    pub fn handover_token(&self) -> u64 {
-        next_revision(self.last_token).unwrap_or(self.last_token)
+    /// Returns the fencing tokens for the next owners in the same step, in ascending order: higher than
+    /// those of all calls of this ownership, so that workers refuse the ones that are still on their
+    /// way. Empty if the step has no tokens left.
+    pub fn handover_tokens(&self) -> impl Iterator<Item = u64> + use<> {
+        handover_tokens(self.token)
     }
 
     /// Returns whether this pool has stopped, because a worker reported a later owner or the cell
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -69,11 +69,12 @@
     /// worker answers settles all starts before it: what is not listed then never begins. Returns
     /// whether there was a token left.
     fn raise_worker_token(&mut self, id: &str) -> bool {
+        let first = self.token();
         let Some(worker) = self.workers.get_mut(id) else { return false };
-        self.last_token = next_revision(self.last_token).unwrap_or(self.last_token);
-        let is_higher = worker.token < self.last_token;
-        worker.token = self.last_token;
-        is_higher
+        let Some(token) = next_revision(first, worker.token) else { return false };
+        worker.token = token;
+        self.last_token = self.last_token.max(token);
+        true
     }
 
     /// Handles the reply to a stop.
