Issue the token of a transfer once, and only while the cell is held

Found by reading and by the property over orders of ownership events. Two ways to two owners with one fencing token:

- `TakeOver` was repeated under the same token after a lost reply.
The process that took the cell may have been replaced meanwhile, and the next one, which knows of nothing, began under the token of the orders that were on their way.
Each attempt now has the next step; a daemon that has the cell goes on under it.
A transfer now ends if the cell is no longer held.

A daemon also takes no cell under the token under which it knows another owner: that was accepted if the two were equal.

--- a/crates/entry/src/delegation.rs
+++ b/crates/entry/src/delegation.rs
@@ -304,13 +304,21 @@
         }
     }
 
-    /// Asks another daemon to own a held cell under the next token.
+    /// Asks another daemon to own a held cell under the next token. Each attempt has a token of its own,
+    /// since the process that got the one before may have used it and been replaced meanwhile.
     async fn transfer(self: &Rc<Self>, cell: &Cell, to: SocketAddr, how: &str) -> Transfer {
-        let generation = self.assignment.borrow().0;
-        let Some(token) = self.token_for(cell, generation) else { return Transfer::Kept };
-        self.issued_tokens.borrow_mut().insert(cell.clone(), token);
         let mut transfer = Transfer::NoReply;
+        let mut token = 0;
         for _ in 0..TRANSFER_ATTEMPTS {
+            // Only the holder issues the steps of a generation, and the cell may have been assigned to
+            // another daemon since the transfer was decided.
+            if !self.holds(cell) {
+                return Transfer::Kept;
+            }
+            let generation = self.assignment.borrow().0;
+            let Some(next) = self.token_for(cell, generation) else { return Transfer::Kept };
+            token = next;
+            self.issued_tokens.borrow_mut().insert(cell.clone(), token);
             transfer = match self.send_step(cell, to, token, DelegationStep::TakeOver).await {
                 Ok(Reply::Delegated { .. }) => Transfer::Taken,
                 Ok(Reply::KeepsCell) => Transfer::Kept,
@@ -525,7 +533,7 @@
             && self.knows_evacuations.get()
             && *cell.zone == *self.settings.zone
             && !is_fenced
-            && self.owners.borrow().token(cell) <= token
+            && self.owners.borrow().token(cell) < token
             && !self.owned.borrow().contains_key(cell)
     }
 
