End the membership of a daemon's previous process before it joins

A daemon that is started again before its membership lapses (1.2 s) has the same name, and is assigned the same partitions in the same generation. Its steps and revisions are remembered in memory only, so that alone it began at the first step again: under the token of the starts of its previous process that were still on their way, or a lower one. No fence tells them apart.

The process now reads the group's list before it joins, as it did beside the first join, and calls `log-leave` if the list has its name, or if no read is answered for 300 ms. No disk, no second service, and without the store nothing is assigned anyway. The options are in docs/design/on-the-platform.md. The stand-in of the store no longer counts the leave of a daemon that is no member as a change.

--- a/crates/entry/src/owners.rs
+++ b/crates/entry/src/owners.rs
@@ -177,6 +177,7 @@
         let rows = self.store.owners(GROUP).await;
         self.record_store_call("owners", &rows, started_at);
         let Ok(rows) = rows else { return };
+        self.record_own_listing(rows.iter().map(|row| &row.member));
         self.update_empty_zones(&rows);
         let is_zone_peer = |member: MemberName<'_>| {
             member.zone == self.settings.zone && member.addr != self.settings.advertised
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -8,6 +8,7 @@
 
 use adapter::store::{HeldPartition, JoinReply, Membership, StoreError};
 use dispatch::clock::Millis;
+use pool::arrival::{Arrival, GroupCall};
 use pool::cells::{Cell, cell_of_worker, cells_of_zone, is_cell_partition};
 use pool::pool::Pool;
 use pool::resettle::ReleaseDecision;
@@ -49,23 +50,34 @@
     sent: u64,
     /// Number of the latest renewal whose reply was applied.
     applied: u64,
-    /// Number of renewals without a reply or a failure so far.
+    /// Number of calls that join or leave the group without a reply or a failure so far.
     in_flight: usize,
+    /// Whether the membership of a previous process has ended.
+    arrival: Arrival,
 }
 
 impl Entry {
-    /// Runs the membership loop: renews the membership until the daemon drains. A renewal is sent
-    /// even if the previous ones have got no reply yet, because the store may lose replies.
+    /// Runs the membership loop: ends the membership of a previous process, joins, and renews the
+    /// membership until the daemon drains. A call is sent even if the previous ones have got no reply
+    /// yet, because the store may lose replies.
     pub async fn maintain_membership(self: Rc<Self>) {
         let regular_pause = Duration::from_millis(self.settings.ownership_ms / RENEWALS_PER_TTL);
         let short_pause = Duration::from_millis(UNSETTLED_RENEWAL_INTERVAL_MS).min(regular_pause);
         loop {
-            let (is_changing, in_flight) = {
-                let group = self.group.borrow();
-                (group.is_changing, group.in_flight)
+            let (is_changing, in_flight, call) = {
+                let mut group = self.group.borrow_mut();
+                (group.is_changing, group.in_flight, group.arrival.next_call(self.now()))
             };
             if self.phase.get() == Phase::Serving && in_flight < MAX_RENEWALS_IN_FLIGHT {
-                actix_rt::spawn(Rc::clone(&self).renew_membership());
+                match call {
+                    GroupCall::Wait => {}
+                    GroupCall::Leave => {
+                        actix_rt::spawn(Rc::clone(&self).end_previous_membership());
+                    }
+                    GroupCall::Join => {
+                        actix_rt::spawn(Rc::clone(&self).renew_membership());
+                    }
+                }
             }
             let pause = if is_changing { short_pause } else { regular_pause };
             let pause = actix_rt::time::sleep(pause);
@@ -74,6 +86,48 @@
         }
     }
 
+    /// Records whether the store lists this daemon as a holder, which before the first join only a
+    /// previous process can be.
+    pub(crate) fn record_own_listing(&self, members: impl Iterator<Item = impl AsRef<str>>) {
+        let own_name = self.member_name();
+        let is_listed = members.into_iter().any(|member| member.as_ref() == own_name);
+        self.update_arrival(|arrival| arrival.record_listing(is_listed));
+        if is_listed && !self.group.borrow().arrival.is_cleared() {
+            log::info!("part=ownership event=previous_process_listed member={own_name}");
+        }
+    }
+
+    /// Ends the membership of a previous process, so that this one is assigned its partitions in a
+    /// later generation.
+    async fn end_previous_membership(self: Rc<Self>) {
+        self.group.borrow_mut().in_flight += 1;
+        let started_at = self.now();
+        let left = self.store.leave(GROUP, &self.member_name()).await;
+        self.record_store_call("leave", &left, started_at);
+        {
+            let mut group = self.group.borrow_mut();
+            group.in_flight -= 1;
+            self.record_store_reachability(&mut group, left.as_ref().err());
+        }
+        if left.is_ok() {
+            log::info!("part=ownership event=previous_membership_ended");
+            self.update_arrival(Arrival::record_left);
+        }
+    }
+
+    /// Updates what is known of the previous process, and joins at once when its membership has ended.
+    fn update_arrival(&self, update: impl FnOnce(&mut Arrival)) {
+        let has_changed = {
+            let arrival = &mut self.group.borrow_mut().arrival;
+            let before = *arrival;
+            update(arrival);
+            before != *arrival
+        };
+        if has_changed {
+            self.rejoin.notify_one();
+        }
+    }
+
     async fn renew_membership(self: Rc<Self>) {
         let Some(has_released) = self.renew_once().await else { return };
         // The store frees the partitions for their next holder only once this daemon has joined
@@ -176,8 +230,8 @@
 
     /// Returns the name of this daemon in the group. It contains the address and the capacity, if
     /// known, so that other daemons can be discovered from the store's list of members. A restarted
-    /// process has the same name and therefore keeps its cells.
-    pub(crate) fn member_name(&self) -> String {
+    /// process has the same name, so that it can end the membership of its predecessor.
+    fn member_name(&self) -> String {
         let capacity = self.settings.capacity_millicores().map(|capacity| format!("|{capacity}"));
         let (addr, zone) = (self.settings.advertised, &self.settings.zone);
         format!("{addr}|{zone}{}", capacity.unwrap_or_default())
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod adoption;
+pub mod arrival;
 pub mod balance;
 pub mod call;
 pub mod catalogue;
--- a/crates/standins/src/metastore.rs
+++ b/crates/standins/src/metastore.rs
@@ -261,9 +261,10 @@
             }
             StoreCall::Leave { member } => {
                 let mut group = self.group.borrow_mut();
-                group.members.remove(&member);
+                if group.members.remove(&member).is_some() {
+                    group.generation += 1;
+                }
                 group.held.retain(|_, holder| *holder != member);
-                group.generation += 1;
                 Response::json(200, &())
             }
             StoreCall::Owners => {
