Count the lease of a confirmed start by the clock of its reply

A start that reaches the next process of its worker, whose clock is close to the known one, is not noticed: its reply carries nothing but the clock, and up to 20 ms and a round trip count as the same one. Computed: the lease is 900 ms after the earliest time of the known clock, and the other clock may show 20 ms less when the call arrives, at the end of a round trip. It then lasts until 920 / 0.98 = 939 ms after that, which is a round trip and 1 ms more than the owner counted from the sending (938 ms). If a poll that was in flight beside it is lost, nothing is renewed, and the task starts elsewhere that much too early. A smaller way: a poll's reply of the process before, which the reply to the start had overtaken, put that one's clock in place of the newer one, so that the next renewal was 22 to 82 ms too long.

The reply itself tells the end of the lease: its clock against the expiry of the start. `confirm_start` counts with that from the arrival of the reply. For the known process this adds half a round trip at most, and only to the time after which a silent worker's runs are over. A reading of a later call stays when the reply to an earlier one arrives.

Evidence: `a_lease_by_a_clock_close_to_the_known_one_ends_before_its_task_starts_elsewhere` (delays of 0 to 300 ms, clocks 40 ms behind to a delay and 40 ms ahead, 2% slow) fails with either half of the fix taken out: "a run goes on beside the next one: (300, 300, 20, "lost")" without the lease of the reply, and "(82, 300, 240, "reported late")" with readings of overtaken replies.

--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -47,7 +47,7 @@
                 }
                 let first_poll_ms = (run.expected_ms as f64 * FIRST_POLL_FRACTION) as u64;
                 let sent_at = run.sent_at;
-                worker.confirm_start(clock_ms, sent_at, now);
+                worker.confirm_start(clock_ms, call.lease_until_ms, sent_at, now);
                 worker.poll_no_later_than(now.plus(first_poll_ms));
             }
             StartReply::Lost => {
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -640,8 +640,18 @@
     }
 
     /// Records the worker's clock from the reply to a start that was sent at `asked_at`, which also
-    /// ends a series of unanswered polls. A clock that has jumped is that of another process.
-    pub fn confirm_start(&mut self, clock_ms: u64, asked_at: Millis, now: Millis) {
+    /// ends a series of unanswered polls. A clock that has jumped is that of another process. One that
+    /// is close to the known clock may be another's too, so that the lease ends only when the clock of
+    /// the reply shows `lease_until_ms`.
+    pub fn confirm_start(
+        &mut self,
+        clock_ms: u64,
+        lease_until_ms: u64,
+        asked_at: Millis,
+        now: Millis,
+    ) {
+        let lease_ms = lease_until_ms.saturating_sub(clock_ms).min(MAX_LEASE_MS);
+        self.lease_bound = self.lease_bound.max(now.plus(longest_span_ms(lease_ms)));
         if self.clock.is_some_and(|reading| asked_at < reading.asked_at) {
             return;
         }
@@ -651,10 +661,14 @@
         self.update_clock(clock_ms, asked_at, now);
     }
 
+    /// Records a reading of the clock, unless that of a later call is known: a reply that another one has
+    /// overtaken may be that of a previous process.
     fn update_clock(&mut self, clock_ms: u64, asked_at: Millis, now: Millis) {
         self.unanswered_polls = 0;
         self.presence.record_reply(now);
-        self.clock = Some(ClockReading { clock_ms, asked_at, read_at: now });
+        if self.clock.is_none_or(|reading| reading.asked_at <= asked_at) {
+            self.clock = Some(ClockReading { clock_ms, asked_at, read_at: now });
+        }
     }
 
     /// Stops sending tasks to the worker for a time, which doubles with each pause until a run
@@ -739,6 +753,7 @@
             changes.extend(self.report_loss_of(LossCause::Replaced, has_ended));
             self.reported_loss = None;
             self.assume_longest_lease(now);
+            self.clock = None;
             self.cursor = 0;
             self.acking = 0;
             self.orphaned_runs.clear();
--- a/crates/pool/tests/worker_processes.rs
+++ b/crates/pool/tests/worker_processes.rs
@@ -307,6 +307,84 @@
     assert!(b.active.is_empty(), "run 1 is on B at {restarted_ms} ms");
 }
 
+/// Returns a process whose clock shows `clock_ms` at `now_ms` and is as slow as clocks may be.
+fn process_with_clock(clock_ms: u64, now_ms: u64) -> PoolWorker {
+    let behind = PoolWorker::new(entry(0, 64).capacity, 0, 20).clock(now_ms);
+    PoolWorker::new(entry(0, 64).capacity, clock_ms - behind, 20)
+}
+
+/// Answers no further call to worker 0, and returns when a task starts on worker 1. The first poll is
+/// carried out by `process`.
+fn restart_elsewhere_ms(pool: &mut Pool, from_ms: u64, process: &mut PoolWorker) -> u64 {
+    let mut polled = 0;
+    for now in from_ms..from_ms + 3_000 {
+        pool.advance(Millis(now));
+        for action in pool.take_actions() {
+            match action {
+                Action::Poll(t, call) if &*t.id == "0" => {
+                    if polled == 0 {
+                        process.begin_poll(now, &call);
+                    }
+                    polled += 1;
+                    pool.poll_reply(Millis(now), "0", Millis(now), &PollReply::Lost);
+                }
+                Action::Start(t, _) if &*t.id == "1" => return now,
+                _ => {}
+            }
+        }
+    }
+    panic!("no task starts elsewhere");
+}
+
+/// Guards against a start that reaches the next process of its worker, whose clock is so close to the
+/// known one that the reply does not show it: by that clock the lease may end later than by the
+/// known one. A reply of the process before to a poll, which comes later, must not hide the clock, and
+/// the loss of that poll must not hide that the lease began late.
+#[test]
+fn a_lease_by_a_clock_close_to_the_known_one_ends_before_its_task_starts_elsewhere() {
+    let mut latest_ms = (i64::MIN, 0, 0, "");
+    for delay_ms in [0, 2, 20, 100, 300] {
+        // Time that the other clock shows when the start arrives, from 40 ms before the earliest time of
+        // the known clock.
+        for shown_ms in (0..=delay_ms + 80).step_by(5) {
+            for poll in ["none in flight", "reported late", "lost"] {
+                let mut pool = pool_with(0);
+                let (id, call) = submit(&mut pool, 600);
+                let earliest_ms = call.lease_until_ms - 900;
+                let arrived_ms = 600 + delay_ms;
+                let mut b = process_with_clock(earliest_ms - 40 + shown_ms, arrived_ms);
+                let work = Work { resources: cores(27), duration_ms: 5_000, end: End::Done };
+                let (reply, has_started) = b.start(arrived_ms, &call, work);
+                assert!(has_started, "{reply:?}");
+                pool.start_reply(Millis(arrived_ms), &id, &call, reply);
+                let reported = PollReply::Report(Report {
+                    clock_ms: earliest_ms + delay_ms,
+                    started_at_ms: Some(1),
+                    ..Report::default()
+                });
+                let polled = match poll {
+                    "reported late" => Some(reported),
+                    "lost" => Some(PollReply::Lost),
+                    _ => None,
+                };
+                if let Some(polled) = polled {
+                    pool.poll_reply(Millis(arrived_ms), "0", Millis(599), &polled);
+                }
+                let restarted_ms = restart_elsewhere_ms(&mut pool, arrived_ms, &mut b);
+                let ended_ms = (arrived_ms..arrived_ms + 3_000).find(|now| {
+                    b.advance_to(*now);
+                    b.active.is_empty()
+                });
+                let ended_ms = ended_ms.expect("a lease ends");
+                let beyond_ms = ended_ms.cast_signed() - restarted_ms.cast_signed();
+                latest_ms = latest_ms.max((beyond_ms, delay_ms, shown_ms, poll));
+            }
+        }
+    }
+    println!("latest end of a run after the next start, in ms: {latest_ms:?}");
+    assert!(latest_ms.0 <= 0, "a run goes on beside the next one: {latest_ms:?}");
+}
+
 #[test]
 fn a_worker_whose_address_another_had_is_polled_again() {
     let mut pool = pool_with(0);
