--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -16,6 +16,7 @@
 use crate::run::{Interruption, InterruptionEvidence, Measurement, RunState, Timing};
 use crate::tokens::next_revision;
 use crate::worker::RunUpdate;
+use crate::worker_clock::ClockReading;
 
 /// Increment of the run number after a worker refused a start because it knows a higher one, for
 /// example from a previous request with the same id.
@@ -51,8 +52,9 @@
                     RunState::Running | RunState::Stopping | RunState::Stopped => {}
                 }
                 let first_poll_ms = (run.expected_ms as f64 * FIRST_POLL_FRACTION) as u64;
-                let (process, sent_at) = (run.process, run.sent_at);
-                worker.confirm_start(clock_ms, process, sent_at, now);
+                let (process, asked_at) = (run.process, run.sent_at);
+                let reading = ClockReading { clock_ms, process, asked_at, read_at: now };
+                worker.confirm_start(reading, call.lease_until_ms);
                 worker.poll_no_later_than(now.plus(first_poll_ms));
             }
             StartReply::Lost => {
@@ -74,11 +76,12 @@
     /// worker answers settles all starts before it: what is not listed then never begins. Returns
     /// whether there was a token left.
     fn raise_worker_token(&mut self, id: &str) -> bool {
+        let first = self.token();
         let Some(worker) = self.workers.get_mut(id) else { return false };
-        self.last_token = next_revision(self.last_token).unwrap_or(self.last_token);
-        let is_higher = worker.token < self.last_token;
-        worker.token = self.last_token;
-        is_higher
+        let Some(token) = next_revision(first, worker.token) else { return false };
+        worker.token = token;
+        self.last_token = self.last_token.max(token);
+        true
     }
 
     /// Handles the reply to a stop.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -659,33 +659,35 @@
         self.poll_no_later_than(now);
     }
 
-    /// Records the worker's clock from the reply of `process` to a start that was sent at `asked_at`,
-    /// which also ends a series of unanswered polls. The reply of a process before the known one tells
-    /// nothing. A clock that has jumped is that of another process.
-    pub fn confirm_start(
-        &mut self,
-        clock_ms: u64,
-        process: Option<u64>,
-        asked_at: Millis,
-        now: Millis,
-    ) {
-        let is_outdated = |reading: ClockReading| {
-            let is_of_other_process = process.is_some() && process != reading.process;
-            asked_at < reading.asked_at || is_of_other_process
+    /// Records the worker's clock from the reply to a start, which also ends a series of unanswered
+    /// polls. The reply of a process before the known one tells nothing. A clock that has jumped is
+    /// that of another process. One that is close to the known clock may be another's too, so that the
+    /// lease ends only when the clock of the reply shows `lease_until_ms`.
+    pub(crate) fn confirm_start(&mut self, reading: ClockReading, lease_until_ms: u64) {
+        let ClockReading { clock_ms, process, asked_at, read_at: now } = reading;
+        let lease_ms = lease_until_ms.saturating_sub(clock_ms).min(MAX_LEASE_MS);
+        self.lease_bound = self.lease_bound.max(now.plus(longest_span_ms(lease_ms)));
+        let is_outdated = |known: ClockReading| {
+            let is_of_other_process = process.is_some() && process != known.process;
+            asked_at < known.asked_at || is_of_other_process
         };
         if self.clock.is_some_and(is_outdated) {
             return;
         }
-        if self.clock.is_some_and(|reading| reading.has_jumped(clock_ms, asked_at, now)) {
+        if self.clock.is_some_and(|known| known.has_jumped(clock_ms, asked_at, now)) {
             self.doubt_process(now);
         }
-        self.update_clock(ClockReading { clock_ms, process, asked_at, read_at: now });
+        self.update_clock(reading);
     }
 
+    /// Records a reading of the clock, unless that of a later call is known: a reply that another one has
+    /// overtaken may be that of a previous process.
     fn update_clock(&mut self, reading: ClockReading) {
         self.unanswered_polls = 0;
         self.presence.record_reply(reading.read_at);
-        self.clock = Some(reading);
+        if self.clock.is_none_or(|known| known.asked_at <= reading.asked_at) {
+            self.clock = Some(reading);
+        }
     }
 
     /// Stops sending tasks to the worker for a time, which doubles with each pause until a run
@@ -784,6 +786,7 @@
             changes.extend(self.report_loss_of(LossCause::Replaced, has_ended));
             self.reported_loss = None;
             self.assume_longest_lease(now);
+            self.clock = None;
             self.cursor = 0;
             self.acking = 0;
             self.orphaned_runs.clear();
