Start and renew only in contact with the submitters of jobs

Callers saw (by computation, now shown): a task on two workers for up to some 190 ms and more, where its caller's daemon lost power or its owner stood still and stops were lost.

Cause: an owner counted with a submitter until their link had been silent for 450 ms, and with its own callers until it read their closed connection. After a stall its timers come first: renewals left before anything that had arrived was read. The run lived on by that lease, 938 ms, or 1,040 at a process that the owner does not know, while the caller sends again after 1,300 ms.

Change: a start or a renewal needs a sign of life of a submitter of each job with a run on the worker, at most 200 ms old. For jobs of other daemons it is the time of an echoed ping by the owner's clock, which neither transit nor a late reading makes younger; for own callers, and for requests that are read, the last time at which all ready I/O was processed. Jobs that are held back are not weighed as late: without that one was refused at once ("Overload").

A ping of a version before has no number and counts when it is read; keepalives of this version have a mark of their own, which the version before echoes.

--- a/crates/clementined/src/run.rs
+++ b/crates/clementined/src/run.rs
@@ -105,8 +105,10 @@
     let shared = Rc::clone(daemon);
     let links = daemon.links.clone();
     let handler: ::peers::links::Handler<::peers::wire::DaemonProtocol> =
-        Rc::new(move |from, request| Box::pin(Rc::clone(&shared).serve_peer(from, request)));
-    actix_rt::spawn(links.serve(peers, handler));
+        Rc::new(move |from, request| {
+            Box::pin(Rc::clone(&shared).serve_peer(from.incarnation, request))
+        });
+    actix_rt::spawn(links.serve(peers, handler, None));
 }
 
 async fn run_ticks(daemon: Rc<Daemon>) {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -32,6 +32,8 @@
     pub orphaned_runs: IntCounter,
     /// Runs that ended without a result, by what showed it.
     pub interruptions: IntCounterVec,
+    /// Times that starts or renewals were withheld for lack of contact with the submitters of jobs.
+    pub contact_losses: IntCounter,
     /// Tasks that were found to crash workers, and routes that were confined for such tasks.
     pub convictions: IntCounterVec,
     /// Waiting jobs that were displaced, by route and reason: an arriving job, or a queue that could
@@ -102,6 +104,9 @@
         let saturated = gauge("entry_saturated", "More work than the VM can carry.")?;
         let orphaned_runs = IntCounter::new("entry_orphans_total", "Runs that no owner knew.")?;
         registry.register(Box::new(orphaned_runs.clone()))?;
+        let contact_losses =
+            IntCounter::new("entry_contact_losses_total", "Pauses for lack of contact.")?;
+        registry.register(Box::new(contact_losses.clone()))?;
         let slow_workers = IntCounter::new("entry_slow_workers_total", "Workers found slow.")?;
         registry.register(Box::new(slow_workers.clone()))?;
         let transferred_speeds =
@@ -131,6 +136,7 @@
                 "Runs that ended without a result.",
                 &["evidence"],
             )?,
+            contact_losses,
             slow_workers,
             transferred_speeds,
             convictions: counters("entry_convictions_total", "Crash convictions.", &["of"])?,
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -5,13 +5,16 @@
 use std::time::Duration;
 
 use dispatch::clock::Millis;
+use peers::io::process_ready_io;
+use pool::bounds::{IO_INTERVAL_MS, MAX_STALL_MS};
 use pool::call::{PollCall, PollReply, StartCall, StartReply, StopCall, StopReply, Target};
 use pool::cells::Cell;
+use pool::contact::ContactChange;
 use pool::crashes::Crash;
 use pool::job::{Outcome, Progress};
 use pool::load_table::Demand;
 use pool::loss::{ProcessChange, WorkerLoss};
-use pool::pool::{Action, MAX_STALL_MS, Pool, Submission};
+use pool::pool::{Action, Pool, Submission};
 use pool::queue::Backlog;
 use pool::ramp::RampEvent;
 use pool::run::Interruption;
@@ -22,7 +25,9 @@
 use crate::state::Entry;
 
 /// Maximum time between two iterations of the loop that drives the pools, in milliseconds.
-const MAX_PAUSE_MS: u64 = 100;
+const MAX_PAUSE_MS: u64 = IO_INTERVAL_MS - MIN_IO_INTERVAL_MS;
+/// Minimum time between two checks that all I/O is processed, in milliseconds.
+const MIN_IO_INTERVAL_MS: u64 = 20;
 /// Maximum number of runs that the log line of a lost worker names.
 const MAX_LOGGED_RUNS: usize = 16;
 
@@ -230,6 +235,7 @@
                     speed.percent,
                 );
             }
+            Action::ReportContact(change) => self.log_contact(&ownership, change),
             Action::ReportDisplaced(displacement) => {
                 self.log_displacement(&ownership, &displacement);
             }
@@ -251,6 +257,19 @@
         }
     }
 
+    fn log_contact(&self, ownership: &OwnershipRef, change: ContactChange) {
+        let cell = &ownership.cell;
+        match change {
+            ContactChange::Lost { jobs, age_ms } => {
+                self.metrics.contact_losses.inc();
+                log::info!("part=owner event=contact_lost cell={cell} jobs={jobs} age_ms={age_ms}");
+            }
+            ContactChange::Restored { after_ms } => {
+                log::info!("part=owner event=contact_restored cell={cell} after_ms={after_ms}");
+            }
+        }
+    }
+
     fn cold_workers_of(&self, cell: &Cell) -> usize {
         let now = self.now();
         self.owned.borrow().get(cell).map_or(0, |owned| owned.pool.cold_workers(now))
@@ -401,10 +420,25 @@
         self.perform_actions(&ownership.cell);
     }
 
+    /// Makes sure that the pools know what had arrived by now, for example that callers have gone,
+    /// before they start or renew anything after a pause of this process.
+    async fn process_io(&self) {
+        let at = self.now();
+        if at.since(self.io_at.get()) < MIN_IO_INTERVAL_MS {
+            return;
+        }
+        process_ready_io().await;
+        self.io_at.set(at);
+        for owned in self.owned.borrow_mut().values_mut() {
+            owned.pool.record_io(at);
+        }
+    }
+
     /// Runs the loop that advances the pools of the owned cells whenever something is due.
     pub async fn drive_pools(self: Rc<Self>) {
         let mut last_at = self.now();
         loop {
+            self.process_io().await;
             let now = self.now_after_stall_check();
             if now.since(last_at) >= MAX_STALL_MS {
                 log::warn!("part=owner event=stalled for_ms={}", now.since(last_at));
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -361,6 +361,7 @@
         holder: Option<SocketAddr>,
     ) {
         let mut pool = Pool::new(token).with_crashes(self.crashes.borrow().clone());
+        pool.record_io(self.io_at.get());
         self.apply_start_limits(&cell, &mut pool);
         log::info!("part=ownership event=cell_gained cell={cell} token={token} how={how}");
         self.metrics.cells.with_label_values(&["gained"]).inc();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,13 +2,15 @@
 
 use std::rc::Rc;
 
+use dispatch::clock::Millis;
 use dispatch::ticket::Incarnation;
+use peers::links::{ContactObserver, Requester};
 use pool::job::{Outcome, Reason};
 use pool::load_table::Demand;
 use pool::pool::Submission;
 
 use crate::protocol::{Reply, Request, RunRequest};
-use crate::state::{Entry, RemoteJobKey};
+use crate::state::{Entry, RemoteJob, RemoteJobKey};
 
 /// Removes a job that another daemon submitted from `remote_jobs` when its request ends.
 struct RemoteJobGuard {
@@ -22,15 +24,37 @@
     }
 }
 
+impl ContactObserver for Entry {
+    fn now_ms(&self) -> u64 {
+        self.now().0
+    }
+
+    fn record_contact(&self, connection: u64, at_ms: u64) {
+        let remote = self.remote_jobs.borrow();
+        let mut owned = self.owned.borrow_mut();
+        let mut is_withheld = false;
+        for job in remote.values().filter(|job| job.connection == connection) {
+            let owned = owned.get_mut(&job.cell).filter(|owned| owned.serial == job.serial);
+            let Some(owned) = owned else { continue };
+            owned.pool.record_contact(job.number, Millis(at_ms));
+            is_withheld |= owned.pool.lacks_contact();
+        }
+        if is_withheld {
+            self.pools_changed.notify_one();
+        }
+    }
+}
+
 impl Entry {
     /// Handles a request of another daemon. Returns `None` if it is a notification without a reply.
     pub async fn handle_peer_request(
         self: Rc<Self>,
-        from: Incarnation,
+        requester: Requester,
         request: Request,
     ) -> Option<Reply> {
+        let from = requester.incarnation;
         match request {
-            Request::Run(request) => Some(self.run_for_peer(from, *request).await),
+            Request::Run(request) => Some(self.run_for_peer(requester, *request).await),
             Request::Cancel(job) => {
                 self.cancel_for_peer(from, job);
                 None
@@ -89,13 +113,15 @@
         }
     }
 
-    async fn run_for_peer(self: &Rc<Self>, from: Incarnation, request: RunRequest) -> Reply {
+    async fn run_for_peer(self: &Rc<Self>, requester: Requester, request: RunRequest) -> Reply {
+        let Requester { incarnation: from, connection } = requester;
         let RunRequest { cell, submission, submitter } = request;
         let demand = Demand::of(&submission.spec);
         let key = (from, Rc::clone(&submission.spec.id));
         let _guard = RemoteJobGuard { entry: Rc::clone(self), key: key.clone() };
         let on_submit = |serial, number| {
-            self.remote_jobs.borrow_mut().insert(key, (cell.clone(), serial, number));
+            let job = RemoteJob { connection, cell: cell.clone(), serial, number };
+            self.remote_jobs.borrow_mut().insert(key, job);
         };
         let submission = Submission { is_remote: true, ..submission };
         let result = self.run_locally(&cell, submission, on_submit).await;
@@ -113,14 +139,14 @@
     /// nothing happens, and the other daemon learns that from its outcome.
     fn withdraw_for_peer(self: &Rc<Self>, from: Incarnation, job: Rc<str>) {
         let found = self.remote_jobs.borrow().get(&(from, job)).cloned();
-        if let Some((cell, serial, number)) = found {
+        if let Some(RemoteJob { cell, serial, number, .. }) = found {
             self.withdraw_submission(&cell, serial, number);
         }
     }
 
     fn cancel_for_peer(self: &Rc<Self>, from: Incarnation, job: Rc<str>) {
         let found = self.remote_jobs.borrow_mut().remove(&(from, job));
-        let Some((cell, serial, number)) = found else { return };
+        let Some(RemoteJob { cell, serial, number, .. }) = found else { return };
         self.with_pool(&cell, serial, |pool, now| pool.cancel(now, number));
         self.perform_actions(&cell);
     }
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 
 use peers::wire::Protocol;
+use pool::bounds::{CONTACT_INTERVAL_MS, FIRST_PING_DELAY_MS, LINK_TIMEOUT_MS};
 use pool::cells::Cell;
 use pool::crashes::Crash;
 use pool::evacuation::ZoneRecord;
 use pool::job::Outcome;
 use pool::load_table::LoadReport;
 use pool::loss::WorkerLife;
-use pool::pool::{LINK_TIMEOUT_MS, Submission};
+use pool::pool::Submission;
 use pool::queue::{Backlog, or_default};
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +27,8 @@
     type Reply = Reply;
     const REQUESTS_END_WITH_LINK: bool = true;
     const SILENCE_LIMIT_MS: u64 = LINK_TIMEOUT_MS;
+    const CONTACT_INTERVAL_MS: u64 = CONTACT_INTERVAL_MS;
+    const FIRST_PING_DELAY_MS: u64 = FIRST_PING_DELAY_MS;
 }
 
 /// Request to run a job on a cell that the receiver owns.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ::peers::links::ContactObserver;
 use actix_rt::net::TcpListener;
 use httpedge::server::{Limits, Request, Response, listen, serve};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -101,7 +102,8 @@
     let handler: ::peers::links::Handler<EntryProtocol> = Rc::new(move |from, request| {
         Box::pin(Rc::clone(&shared).handle_peer_request(from, request))
     });
-    actix_rt::spawn(entry.links.clone().serve(peers, handler));
+    let contacts: Rc<dyn ContactObserver> = Rc::<Entry>::clone(entry);
+    actix_rt::spawn(entry.links.clone().serve(peers, handler, Some(contacts)));
     let shared = Rc::clone(entry);
     let handler = move |request: Request| std::future::ready(answer_operator(&shared, &request));
     actix_rt::spawn(serve(metrics, Limits::with_max_body(MAX_INTERNAL_BODY_BYTES), handler));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -63,6 +63,19 @@
 /// process) and the id of the job.
 pub type RemoteJobKey = (Incarnation, Rc<str>);
 
+/// A job that another daemon submitted here.
+#[derive(Clone, Debug)]
+pub struct RemoteJob {
+    /// Number of the connection on which the request arrived.
+    pub connection: u64,
+    /// Cell on which the job runs.
+    pub cell: Cell,
+    /// Serial of the ownership of the cell.
+    pub serial: u64,
+    /// Submission number.
+    pub number: u64,
+}
+
 /// An entry daemon.
 #[derive(Debug)]
 pub struct Entry {
@@ -136,6 +149,8 @@
     pub operator_feed: RefCell<OperatorFeed>,
     /// When this daemon last drove a pool or passed an event to one.
     pub last_turn_at: Value<Millis>,
+    /// When all I/O of this process was last known to be processed.
+    pub io_at: Value<Millis>,
     /// When this process was last found to have been paused; `None` once the operators' records were
     /// read after that. It may have missed an evacuation.
     pub starts_held_since: Value<Option<Millis>>,
@@ -181,9 +196,8 @@
     pub owners_changed: Notify,
     /// Wakes the loop that drives the pools.
     pub pools_changed: Notify,
-    /// Jobs that other daemons submitted here, with their cell, the serial of the ownership and the
-    /// submission number.
-    pub remote_jobs: RefCell<HashMap<RemoteJobKey, (Cell, u64, u64)>>,
+    /// Jobs that other daemons submitted here.
+    pub remote_jobs: RefCell<HashMap<RemoteJobKey, RemoteJob>>,
     /// Senders of the outcomes of jobs, by serial of the ownership and submission number.
     pub(crate) outcome_senders: RefCell<HashMap<(u64, u64), oneshot::Sender<Outcome>>>,
     next_serial: Value<u64>,
@@ -234,6 +248,7 @@
             knows_evacuations: Value::new(false),
             operator_feed: RefCell::default(),
             last_turn_at: Value::new(clock.now()),
+            io_at: Value::new(clock.now()),
             starts_held_since: Value::new(None),
             loads: RefCell::new(LoadTable::new(settings.zones.iter().map(String::as_str))),
             loads_changed: Notify::new(),
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -386,7 +386,8 @@
             limit_ms: CALLER_WAIT_MS.max(generated.objective_ms()),
             previous_owner: PreviousOwner::None,
             may_wait,
-            is_remote: self.owner_of(cell) != self.router_of(job),
+            // No daemon fails, so that no submitter has to be known to wait.
+            is_remote: false,
         };
         let number = self.pools[cell].submit(Millis(self.now_ms), submission);
         self.submitted.insert((cell, number), job);
@@ -461,6 +462,7 @@
                 | Action::ReportInterruption(_)
                 | Action::ReportRamp(_)
                 | Action::ReportSlow(_)
+                | Action::ReportContact(_)
                 | Action::ReportDisplaced(_) => {}
             }
         }
--- a/crates/peers/src/links.rs
+++ b/crates/peers/src/links.rs
@@ -11,10 +11,11 @@
 use dispatch::ticket::{Incarnation, Keyring};
 use futures_util::future::{LocalBoxFuture, select};
 use futures_util::{SinkExt as _, StreamExt as _};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::wire::{Body, Frame, Protocol};
+use crate::io::process_ready_io;
+use crate::wire::{Body, Frame, KEEPALIVE_PING, Protocol, UNNUMBERED_PING};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Capacity of a connection's send queue. While a slow peer keeps it full, requests fail at once
@@ -34,10 +35,30 @@
     ReplyLost(SocketAddr),
 }
 
+/// The sender of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Requester {
+    /// Incarnation of the daemon.
+    pub incarnation: Incarnation,
+    /// Number of the connection on which the request arrived, unique within this process.
+    pub connection: u64,
+}
+
+/// Follows how recently the senders of requests were known to wait for their replies.
+pub trait ContactObserver {
+    /// Returns the current time in milliseconds, by which pings are numbered. It is neither
+    /// [`UNNUMBERED_PING`] nor [`KEEPALIVE_PING`].
+    fn now_ms(&self) -> u64;
+
+    /// Records that the sender of the requests on a connection was known to wait for their replies at
+    /// `at_ms`. Cancellations that it sent before that have been handled.
+    fn record_contact(&self, connection: u64, at_ms: u64);
+}
+
 /// Handles the requests of other daemons. Returns `None` for a request that needs no reply.
 pub type Handler<P> = Rc<
     dyn Fn(
-        Incarnation,
+        Requester,
         <P as Protocol>::Request,
     ) -> LocalBoxFuture<'static, Option<<P as Protocol>::Reply>>,
 >;
@@ -106,6 +127,7 @@
     keys: Rc<Keyring>,
     connections: Rc<RefCell<HashMap<SocketAddr, Link<P>>>>,
     next_id: Rc<Cell<u64>>,
+    last_connection: Rc<Cell<u64>>,
     traffic: Rc<Traffic>,
     blocked: BlockedAddrs,
 }
@@ -117,6 +139,7 @@
             keys: Rc::clone(&self.keys),
             connections: Rc::clone(&self.connections),
             next_id: Rc::clone(&self.next_id),
+            last_connection: Rc::clone(&self.last_connection),
             traffic: Rc::clone(&self.traffic),
             blocked: Rc::clone(&self.blocked),
         }
@@ -139,7 +162,9 @@
         blocked: BlockedAddrs,
     ) -> Self {
         let connections = Rc::default();
-        Self { local, keys, connections, next_id: Rc::new(Cell::new(1)), traffic, blocked }
+        let next_id = Rc::new(Cell::new(1));
+        let last_connection = Rc::default();
+        Self { local, keys, connections, next_id, last_connection, traffic, blocked }
     }
 
     /// Sends a request to the daemon at `addr` and waits up to `wait_ms` for its reply.
@@ -189,15 +214,20 @@
     }
 
     /// Accepts connections from other daemons until the returned future is dropped.
-    pub async fn serve(self, listener: TcpListener, handler: Handler<P>) {
+    pub async fn serve(
+        self,
+        listener: TcpListener,
+        handler: Handler<P>,
+        contacts: Option<Rc<dyn ContactObserver>>,
+    ) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 actix_rt::time::sleep(Duration::from_millis(20)).await;
                 continue;
             };
             let links = self.clone();
-            let handler = Rc::clone(&handler);
-            actix_rt::spawn(async move { links.serve_stream(stream, handler).await });
+            let (handler, contacts) = (Rc::clone(&handler), contacts.clone());
+            actix_rt::spawn(async move { links.serve_stream(stream, handler, contacts).await });
         }
     }
 
@@ -217,6 +247,7 @@
         let _ = stream.set_nodelay(true);
         let (frames, outgoing) = mpsc::channel(MAX_QUEUED_FRAMES);
         let pending = PendingReplies::<P>::default();
+        let echoes = frames.downgrade();
         let link = Link { frames, pending: Rc::clone(&pending) };
         let mut connections = self.connections.borrow_mut();
         if connections.get(&addr).is_some_and(|link| !link.frames.is_closed()) {
@@ -224,9 +255,9 @@
         }
         connections.insert(addr, link);
         let links = self.clone();
-        actix_rt::spawn(
-            async move { links.drive_connection(addr, stream, outgoing, pending).await },
-        );
+        actix_rt::spawn(async move {
+            links.drive_connection(addr, stream, (outgoing, echoes), pending).await;
+        });
         Ok(())
     }
 
@@ -236,7 +267,7 @@
         &self,
         addr: SocketAddr,
         stream: TcpStream,
-        mut outgoing: mpsc::Receiver<ProtocolFrame<P>>,
+        (mut outgoing, echoes): OutgoingFrames<P>,
         pending: PendingReplies<P>,
     ) {
         let (mut sink, mut source) = framed(stream).split();
@@ -247,10 +278,21 @@
                 let Some(frame) = self.open_frame(&bytes) else {
                     break;
                 };
-                if let Body::Reply(reply) = frame.body
-                    && let Some(sender) = pending.borrow_mut().remove(&frame.id)
-                {
-                    let _ = sender.send(reply);
+                match frame.body {
+                    Body::Reply(reply) => {
+                        if let Some(sender) = pending.borrow_mut().remove(&frame.id) {
+                            let _ = sender.send(reply);
+                        }
+                    }
+                    Body::Ping if is_numbered(frame.id) => {
+                        let echo = Frame { from: self.local, id: frame.id, body: Body::Ping };
+                        actix_rt::spawn(echo_if_waiting::<P>(
+                            echo,
+                            echoes.clone(),
+                            Rc::clone(&pending),
+                        ));
+                    }
+                    Body::Ping | Body::Request(_) => {}
                 }
             }
         };
@@ -294,17 +336,25 @@
             Err(_) if unanswered_pings.get() >= PINGS_PER_LIMIT => NextFrame::Closed,
             Err(_) => {
                 unanswered_pings.set(unanswered_pings.get() + 1);
-                NextFrame::Frame(Frame { from: self.local, id: 0, body: Body::Ping })
+                NextFrame::Frame(Frame { from: self.local, id: KEEPALIVE_PING, body: Body::Ping })
             }
         }
     }
 
     /// Handles the requests on an incoming connection until it closes.
-    async fn serve_stream(&self, stream: TcpStream, handler: Handler<P>) {
+    async fn serve_stream(
+        &self,
+        stream: TcpStream,
+        handler: Handler<P>,
+        contacts: Option<Rc<dyn ContactObserver>>,
+    ) {
+        let connection = self.last_connection.get() + 1;
+        self.last_connection.set(connection);
         let _ = stream.set_nodelay(true);
         let (mut sink, mut source) = framed(stream).split();
         let (replies, mut outgoing) = mpsc::channel::<ProtocolFrame<P>>(MAX_QUEUED_FRAMES);
         let in_flight = InFlightRequests::<P>::default();
+        let has_requests = Notify::new();
         let reader = async {
             while let Some(Ok(bytes)) = next_before_silence_limit(&mut source, &in_flight).await {
                 let Some(frame) = self.open_frame(&bytes) else {
@@ -314,12 +364,23 @@
                 let request = match frame.body {
                     Body::Request(request) => request,
                     Body::Ping => {
-                        let _ = replies.try_send(Frame { from, id, body: Body::Ping });
+                        if !is_numbered(id) {
+                            let _ = replies.try_send(Frame { from, id, body: Body::Ping });
+                        }
+                        if let Some(contacts) = contacts.clone().filter(|_| id != KEEPALIVE_PING) {
+                            // Runs after the handlers of the frames before this one.
+                            in_flight.spawn(async move {
+                                let now_ms = contacts.now_ms();
+                                let at_ms = if is_numbered(id) { id.min(now_ms) } else { now_ms };
+                                contacts.record_contact(connection, at_ms);
+                            });
+                        }
                         continue;
                     }
                     Body::Reply(_) => break,
                 };
-                let reply = handler(frame.from, request);
+                let reply = handler(Requester { incarnation: frame.from, connection }, request);
+                has_requests.notify_one();
                 let replies = replies.clone();
                 in_flight.spawn(async move {
                     let Some(reply) = reply.await else { return };
@@ -334,7 +395,32 @@
                 }
             }
         };
-        select(std::pin::pin!(reader), std::pin::pin!(writer)).await;
+        let pinger = self.send_pings(&replies, &in_flight, &has_requests, contacts.as_deref());
+        let (reader, writer) = (std::pin::pin!(reader), std::pin::pin!(writer));
+        select(select(reader, writer), std::pin::pin!(pinger)).await;
+    }
+
+    /// Pings the sender of the requests of a connection while any are in progress. The pings carry the
+    /// time by the observer's clock. Never returns.
+    async fn send_pings(
+        &self,
+        replies: &mpsc::Sender<ProtocolFrame<P>>,
+        in_flight: &InFlightRequests<P>,
+        has_requests: &Notify,
+        contacts: Option<&dyn ContactObserver>,
+    ) {
+        let Some(contacts) = contacts.filter(|_| P::CONTACT_INTERVAL_MS > 0) else {
+            return std::future::pending().await;
+        };
+        loop {
+            has_requests.notified().await;
+            actix_rt::time::sleep(Duration::from_millis(P::FIRST_PING_DELAY_MS)).await;
+            while in_flight.any_unfinished() {
+                let id = contacts.now_ms();
+                let _ = replies.try_send(Frame { from: self.local, id, body: Body::Ping });
+                actix_rt::time::sleep(Duration::from_millis(P::CONTACT_INTERVAL_MS)).await;
+            }
+        }
     }
 
     fn seal_frame(&self, frame: &ProtocolFrame<P>) -> Bytes {
@@ -358,6 +444,31 @@
 /// `Protocol::SILENCE_LIMIT_MS` divided by this number.
 const PINGS_PER_LIMIT: u64 = 3;
 
+/// Whether a ping carries the time of the receiver of requests.
+const fn is_numbered(id: u64) -> bool {
+    id != UNNUMBERED_PING && id != KEEPALIVE_PING
+}
+
+/// Frames to be sent on an outgoing connection, and the means to add echoes that keep it open no longer
+/// than its users do.
+type OutgoingFrames<P> = (mpsc::Receiver<ProtocolFrame<P>>, mpsc::WeakSender<ProtocolFrame<P>>);
+
+/// Answers a ping of the receiver of requests, if replies are still awaited after the pending I/O is
+/// processed: a requester that has gone, or a request that was cancelled, is not vouched for.
+async fn echo_if_waiting<P: Protocol>(
+    echo: ProtocolFrame<P>,
+    frames: mpsc::WeakSender<ProtocolFrame<P>>,
+    pending: PendingReplies<P>,
+) {
+    process_ready_io().await;
+    if pending.borrow().is_empty() {
+        return;
+    }
+    if let Some(frames) = frames.upgrade() {
+        let _ = frames.try_send(echo);
+    }
+}
+
 enum NextFrame<P: Protocol> {
     Frame(ProtocolFrame<P>),
     Idle,
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -22,6 +22,11 @@
     /// Time in milliseconds after which a connection with pending replies and no traffic counts
     /// as broken; zero disables the check.
     const SILENCE_LIMIT_MS: u64;
+    /// Interval in milliseconds at which the receiver of requests pings their sender while they are in
+    /// progress, to know how recently the sender waited; zero disables these pings.
+    const CONTACT_INTERVAL_MS: u64;
+    /// Time in milliseconds from the first request in progress to the first such ping.
+    const FIRST_PING_DELAY_MS: u64;
 }
 
 /// The protocol between `clementined` daemons, of installations that use the project's own
@@ -34,6 +39,8 @@
     type Reply = PeerReply;
     const REQUESTS_END_WITH_LINK: bool = false;
     const SILENCE_LIMIT_MS: u64 = 0;
+    const CONTACT_INTERVAL_MS: u64 = 0;
+    const FIRST_PING_DELAY_MS: u64 = 0;
 }
 
 /// A request of one `clementined` daemon to another.
@@ -102,7 +109,9 @@
 pub struct Frame<Req, Rep> {
     /// Incarnation of the sending daemon.
     pub from: Incarnation,
-    /// Matches a reply to its request; zero for a request that needs no reply.
+    /// Matches a reply to its request; zero for a request that needs no reply. Says of a ping what it is
+    /// for: [`UNNUMBERED_PING`], [`KEEPALIVE_PING`], or else its time by the clock of the receiver of
+    /// requests.
     pub id: u64,
     /// The payload.
     pub body: Body<Req, Rep>,
@@ -117,6 +126,13 @@
     Request(Req),
     /// The reply to the request with the same ID.
     Reply(Rep),
-    /// Checks that the peer is alive; the peer answers with a ping.
+    /// Checks that the peer is alive; the peer answers with the same ping. The sender of requests
+    /// answers only while it waits for replies, after it has processed its pending I/O.
     Ping,
 }
+
+/// ID of a ping by a daemon of the version before the times of pings.
+pub const UNNUMBERED_PING: u64 = 0;
+/// ID of a ping by the sender of requests, which checks that the receiver is alive and says nothing
+/// about the sender.
+pub const KEEPALIVE_PING: u64 = u64::MAX;
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -110,7 +110,7 @@
             Box::pin(async { Some(PeerReply::Done) })
         });
         let (server, traffic) = links(1, BlockedAddrs::default());
-        actix_rt::spawn(server.serve(listener, handler));
+        actix_rt::spawn(server.serve(listener, handler, None));
         let blocked = BlockedAddrs::default();
         let (trusted, _) = links(1, Rc::clone(&blocked));
         let reply = trusted.call(addr, PeerRequest::TakeOver, 2_000).await;
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -80,6 +80,8 @@
             self.queue_checked_at.is_none_or(|at| now.since(at) >= QUEUE_CHECK_INTERVAL_MS);
         if !is_due
             || self.is_warming_up()
+            // Jobs that wait for their submitters lack no room.
+            || self.lacks_contact()
             || !self.jobs.values().any(waits)
             || !self.has_usual_capacity(now)
         {
--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -9,11 +9,19 @@
 
 use dispatch::clock::Millis;
 
+use crate::bounds::{LINK_TIMEOUT_MS, MAX_LEASE_BOUND_MS};
 use crate::call::End;
 use crate::job::{Job, PreviousOwner, TaskName, TaskState};
-use crate::pool::{LINK_TIMEOUT_MS, Pool};
+use crate::pool::Pool;
 use crate::run::{InterruptionEvidence, Run, RunState, Timing};
-use crate::worker::MAX_LEASE_BOUND_MS;
+
+/// How long a run that the previous owner handed over can continue without being found, in
+/// milliseconds.
+pub const IN_DOUBT_REPORTED_MS: u64 = MAX_LEASE_BOUND_MS;
+/// The same for a previous owner that stopped responding. An owner of the version before this one
+/// does not know [`CONTACT_MS`](crate::bounds::CONTACT_MS), and starts runs until it notices the
+/// broken link.
+pub const IN_DOUBT_UNRESPONSIVE_MS: u64 = LINK_TIMEOUT_MS + MAX_LEASE_BOUND_MS;
 
 /// Returns how long runs of the previous owner can continue without being found, in
 /// milliseconds. An owner that stopped responding may still start runs until it notices the
@@ -22,8 +30,8 @@
 pub(crate) const fn in_doubt_ms(previous_owner: &PreviousOwner) -> u64 {
     match previous_owner {
         PreviousOwner::None => 0,
-        PreviousOwner::Reported(_) => MAX_LEASE_BOUND_MS,
-        PreviousOwner::Unresponsive => MAX_LEASE_BOUND_MS + LINK_TIMEOUT_MS,
+        PreviousOwner::Reported(_) => IN_DOUBT_REPORTED_MS,
+        PreviousOwner::Unresponsive => IN_DOUBT_UNRESPONSIVE_MS,
     }
 }
 
--- /dev/null
+++ b/crates/pool/src/contact.rs
@@ -0,0 +1,100 @@
+//! Decides for which jobs tasks may start and leases may be renewed: those whose submitter was known
+//! to wait a short time ago.
+//!
+//! Answers the load of daemons that lose power, are cut off or stall while their jobs run at an
+//! owner: their callers send the jobs again, while the owner notices only that a link is silent. An
+//! owner that stalls itself has not read that its own callers have gone. See `docs/design/on-the-platform.md`.
+
+use dispatch::clock::Millis;
+
+use crate::bounds::CONTACT_MS;
+use crate::job::Job;
+use crate::pool::{Action, Pool};
+
+/// A change in whether all submitters of a cell's jobs are known to wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ContactChange {
+    /// Starts and renewals are withheld from now on, for lack of contact with submitters.
+    Lost {
+        /// Number of jobs without contact.
+        jobs: usize,
+        /// Time since the oldest of the last signs of life, in milliseconds.
+        age_ms: u64,
+    },
+    /// No start or renewal is withheld any more: submitters were in contact again, or their jobs have
+    /// ended.
+    Restored {
+        /// How long starts or renewals were withheld, in milliseconds.
+        after_ms: u64,
+    },
+}
+
+impl Job {
+    /// Whether a submitter of the job was known to wait within the last [`CONTACT_MS`].
+    pub(crate) const fn is_in_contact(&self, now: Millis) -> bool {
+        now.since(self.contact_at) < CONTACT_MS
+    }
+}
+
+impl Pool {
+    /// Records that the submitter of a submission was known to wait at `at`: a lower bound on the time
+    /// of its last sign of life, by this daemon's clock. If several submissions wait for one job, the
+    /// last sign of life of any of them counts.
+    pub fn record_contact(&mut self, number: u64, at: Millis) {
+        let Some(job) = self.watchers.get(&number) else { return };
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.contact_at = job.contact_at.max(at);
+        }
+    }
+
+    /// Records that all I/O that was ready at `at` has been processed, among it closed connections
+    /// of callers and cancellations. A daemon that performs I/O has to call this at least every
+    /// [`IO_INTERVAL_MS`](crate::bounds::IO_INTERVAL_MS) from the begin of an ownership on. A pool for
+    /// which it is never called counts all local submissions as waiting.
+    pub fn record_io(&mut self, at: Millis) {
+        self.io_at = Some(self.io_at.map_or(at, |known| known.max(at)));
+        for (number, job) in &self.watchers {
+            if self.remote_submissions.contains(number) {
+                continue;
+            }
+            if let Some(job) = self.jobs.get_mut(job) {
+                job.contact_at = job.contact_at.max(at);
+            }
+        }
+    }
+
+    /// Returns when the submitter of a request that has just been read was certainly waiting: the
+    /// request was not there yet when I/O was last processed.
+    pub(crate) fn contact_of_new_submission(&self, now: Millis, is_remote: bool) -> Millis {
+        self.io_at.unwrap_or(if is_remote { now } else { Millis(u64::MAX) })
+    }
+
+    /// Whether starts or renewals are withheld because submitters are not known to wait.
+    pub const fn lacks_contact(&self) -> bool {
+        self.contact_lost_at.is_some()
+    }
+
+    /// Determines the workers that get neither starts nor renewals, because both would extend the
+    /// lease of a run whose job is without contact.
+    pub(crate) fn update_contact(&mut self, now: Millis) {
+        let silent = || self.jobs.values().filter(|job| !job.is_in_contact(now));
+        let jobs = silent().count();
+        if jobs == 0 && self.contact_lost_at.is_none() {
+            return;
+        }
+        if jobs == 0 {
+            let after_ms = self.contact_lost_at.take().map_or(0, |at| now.since(at));
+            self.actions.push(Action::ReportContact(ContactChange::Restored { after_ms }));
+        } else if self.contact_lost_at.is_none() {
+            let age_ms = silent().map(|job| now.since(job.contact_at)).max().unwrap_or(0);
+            self.contact_lost_at = Some(now);
+            self.actions.push(Action::ReportContact(ContactChange::Lost { jobs, age_ms }));
+        }
+        for worker in self.workers.values_mut() {
+            let jobs_of_runs = worker.runs.values().filter_map(|run| run.task_ref);
+            worker.lacks_contact = jobs_of_runs
+                .filter_map(|(job, _)| self.jobs.get(&job))
+                .any(|job| !job.is_in_contact(now));
+        }
+    }
+}
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -281,6 +281,8 @@
     pub task_ms: Vec<u64>,
     /// Time at which every run of the previous owner that has not been found has certainly ended.
     pub in_doubt_until: Millis,
+    /// Latest time at which a submitter of the job was known to wait.
+    pub(crate) contact_at: Millis,
 }
 
 impl Job {
@@ -314,6 +316,7 @@
             expected_ms,
             task_ms,
             in_doubt_until: now,
+            contact_at: now,
         }
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -7,10 +7,12 @@
 mod admission;
 mod adoption;
 pub mod balance;
+pub mod bounds;
 pub mod call;
 pub mod catalogue;
 pub mod cells;
 pub mod cold;
+pub mod contact;
 pub mod crashes;
 pub mod estimate;
 pub mod evacuation;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -16,6 +16,7 @@
 use crate::call::{PollCall, StartCall, StopCall, Target};
 use crate::catalogue::{Terms, WorkerEntry};
 use crate::cold::ColdSlowdown;
+use crate::contact::ContactChange;
 use crate::crashes::CrashHistory;
 use crate::estimate::Estimates;
 use crate::evacuation::StartLimits;
@@ -68,6 +69,8 @@
     ReportRamp(RampEvent),
     /// Record that straggling runs in succession have shown that a worker is slow.
     ReportSlow(WorkerSpeed),
+    /// Record that starts and renewals are withheld for lack of contact with submitters, or go on.
+    ReportContact(ContactChange),
     /// Record that a waiting job was displaced. Its outcome follows as [`Self::Answer`].
     ReportDisplaced(Displacement),
 }
@@ -104,10 +107,14 @@
     pub(crate) workers: BTreeMap<Rc<str>, Worker>,
     pub(crate) jobs: HashMap<u64, Job>,
     // Maps submission numbers to job numbers. A job has the number of its first submission.
-    watchers: HashMap<u64, u64>,
+    pub(crate) watchers: HashMap<u64, u64>,
     pub(crate) by_id: HashMap<Rc<str>, u64>,
     // Numbers of the submissions that came from other daemons.
-    remote_submissions: HashSet<u64>,
+    pub(crate) remote_submissions: HashSet<u64>,
+    // When all I/O of this daemon was last known to be processed; `None` if that is not recorded.
+    pub(crate) io_at: Option<Millis>,
+    // Since when starts or renewals are withheld for lack of contact with submitters.
+    pub(crate) contact_lost_at: Option<Millis>,
     last_advance_at: Option<Millis>,
     pub(crate) estimates: Estimates,
     pub(crate) round_trip: RoundTrip,
@@ -140,6 +147,8 @@
             watchers: HashMap::new(),
             by_id: HashMap::new(),
             remote_submissions: HashSet::new(),
+            io_at: None,
+            contact_lost_at: None,
             last_advance_at: None,
             estimates: Estimates::default(),
             round_trip: RoundTrip::default(),
@@ -273,11 +282,14 @@
         if is_remote {
             self.remote_submissions.insert(number);
         }
+        let contact_at = self.contact_of_new_submission(now, is_remote);
         if let Some(known) = self.by_id.get(&spec.id) {
             self.watchers.insert(number, *known);
+            self.record_contact(number, contact_at);
             return number;
         }
         let mut job = Job::new(spec, terms, now, age_ms, limit_ms);
+        job.contact_at = contact_at;
         let longest_ms =
             |step: &Step| self.estimates.longest_ms(&job.terms.route, step.estimate_ms, step.count);
         job.expected_ms = job.spec.critical_path_ms(longest_ms);
@@ -351,6 +363,7 @@
         self.repeat_stops(now);
         self.resolve_in_doubt(now);
         self.abort_evacuated_jobs(now);
+        self.update_contact(now);
         self.update_warm_up(now);
         self.update_ramp(now);
         self.place_queued_jobs(now);
@@ -426,6 +439,7 @@
     /// Renews the leases of all workers that reply, so that their runs are still alive when the next
     /// owner takes over after a handover.
     pub fn renew_all_leases(&mut self, now: Millis) {
+        self.update_contact(now);
         let timeout_ms = self.round_trip.timeout_ms();
         let renewal_call = |(id, worker): (&Rc<str>, &mut Worker)| {
             let call = PollCall {
@@ -524,7 +538,9 @@
             return;
         }
         let cold_factor = self.cold.factor();
-        let Some(job) = self.jobs.get_mut(&number) else { return };
+        let Some(job) = self.jobs.get_mut(&number).filter(|job| job.is_in_contact(now)) else {
+            return;
+        };
         for task_index in 0..job.tasks.len() {
             let task = job.tasks[task_index].clone();
             if task.state != TaskState::Pending
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -50,7 +50,7 @@
 /// whose run this owner does not know, in milliseconds.
 const STOP_RETRY_MS: u64 = 150;
 /// How long a start without a reply may still be carried out, in milliseconds.
-const LATE_START_MS: u64 = 12_000;
+pub const LATE_START_MS: u64 = 12_000;
 /// Interval between two polls of an idle worker to which a start may still be on its way, in
 /// milliseconds. The first poll fences the worker's next process.
 const LATE_START_POLL_INTERVAL_MS: u64 = 200;
@@ -158,6 +158,8 @@
     cold_start: ColdStart,
     /// Whether the worker was gone, and is limited by a ramp after its return.
     pub(crate) presence: Presence,
+    /// Whether the worker has a run of a job whose submitters are not known to wait.
+    pub(crate) lacks_contact: bool,
     clock: Option<ClockReading>,
     /// Start time of the process that sent the last report, in Unix milliseconds.
     started_at_ms: Option<u64>,
@@ -208,6 +210,7 @@
             speed_at_start: Speed::default(),
             cold_start,
             presence: Presence::default(),
+            lacks_contact: false,
             clock: None,
             started_at_ms: None,
             process_doubted_at: None,
@@ -289,18 +292,22 @@
             && self.unanswered_polls == 0
             && self.process_doubted_at.is_none()
             && now >= self.paused_until
-            && !self.has_unwanted_runs()
+            && !self.withholds_lease()
     }
 
     /// Whether runs may go on that nobody waits for: those of a previous owner that no job has
-    /// adopted, and those whose stop is not confirmed. Neither a renewal nor a start is sent then,
-    /// since both extend the lease of all runs of a worker. The lease and the time in which an owner
-    /// may learn late that a caller has gone together end before the caller resends its request.
+    /// adopted, and those whose stop is not confirmed.
     fn has_unwanted_runs(&self) -> bool {
         self.orphaned_runs.values().any(|orphan| orphan.end.is_none())
             || self.runs.values().any(Run::is_unstopped)
     }
 
+    /// Whether neither a renewal nor a start is sent to the worker, because both extend the lease of all
+    /// its runs and nobody may wait for one of them.
+    fn withholds_lease(&self) -> bool {
+        self.lacks_contact || self.has_unwanted_runs()
+    }
+
     /// Whether the worker can get new tasks once it has replied to a poll and no pause is in force.
     pub fn is_eligible(&self) -> bool {
         self.listed && self.entry.state == WorkerState::Ready
@@ -435,7 +442,7 @@
         if self.runs.is_empty()
             || self.unanswered_polls > 0
             || self.is_clock_doubted()
-            || self.has_unwanted_runs()
+            || self.withholds_lease()
         {
             return None;
         }
@@ -464,7 +471,7 @@
         let lease_ms = self.shortest_lease_ms(now);
         let longest_ms = lease_ms.saturating_sub(RENEWAL_MARGIN_MS + 2 * timeout_ms);
         let longest_ms =
-            if self.has_unwanted_runs() { longest_ms.min(POLL_WAIT_SLACK_MS) } else { longest_ms };
+            if self.withholds_lease() { longest_ms.min(POLL_WAIT_SLACK_MS) } else { longest_ms };
         let slowdown = self.slowdown();
         let first_end_ms = self.runs.values().map(|run| run.remaining_ms(slowdown, now)).min();
         first_end_ms.map_or(0, |left_ms| {
--- a/crates/pool/tests/event_orders.rs
+++ b/crates/pool/tests/event_orders.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use pool::bounds::LINK_TIMEOUT_MS;
 use proptest::collection::vec;
 use proptest::option;
 use proptest::prelude::*;
@@ -83,6 +84,7 @@
 /// Events of a few kinds at a time, so that each kind often meets each other one.
 fn events() -> impl Strategy<Value = Vec<(u64, Event)>> {
     let stalls = (0..CELLS, 50_u64..1_100);
+    let leaves = prop_oneof![1_u64..50, 50..LINK_TIMEOUT_MS];
     let kinds = vec![
         calls(Kind::Start).boxed(),
         calls(Kind::Stop).boxed(),
@@ -91,7 +93,7 @@
         cuts().boxed(),
         owner_changes().boxed(),
         stalls.prop_map(|(cell, for_ms)| Event::Stall { cell, for_ms }).boxed(),
-        (1_u64..50).prop_map(|noticed_ms| Event::Leave { noticed_ms }).boxed(),
+        leaves.prop_map(|noticed_ms| Event::Leave { noticed_ms }).boxed(),
     ];
     let pauses = || prop_oneof![8 => 0_u64..60, 6 => 0_u64..1_000, 1 => 0_u64..=60_000];
     subsequence(kinds, 1..=3).prop_flat_map(move |mut kinds| {
--- a/crates/pool/tests/lost_stops.rs
+++ b/crates/pool/tests/lost_stops.rs
@@ -5,13 +5,14 @@
 mod support;
 
 use dispatch::clock::Millis;
+use pool::bounds::{LINK_TIMEOUT_MS, RESEND_MS};
 use pool::job::{Outcome, PreviousOwner};
-use pool::pool::{LINK_TIMEOUT_MS, Pool, Submission};
+use pool::pool::Pool;
 use pool::tokens::first_token;
 use standins::pool_worker::WorkerDefect;
 use support::fleet::{Fleet, TASK_CORES};
-use support::simulation::{DaemonDefect, Faults, RESEND_MS, Simulation};
-use support::{job, terms};
+use support::job;
+use support::simulation::{DaemonDefect, Faults, Simulation};
 
 /// Half of the starts and stops get no reply, and are carried out late.
 const LOST_ORDERS: Faults = Faults {
@@ -47,17 +48,8 @@
 
 /// Submits a job of one task again, as the daemon of its caller does after a lost link or a handover.
 fn submit_again(fleet: &mut Fleet, number: u64, previous_owner: PreviousOwner) {
-    let submission = Submission {
-        spec: job(&job_id(number), 1, TASK_CORES, DECLARED_MS),
-        terms: terms("r", 60, 2),
-        age_ms: 0,
-        limit_ms: 9_000,
-        previous_owner,
-        may_wait: true,
-        is_remote: true,
-    };
-    fleet.pool.submit(Millis(fleet.now_ms), submission);
-    fleet.perform();
+    let spec = job(&job_id(number), 1, TASK_CORES, DECLARED_MS);
+    fleet.submit_for_peer(spec, previous_owner);
 }
 
 #[test]
--- a/crates/pool/tests/owner.rs
+++ b/crates/pool/tests/owner.rs
@@ -255,6 +255,7 @@
                 | Action::ReportInterruption(_)
                 | Action::ReportRamp(_)
                 | Action::ReportSlow(_)
+                | Action::ReportContact(_)
                 | Action::ReportDisplaced(_) => {}
             }
         }
--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -5,17 +5,17 @@
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
+use pool::bounds::{LINK_TIMEOUT_MS, RESEND_MS};
 use pool::call::{
     End, PollCall, PollReply, Refusal, StartCall, StartReply, StopCall, StopReply, Target,
 };
 use pool::catalogue::WorkerEntry;
 use pool::failover::{Attempt, Decision, decide, outcome_if_too_late};
 use pool::job::{JobSpec, Outcome, PreviousOwner};
-use pool::pool::{Action, LINK_TIMEOUT_MS, Pool, Submission};
+use pool::pool::{Action, Pool, Submission};
 use pool::tokens::first_token;
 use standins::pool_worker::{PoolWorker, Work};
 
-use super::simulation::RESEND_MS;
 use super::{cores, entry, job, terms};
 
 pub const CELLS: usize = 2;
@@ -119,7 +119,7 @@
         cell: usize,
         for_ms: u64,
     },
-    /// The caller of the latest job leaves and sends it again.
+    /// The caller of the latest job leaves, or its daemon loses power, and it sends the job again.
     Leave {
         noticed_ms: u64,
     },
@@ -337,9 +337,21 @@
                 self.with_pool(owner, Pool::advance);
             }
         }
+        self.record_contacts();
         self.submit_waiting();
     }
 
+    /// Lets the pools know which submitters wait: all that have not left.
+    fn record_contacts(&mut self) {
+        let now = Millis(self.now_ms);
+        for (owner, number) in self.requests.iter().filter_map(|request| request.submission) {
+            let is_frozen = self.is_frozen(owner);
+            if let (Some(pool), false) = (&mut self.owners[owner].pool, is_frozen) {
+                pool.record_contact(number, now);
+            }
+        }
+    }
+
     /// Whether nothing can start any more.
     fn is_over(&self) -> bool {
         let is_open = |request: &Request| !request.is_answered && request.arrived_ms.is_some();
@@ -551,9 +563,10 @@
                     _ => {}
                 });
             }
+            // The owner's timers are handled before the closed connection is read.
             Due::Cancel(owner, number) if self.is_frozen(owner) => {
                 self.push(
-                    self.owners[owner].frozen_until_ms - self.now_ms,
+                    self.owners[owner].frozen_until_ms - self.now_ms + 1,
                     Due::Cancel(owner, number),
                 );
             }
--- a/crates/pool/tests/support/fleet.rs
+++ b/crates/pool/tests/support/fleet.rs
@@ -1,12 +1,12 @@
 //! One pool and its workers in virtual time, without delays between them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
 use pool::call::{End, PollReply, Refusal, StartReply, StopReply};
 use pool::catalogue::WorkerEntry;
-use pool::job::{Outcome, PreviousOwner};
+use pool::job::{JobSpec, Outcome, PreviousOwner};
 use pool::pool::{Action, Pool, Submission};
 use pool::ramp::RampEvent;
 use standins::pool_worker::{PoolWorker, Work};
@@ -35,6 +35,10 @@
     /// Result of all runs.
     pub end: End,
     pub outcomes: BTreeMap<u64, Outcome>,
+    /// Submissions of other daemons that are known to wait for them.
+    pub in_contact: BTreeSet<u64>,
+    /// Starts that the pool has sent.
+    pub starts: usize,
     pub ramp_events: Vec<RampEvent>,
     /// Run time of the tasks of each job.
     pub task_ms: BTreeMap<Rc<str>, u64>,
@@ -66,6 +70,8 @@
             next_factor: BTreeMap::new(),
             end: End::Done,
             outcomes: BTreeMap::new(),
+            in_contact: BTreeSet::new(),
+            starts: 0,
             ramp_events: Vec::new(),
             task_ms: BTreeMap::new(),
             polls: vec![None; workers],
@@ -127,6 +133,38 @@
         number
     }
 
+    /// Submits a job of one task for another daemon.
+    pub fn submit_remote(&mut self, task_ms: u64) -> u64 {
+        self.last_id += 1;
+        let spec = job(&format!("{:016x}", self.last_id), 1, TASK_CORES, task_ms);
+        self.task_ms.insert(Rc::clone(&spec.id), task_ms);
+        self.submit_for_peer(spec, PreviousOwner::None)
+    }
+
+    /// Submits a job for another daemon, which is known to wait until `in_contact` lacks it.
+    pub fn submit_for_peer(&mut self, spec: JobSpec, previous_owner: PreviousOwner) -> u64 {
+        let submission = Submission {
+            spec,
+            terms: terms("r", 60, 2),
+            age_ms: 0,
+            limit_ms: 9_000,
+            previous_owner,
+            may_wait: true,
+            is_remote: true,
+        };
+        let number = self.pool.submit(Millis(self.now_ms), submission);
+        self.in_contact.insert(number);
+        self.perform();
+        number
+    }
+
+    /// Lets time pass while the owner stands still. Its timers are handled first when it goes on.
+    pub fn stall(&mut self, span_ms: u64) {
+        self.now_ms += span_ms;
+        self.pool.advance(Millis(self.now_ms));
+        self.perform();
+    }
+
     /// Lets time pass.
     pub fn run_for(&mut self, span_ms: u64) {
         for _ in 0..span_ms {
@@ -134,6 +172,16 @@
             self.answer_polls();
             self.pool.advance(Millis(self.now_ms));
             self.perform();
+            self.record_contacts();
+        }
+    }
+
+    /// Lets the pool know that its submitters wait and that nothing waits to be read.
+    fn record_contacts(&mut self) {
+        let now = Millis(self.now_ms);
+        self.pool.record_io(now);
+        for number in &self.in_contact {
+            self.pool.record_contact(*number, now);
         }
     }
 
@@ -194,6 +242,7 @@
         let now = Millis(self.now_ms);
         match action {
             Action::Start(target, call) => {
+                self.starts += 1;
                 let worker: usize = target.id.parse().unwrap();
                 let factor = self.next_factor.remove(&worker).unwrap_or(1.0) * self.paces[worker];
                 let duration_ms = (self.task_ms[&call.task.job] as f64 * factor) as u64;
@@ -234,6 +283,7 @@
             | Action::ReportOrphan(..)
             | Action::ReportInterruption(_)
             | Action::ReportSlow(_)
+            | Action::ReportContact(_)
             | Action::ReportDisplaced(_) => {}
         }
     }
--- a/crates/pool/tests/support/simulation.rs
+++ b/crates/pool/tests/support/simulation.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
+use pool::bounds::{LINK_TIMEOUT_MS, RESEND_MS};
 use pool::call::{
     End, PollCall, PollReply, Refusal, StartCall, StartReply, StopCall, StopReply, Target,
 };
@@ -11,7 +12,7 @@
 use pool::crashes::{Crash, CrashHistory};
 use pool::failover::{Attempt, Decision, decide, outcome_if_too_late};
 use pool::job::{JobSpec, Outcome, PreviousOwner, Reason, TaskName};
-use pool::pool::{Action, LINK_TIMEOUT_MS, Pool, Submission};
+use pool::pool::{Action, Pool, Submission};
 use pool::round_trip::{MAX_TIMEOUT_MS, MIN_TIMEOUT_MS};
 use pool::tokens::first_token;
 use rand::rngs::SmallRng;
@@ -20,8 +21,6 @@
 use super::{cores, entry, job, terms};
 use standins::pool_worker::{PoolWorker, Work, WorkerDefect};
 
-/// How long after an inconclusive answer a caller resends its request, in milliseconds.
-pub const RESEND_MS: u64 = 1_300;
 const LIMIT_MS: u64 = 2_500;
 const TAKEOVER_MS: u64 = 1_200;
 const STEP_MS: u64 = 1;
@@ -288,9 +287,21 @@
         for daemon in 0..self.daemons.len() {
             self.advance(daemon);
         }
+        self.record_contacts();
         self.resume_requests();
     }
 
+    /// Lets the pools know which submitters wait: all whose links are not broken.
+    fn record_contacts(&mut self) {
+        let now = Millis(self.now_ms);
+        for (daemon, number) in self.requests.iter().filter_map(|request| request.submission) {
+            let daemon = &mut self.daemons[daemon];
+            if let (Some(pool), true) = (&mut daemon.pool, self.now_ms >= daemon.frozen_until_ms) {
+                pool.record_contact(number, now);
+            }
+        }
+    }
+
     fn inject_faults(&mut self) {
         for cell in 0..CELLS {
             if self.takeover_at[cell].is_some_and(|at| self.now_ms >= at) {
@@ -606,6 +617,7 @@
                 | Action::ReportInterruption(_)
                 | Action::ReportRamp(_)
                 | Action::ReportSlow(_)
+                | Action::ReportContact(_)
                 | Action::ReportDisplaced(_) => {}
                 Action::ReportReturn(life) => {
                     self.crash_history.retract(&life);
--- a/crates/pool/tests/warm_up.rs
+++ b/crates/pool/tests/warm_up.rs
@@ -55,6 +55,7 @@
             | Action::ReportInterruption(_)
             | Action::ReportRamp(_)
             | Action::ReportSlow(_)
+            | Action::ReportContact(_)
             | Action::ReportDisplaced(_) => {}
         }
     }
