Test that a paused requester vouches for no caller that has gone

The case passed also when an echo did not wait for pending I/O: one task read the closed connection and gave the request up at once. In the daemon these are two tasks. With two tasks in the test, and no pass of the event loop before an echo (PASSES 0), it fails: left [7, 8], right [7]; with the three passes it passes.

--- a/crates/peers/tests/contacts.rs
+++ b/crates/peers/tests/contacts.rs
@@ -184,11 +184,15 @@
                 ping_requester(&owners, caller, leaves, (pausing, resumed))
             });
             let requester = links();
+            // One task reads that the caller has gone, and another one then gives the request up.
+            let (leaving, left) = tokio::sync::oneshot::channel();
+            actix_rt::spawn(async move {
+                let _ = held.peek(&mut [0]).await;
+                let _ = leaving.send(());
+            });
             actix_rt::spawn(async move {
                 let call = std::pin::pin!(requester.call(addr, 0, 5_000));
-                let mut byte = [0];
-                let gone = std::pin::pin!(held.peek(&mut byte));
-                futures_util::future::select(call, gone).await;
+                futures_util::future::select(call, left).await;
             });
             while pauses.try_recv() == Err(TryRecvError::Empty) {
                 actix_rt::time::sleep(Duration::from_millis(1)).await;
