--- a/crates/pool/tests/late_starts.rs
+++ b/crates/pool/tests/late_starts.rs
@@ -8,6 +8,7 @@
 use dispatch::clock::Millis;
 use pool::call::PollReply;
 use pool::pool::{Action, Pool};
+use pool::tokens::first_token;
 use pool::worker::LEASE_MS;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -160,7 +161,7 @@
 /// that process would carry out what the previous owner has sent.
 #[test]
 fn a_next_owner_polls_silent_workers_soon_while_starts_before_it_may_be_on_their_way() {
-    let mut pool = Pool::new(1);
+    let mut pool = Pool::new(first_token(1));
     let listed = (Rc::from("0"), entry(0, 16));
     pool.set_workers(Millis(10_000), std::iter::once((&listed.0, &listed.1)));
     let (mut lost_at_ms, mut polled_at_ms) = (None, 10_000);
