Draw silent links, unread departures, accepted late calls and restarts within a generation

Cause: the property over orders of events knew one way in which a caller leaves (noticed within 50 ms), an owner that reads everything first when it wakes, late calls of the process at the time of sending, and a new generation for each owner.

Change: a submission has a link of its own between the caller's daemon and the owner, with pings, echoes and silence in each direction; what is sent meanwhile arrives after the silence. Each side notices silence by itself (450 ms; 450 to 600 ms). A stalled owner may read other daemons after its renewals. A late call belongs to the process that accepts its connection within the call's time-out. An owner may restart with the token of its previous process. Four families of scripts beside the mix of before; the mix has the restarts as well. `record_contact` and `names_other_process` are the places for the fixes.

--- a/crates/pool/tests/event_orders.rs
+++ b/crates/pool/tests/event_orders.rs
@@ -9,23 +9,31 @@
 use proptest::sample::subsequence;
 use proptest::strategy::Union;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use support::event_orders::{CELLS, Change, Event, Fate, Kind, NextProcess, Pick, Script, World};
+use support::event_orders::{
+    CELLS, Change, Event, FOREVER_MS, Fate, Kind, NextProcess, Pick, Script, World,
+};
 
 /// Number of cases, unless the environment variable `PROPTEST_CASES` has another one.
 const CASES: u32 = 1_000;
-/// The same where late calls reach the next process, whose faults are rarer.
-const CASES_WITH_LATE_CALLS: u32 = 4 * CASES;
+/// The same for orders whose faults are rarer.
+const CASES_OF_RARE_FAULTS: u32 = 4 * CASES;
 
 fn fates() -> impl Strategy<Value = Fate> {
     prop_oneof![
         1 => Just(Fate::Lost),
         1 => Just(Fate::ReplyLost),
         1 => (2_u64..90).prop_map(Fate::Slow),
-        2 => (400_u64..2_000).prop_map(Fate::Late),
-        1 => (2_000_u64..=12_000).prop_map(Fate::Late),
+        3 => late(),
     ]
 }
 
+/// Calls without a reply, whose connection may have to wait until it is accepted.
+fn late() -> impl Strategy<Value = Fate> {
+    let ms = prop_oneof![2 => 400_u64..2_000, 1 => 2_000_u64..=12_000];
+    let accepted_ms = prop_oneof![1 => Just(0), 2 => 1_u64..150];
+    (ms, accepted_ms).prop_map(|(ms, accepted_ms)| Fate::Late { ms, accepted_ms })
+}
+
 fn picks() -> impl Strategy<Value = Pick> {
     let numbers = (0..6_usize).prop_map(Pick::Number);
     prop_oneof![2 => Just(Pick::Busy), 1 => Just(Pick::Silent), 1 => numbers]
@@ -55,7 +63,7 @@
 
 fn owner_changes() -> impl Strategy<Value = Event> {
     let handover = (Just(Change::Handover), 5_u64..400);
-    let lost = prop_oneof![Just(Change::Death), Just(Change::StoreLost)];
+    let lost = prop_oneof![Just(Change::Death), Just(Change::StoreLost), Just(Change::Restart)];
     let frozen = ((600_u64..4_000).prop_map(Change::Freeze), 1_200_u64..1_201);
     let changes = prop_oneof![handover, (lost, 300_u64..=1_200), frozen];
     (0..CELLS, changes, 0..6_usize).prop_map(|(cell, (change, pause_ms), missing)| Event::Owner {
@@ -73,62 +81,144 @@
 
 fn cuts() -> impl Strategy<Value = Event> {
     let fates = prop_oneof![Just(Fate::Lost), Just(Fate::ReplyLost)];
-    (picks(), fates, 200_u64..5_000).prop_map(|(pick, fate, for_ms)| Event::Cut {
+    let kinds = prop_oneof![2 => Just(None), 1 => Just(Some(Kind::Poll))];
+    (picks(), kinds, fates, 200_u64..5_000).prop_map(|(pick, kind, fate, for_ms)| Event::Cut {
         pick,
+        kind,
         fate,
         for_ms,
     })
 }
 
+fn stalls() -> impl Strategy<Value = Event> {
+    let reads_after_ms = prop_oneof![Just(0), 1_u64..30];
+    (0..CELLS, 50_u64..1_100, reads_after_ms)
+        .prop_map(|(cell, for_ms, reads_after_ms)| Event::Stall { cell, for_ms, reads_after_ms })
+}
+
+fn leaves() -> impl Strategy<Value = Event> {
+    (1_u64..50).prop_map(|noticed_ms| Event::Leave { noticed_ms })
+}
+
+fn silences() -> impl Strategy<Value = Event> {
+    let is_silent =
+        prop_oneof![3 => Just([true; 2]), 1 => Just([true, false]), 1 => Just([false, true])];
+    let for_ms = prop_oneof![1 => 50_u64..3_000, 1 => Just(FOREVER_MS)];
+    (is_silent, for_ms, any::<bool>()).prop_map(|(is_silent, for_ms, leaves)| Event::Silence {
+        is_silent,
+        for_ms,
+        leaves,
+    })
+}
+
+fn helpless() -> impl Strategy<Value = Event> {
+    (1_000_u64..6_000).prop_map(|for_ms| Event::Helpless { for_ms })
+}
+
 /// Events of a few kinds at a time, so that each kind often meets each other one.
-fn events() -> impl Strategy<Value = Vec<(u64, Event)>> {
-    let stalls = (0..CELLS, 50_u64..1_100);
-    let kinds = vec![
-        calls(Kind::Start).boxed(),
-        calls(Kind::Stop).boxed(),
-        calls(Kind::Poll).boxed(),
-        restarts().boxed(),
-        cuts().boxed(),
-        owner_changes().boxed(),
-        stalls.prop_map(|(cell, for_ms)| Event::Stall { cell, for_ms }).boxed(),
-        (1_u64..50).prop_map(|noticed_ms| Event::Leave { noticed_ms }).boxed(),
-    ];
+fn events(kinds: Vec<BoxedStrategy<Event>>) -> impl Strategy<Value = Vec<(u64, Event)>> {
     let pauses = || prop_oneof![8 => 0_u64..60, 6 => 0_u64..1_000, 1 => 0_u64..=60_000];
-    subsequence(kinds, 1..=3).prop_flat_map(move |mut kinds| {
+    let most = kinds.len().min(3);
+    subsequence(kinds, 1..=most).prop_flat_map(move |mut kinds| {
         kinds.push(submissions().boxed());
         vec((pauses(), Union::new(kinds)), 1..8)
     })
 }
 
-/// Scripts on workers with clocks that may be slow, and that may have been idle before.
-fn scripts() -> impl Strategy<Value = Script> {
+/// Scripts of one family: `before` comes ahead of the first job, in a share of them, and some of
+/// `kinds` after it. The workers' clocks may be slow, and the workers may have been idle.
+fn scripts(
+    before: (f64, BoxedStrategy<Event>),
+    kinds: Vec<BoxedStrategy<Event>>,
+) -> BoxedStrategy<Script> {
     let slow_permille = vec(prop_oneof![Just(0), Just(20), 0..=20_u64], 4..=6);
     let idle_ms = prop_oneof![0_u64..200, 0_u64..=60_000];
-    let late = (1_000_u64..5_000, 1_u64..60);
-    let late_starts = option::weighted(0.3, late).prop_map(|late| {
-        late.map(|(ms, for_ms)| {
-            (0, Event::Calls { kind: Kind::Start, fate: Fate::Late(ms), for_ms })
-        })
-    });
-    (slow_permille, idle_ms, late_starts, submissions(), events()).prop_map(
-        |(slow_permille, idle_ms, late_starts, first, rest)| {
-            let mut events: Vec<_> = late_starts.into_iter().collect();
+    let before = option::weighted(before.0, before.1);
+    let times = (idle_ms, 450..=600_u64);
+    (slow_permille, times, before, submissions(), events(kinds))
+        .prop_map(|(slow_permille, (idle_ms, patience_ms), before, first, rest)| {
+            let mut events: Vec<_> = before.into_iter().map(|event| (0, event)).collect();
             events.push((0, first));
             events.extend(rest);
             events[0].0 = idle_ms;
-            Script { slow_permille, events }
-        },
-    )
+            Script { slow_permille, patience_ms, events }
+        })
+        .boxed()
 }
 
-fn check(late_calls_outlive_processes: bool, cases: u32) {
+/// Starts that are late for a short time.
+fn late_starts() -> BoxedStrategy<Event> {
+    (late(), 1_u64..60)
+        .prop_map(|(fate, for_ms)| Event::Calls { kind: Kind::Start, fate, for_ms })
+        .boxed()
+}
+
+/// Restarts so short that the next process accepts a connection opened for the one before.
+fn restarts_under_starts() -> BoxedStrategy<Event> {
+    let restart = |(down_ms, entry_ms)| Event::Restart {
+        pick: Pick::Silent,
+        next: NextProcess::SameId,
+        down_ms,
+        entry_ms,
+        old_entry_ms: None,
+    };
+    (0_u64..60, 1_u64..1_500).prop_map(restart).boxed()
+}
+
+fn any_orders() -> BoxedStrategy<Script> {
+    let calls = [Kind::Start, Kind::Stop, Kind::Poll].map(|kind| calls(kind).boxed());
+    let mut kinds = calls.to_vec();
+    kinds.extend([restarts().boxed(), cuts().boxed(), owner_changes().boxed()]);
+    kinds.extend([stalls().boxed(), leaves().boxed()]);
+    scripts((0.3, late_starts()), kinds)
+}
+
+/// Callers that leave while nothing but time ends their runs.
+fn departures() -> BoxedStrategy<Script> {
+    scripts((0.8, helpless().boxed()), vec![silences().boxed(), leaves().boxed(), cuts().boxed()])
+}
+
+/// Callers that leave while the owner stands still and stops are lost.
+fn stalled_owners() -> BoxedStrategy<Script> {
+    let stops_lost = (1_000_u64..6_000).prop_map(|for_ms| Event::Calls {
+        kind: Kind::Stop,
+        fate: Fate::Lost,
+        for_ms,
+    });
+    scripts((0.9, stops_lost.boxed()), vec![stalls().boxed(), leaves().boxed()])
+}
+
+/// Late starts beside workers that start again.
+fn restarted_workers() -> BoxedStrategy<Script> {
+    let cuts = (1_000_u64..5_000).prop_map(|for_ms| Event::Cut {
+        pick: Pick::Silent,
+        kind: None,
+        fate: Fate::Lost,
+        for_ms,
+    });
+    let kinds = vec![restarts_under_starts(), leaves().boxed(), cuts.boxed()];
+    scripts((0.9, late_starts()), kinds)
+}
+
+/// Late starts beside workers that start again and owners that restart within a generation.
+fn restarted_owners() -> BoxedStrategy<Script> {
+    let owners = (0..CELLS, 100_u64..1_200).prop_map(|(cell, pause_ms)| Event::Owner {
+        cell,
+        change: Change::Restart,
+        pause_ms,
+        missing: usize::MAX,
+    });
+    scripts((0.9, late_starts()), vec![restarts_under_starts(), owners.boxed()])
+}
+
+fn check(scripts: &BoxedStrategy<Script>, late_calls_outlive_processes: bool, cases: u32) {
     let variable = std::env::var("PROPTEST_CASES").ok();
     let count = variable.and_then(|cases| cases.parse().ok()).unwrap_or(cases);
     let config = Config { cases: count, failure_persistence: None, ..Config::default() };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let starts = std::cell::Cell::new(0);
     let (cases, failed) = (std::cell::Cell::new(0), std::cell::Cell::new(false));
-    let outcome = TestRunner::new_with_rng(config, rng).run(&scripts(), |script| {
+    let outcome = TestRunner::new_with_rng(config, rng).run(scripts, |script| {
         let world = World::play(&script, late_calls_outlive_processes);
         starts.set(starts.get() + world.starts);
         cases.set(cases.get() + u32::from(!failed.get()));
@@ -145,11 +235,35 @@
 
 #[test]
 fn no_task_has_two_active_runs_in_any_order_of_events() {
-    check(false, CASES);
+    check(&any_orders(), false, CASES);
+}
+
+#[test]
+#[ignore = "KNOWN-RED 17"]
+fn no_task_has_two_active_runs_when_callers_leave_unnoticed() {
+    check(&departures(), false, CASES);
+}
+
+#[test]
+#[ignore = "KNOWN-RED 18"]
+fn no_task_has_two_active_runs_when_callers_leave_stalled_owners() {
+    check(&stalled_owners(), false, CASES_OF_RARE_FAULTS);
+}
+
+#[test]
+#[ignore = "KNOWN-RED 11"]
+fn no_task_has_two_active_runs_beside_workers_that_start_again() {
+    check(&restarted_workers(), false, CASES_OF_RARE_FAULTS);
+}
+
+#[test]
+#[ignore = "KNOWN-RED 19"]
+fn no_task_has_two_active_runs_when_owners_restart_within_a_generation() {
+    check(&restarted_owners(), false, CASES_OF_RARE_FAULTS);
 }
 
 #[test]
 #[ignore = "KNOWN-RED 11"]
 fn no_task_has_two_active_runs_if_late_calls_reach_the_next_process() {
-    check(true, CASES_WITH_LATE_CALLS);
+    check(&any_orders(), true, CASES_OF_RARE_FAULTS);
 }
--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -29,6 +29,10 @@
 const WAIT_STEP_MS: u64 = 20;
 /// Time after the last step by which late calls and callers that resend are done, in milliseconds.
 const TAIL_MS: u64 = 18_000;
+/// Interval between two pings of a submission in flight, in milliseconds.
+const PING_MS: u64 = 100;
+/// How long a link stays silent to a daemon that is gone for good, in milliseconds.
+pub const FOREVER_MS: u64 = 60_000;
 /// Clock of the workers' first processes at the begin. That of a later one is always lower.
 const CLOCK_MS: u64 = 9_000_000;
 const CLOCK_STEP_MS: u64 = 1_000_000;
@@ -47,8 +51,12 @@
     ReplyLost,
     /// Arrives after this time, while its caller still waits.
     Slow(u64),
-    /// Gets no reply, and is carried out after this time.
-    Late(u64),
+    /// Gets no reply. The process that listens after `accepted_ms`, but within the call's time-out,
+    /// accepts its connection and carries it out after `ms`, unless that process has ended.
+    Late {
+        ms: u64,
+        accepted_ms: u64,
+    },
 }
 
 /// A worker of the fleet.
@@ -75,6 +83,8 @@
     Freeze(u64),
     /// The owner goes on without the store, until its workers refuse its calls.
     StoreLost,
+    /// The owner's process ends, and its next one acquires the cell in the same generation.
+    Restart,
 }
 
 #[derive(Clone, Debug)]
@@ -101,9 +111,10 @@
         entry_ms: u64,
         old_entry_ms: Option<u64>,
     },
-    /// A worker is cut off from the owner of its cell.
+    /// Calls from the owner of its cell to a worker have this fate; those of all kinds without `kind`.
     Cut {
         pick: Pick,
+        kind: Option<Kind>,
         fate: Fate,
         for_ms: u64,
     },
@@ -114,10 +125,24 @@
         pause_ms: u64,
         missing: usize,
     },
-    /// The owner of a cell is stalled, and keeps the cell.
+    /// The owner of a cell is stalled, and keeps the cell. It reads what other daemons have sent
+    /// meanwhile some time after it has sent its renewals.
     Stall {
         cell: usize,
         for_ms: u64,
+        reads_after_ms: u64,
+    },
+    /// The link between the owner and the daemon of the latest job's caller falls silent in the
+    /// directions to the owner and to that daemon. The caller may leave in that moment; a daemon
+    /// that loses power is silent for good.
+    Silence {
+        is_silent: [bool; 2],
+        for_ms: u64,
+        leaves: bool,
+    },
+    /// All stops and all cancellations are lost.
+    Helpless {
+        for_ms: u64,
     },
     /// The caller of the latest job leaves and sends it again.
     Leave {
@@ -130,6 +155,8 @@
 pub struct Script {
     /// For each worker by how much its clock is slower, in thousandths; cells alternate.
     pub slow_permille: Vec<u64>,
+    /// Silence after which the daemons of callers take a link for broken, in milliseconds.
+    pub patience_ms: u64,
     pub events: Vec<(u64, Event)>,
 }
 
@@ -184,16 +211,55 @@
     has_reply: bool,
 }
 
+/// Sides of a link; a direction has the number of the side that receives.
+const OWNER: usize = 0;
+const SUBMITTER: usize = 1;
+
+/// What the daemon of a caller and the owner of a cell send to each other.
+enum Message {
+    Submit(Submission),
+    /// Names the time at which the owner sent the last echo that has arrived.
+    Ping(Option<u64>),
+    Echo(u64),
+    Answer(Outcome),
+    Close,
+}
+
+/// The connection for one submission. What is sent while it is silent arrives after the silence,
+/// unless a side has closed it by then.
+struct Link {
+    /// The request and the number of its sends, each of which comes to another daemon.
+    submitter: (usize, u32),
+    owner: usize,
+    /// The owner's number of the submission, once it has arrived.
+    number: Option<u64>,
+    is_closed: [bool; 2],
+    heard_ms: [u64; 2],
+    silent_until_ms: [u64; 2],
+    pinged_ms: u64,
+    echoed_ms: Option<u64>,
+}
+
+/// Passes on that a submission's caller still waited at `_at`.
+const fn record_contact(_pool: &mut Pool, _number: u64, _at: Millis) {}
+
+/// Whether a start names another process than the one that accepts its connection.
+const fn names_other_process(_call: &Call, _process: u64) -> bool {
+    false
+}
+
 enum Due {
     Script(Event),
+    /// A connection is accepted for a call that is carried out at this time.
+    Accept(Sent, u64),
     Arrival(Sent),
     /// A poll waits at its worker until this time.
     Wait(Sent, u64),
     Reply(Sent, Reply),
-    Cancel(usize, u64),
-    Broken(usize, usize),
+    Message(usize, usize, Message),
+    GiveUp(usize, u32),
     Send(usize),
-    TakeOver(usize, usize),
+    TakeOver(usize, usize, Option<u64>),
     Publish(usize, Rc<str>, WorkerEntry),
     Refresh(usize),
 }
@@ -204,13 +270,15 @@
     down_until_ms: u64,
     processes: u64,
     published: (Rc<str>, WorkerEntry),
-    cut: Option<(usize, Fate, u64)>,
+    cut: Option<(usize, Option<Kind>, Fate, u64)>,
 }
 
 struct Owner {
     cell: usize,
     pool: Option<Pool>,
+    generation: u64,
     frozen_until_ms: u64,
+    reads_from_ms: u64,
     advanced_ms: u64,
 }
 
@@ -221,7 +289,8 @@
     resends_elsewhere: bool,
     arrived_ms: Option<u64>,
     previous_owner: PreviousOwner,
-    submission: Option<(usize, u64)>,
+    /// The link of the present submission.
+    submission: Option<usize>,
     is_answered: bool,
     sends: u32,
 }
@@ -232,6 +301,9 @@
     nodes: Vec<Node>,
     owners: Vec<Owner>,
     requests: Vec<Request>,
+    links: Vec<Link>,
+    patience_ms: u64,
+    cancels_lost_until_ms: u64,
     queue: BinaryHeap<Reverse<(u64, usize)>>,
     due: BTreeMap<usize, Due>,
     last_due: usize,
@@ -264,6 +336,9 @@
             nodes: script.slow_permille.iter().enumerate().map(node).collect(),
             owners: Vec::new(),
             requests: Vec::new(),
+            links: Vec::new(),
+            patience_ms: script.patience_ms,
+            cancels_lost_until_ms: 0,
             queue: BinaryHeap::new(),
             due: BTreeMap::new(),
             last_due: 0,
@@ -276,7 +351,7 @@
             starts: 0,
             overlap: None,
         };
-        (0..CELLS).for_each(|cell| world.take_over(cell, usize::MAX));
+        (0..CELLS).for_each(|cell| world.take_over(cell, usize::MAX, None));
         let mut at_ms = 50;
         for (after_ms, event) in &script.events {
             at_ms += after_ms;
@@ -312,6 +387,8 @@
                 next_ms = next_ms.min(due_ms.max(owner.frozen_until_ms));
             }
         }
+        let links = (0..self.links.len()).filter_map(|link| self.next_of_link(link));
+        next_ms = links.fold(next_ms, u64::min);
         if let Some(Reverse((at_ms, _))) = self.queue.peek() {
             next_ms = next_ms.min(*at_ms);
         }
@@ -337,15 +414,117 @@
                 self.with_pool(owner, Pool::advance);
             }
         }
+        (0..self.links.len()).for_each(|link| self.tend_link(link));
         self.submit_waiting();
     }
 
+    /// Whether each side takes part in a link: the owner from the submission's arrival until it answers.
+    fn is_up(&self, link: usize) -> [bool; 2] {
+        let Link { number, is_closed, .. } = &self.links[link];
+        [!is_closed[OWNER] && number.is_some(), !is_closed[SUBMITTER]]
+    }
+
+    fn next_of_link(&self, link: usize) -> Option<u64> {
+        let Link { owner, heard_ms, pinged_ms, .. } = &self.links[link];
+        let [owner_is_up, submitter_is_up] = self.is_up(link);
+        let silent_ms = (heard_ms[OWNER] + LINK_TIMEOUT_MS).max(self.owners[*owner].reads_from_ms);
+        let pinged_ms = (pinged_ms + PING_MS).min(heard_ms[SUBMITTER] + self.patience_ms);
+        let next = [(owner_is_up, silent_ms), (submitter_is_up, pinged_ms)];
+        next.into_iter().filter(|(is_up, _)| *is_up).map(|(_, at_ms)| at_ms).min()
+    }
+
+    /// Has both sides of a link notice its silence, and the submitter send its pings.
+    fn tend_link(&mut self, link: usize) {
+        let [owner_is_up, submitter_is_up] = self.is_up(link);
+        let Link { owner, heard_ms, pinged_ms, echoed_ms, .. } = self.links[link];
+        let has_read = self.now_ms >= self.owners[owner].reads_from_ms;
+        if owner_is_up && has_read && self.now_ms >= heard_ms[OWNER] + LINK_TIMEOUT_MS {
+            self.end_link(link, OWNER);
+        }
+        if submitter_is_up && self.now_ms >= heard_ms[SUBMITTER] + self.patience_ms {
+            self.end_link(link, SUBMITTER);
+        } else if submitter_is_up && self.now_ms >= pinged_ms + PING_MS {
+            self.links[link].pinged_ms = self.now_ms;
+            self.push(1, Due::Message(link, OWNER, Message::Ping(echoed_ms)));
+        }
+    }
+
+    /// Closes one side of a link, and tells the other one.
+    fn end_link(&mut self, link: usize, side: usize) {
+        self.close_side(link, side);
+        self.push(1, Due::Message(link, 1 - side, Message::Close));
+    }
+
+    fn close_side(&mut self, link: usize, side: usize) {
+        let Link { owner, number, submitter: (request, _), .. } = self.links[link];
+        if std::mem::replace(&mut self.links[link].is_closed[side], true) {
+            return;
+        }
+        self.note(&format!("link {link} of job {request} to owner {owner} ends at side {side}"));
+        if side == SUBMITTER && self.requests[request].submission == Some(link) {
+            self.conclude(request, Attempt::ConnectionLost);
+        } else if side == OWNER
+            && let Some(number) = number
+        {
+            self.with_pool(owner, |pool, now| pool.cancel(now, number));
+        }
+    }
+
+    /// Delivers a message once its link is not silent and its receiver reads.
+    fn deliver(&mut self, link: usize, to: usize, message: Message) {
+        let Link { owner, number, submitter: (request, _), .. } = self.links[link];
+        if self.links[link].is_closed[to] {
+            return;
+        }
+        let reads_from_ms = if to == OWNER { self.owners[owner].reads_from_ms } else { 0 };
+        let at_ms = self.links[link].silent_until_ms[to].max(reads_from_ms);
+        if self.now_ms < at_ms {
+            return self.push(at_ms - self.now_ms, Due::Message(link, to, message));
+        }
+        self.links[link].heard_ms[to] = self.now_ms;
+        let now = Millis(self.now_ms);
+        match message {
+            Message::Submit(submission) => {
+                let Some(pool) = &mut self.owners[owner].pool else {
+                    self.links[link].is_closed = [true; 2];
+                    return self.conclude(request, Attempt::NotStarted);
+                };
+                self.links[link].number = Some(pool.submit(now, submission));
+                self.perform(owner);
+            }
+            Message::Ping(echoed_ms) => {
+                if let (Some(number), Some(at_ms)) = (number, echoed_ms) {
+                    let record = |pool: &mut Pool, _| record_contact(pool, number, Millis(at_ms));
+                    self.with_pool(owner, record);
+                }
+                self.push(1, Due::Message(link, SUBMITTER, Message::Echo(now.0)));
+            }
+            Message::Echo(at_ms) => self.links[link].echoed_ms = Some(at_ms),
+            Message::Answer(outcome) => {
+                self.links[link].is_closed = [true; 2];
+                self.conclude(request, Attempt::Outcome(outcome));
+            }
+            Message::Close => self.close_side(link, to),
+        }
+    }
+
+    /// The caller of a request leaves, which its daemon tells the owner after a time.
+    fn leave(&mut self, request: usize, told_ms: u64) {
+        let Some(link) = self.requests[request].submission.take() else { return };
+        self.links[link].is_closed[SUBMITTER] = true;
+        if self.now_ms < self.cancels_lost_until_ms {
+            self.links[link].silent_until_ms = [self.now_ms + FOREVER_MS; 2];
+        }
+        self.push(told_ms, Due::Message(link, OWNER, Message::Close));
+        self.resend(request);
+    }
+
     /// Whether nothing can start any more.
     fn is_over(&self) -> bool {
         let is_open = |request: &Request| !request.is_answered && request.arrived_ms.is_some();
         let may_start = |due: &Due| match due {
-            Due::Script(_) | Due::Send(_) => true,
-            Due::Arrival(sent) => sent.call.kind() == Kind::Start,
+            Due::Script(_) | Due::Send(_) | Due::Message(.., Message::Submit(_)) => true,
+            Due::Accept(sent, _) | Due::Arrival(sent) => sent.call.kind() == Kind::Start,
             _ => false,
         };
         !self.requests.iter().any(is_open) && !self.due.values().any(may_start)
@@ -382,11 +561,10 @@
                 Action::Stop(target, call) => self.send_call(owner, target, Call::Stop(call)),
                 Action::Poll(target, call) => self.send_call(owner, target, Call::Poll(call)),
                 Action::Answer(number, outcome) => {
-                    let submission = Some((owner, number));
-                    let request = self.requests.iter().position(|r| r.submission == submission);
-                    if let Some(request) = request {
-                        self.conclude(request, Attempt::Outcome(outcome));
-                    }
+                    let of = |link: &Link| link.owner == owner && link.number == Some(number);
+                    let Some(link) = self.links.iter().position(of) else { continue };
+                    self.links[link].is_closed[OWNER] = true;
+                    self.push(1, Due::Message(link, SUBMITTER, Message::Answer(outcome)));
                 }
                 _ => {}
             }
@@ -397,9 +575,12 @@
     fn send_call(&mut self, owner: usize, target: Target, call: Call) {
         let node = self.node_at(&target);
         let now_ms = self.now_ms;
-        let cut = self.nodes[node].cut.filter(|cut| cut.0 == owner && now_ms < cut.2);
-        let armed = self.fates.iter().find(|fate| fate.0 == call.kind() && now_ms < fate.2);
-        let fate = cut.or(armed.map(|fate| (0, fate.1, 0))).map(|(_, fate, _)| fate);
+        let kind = call.kind();
+        let cut = self.nodes[node].cut.filter(|(from, cut, _, until_ms)| {
+            *from == owner && cut.is_none_or(|cut| cut == kind) && now_ms < *until_ms
+        });
+        let armed = self.fates.iter().find(|fate| fate.0 == kind && now_ms < fate.2);
+        let fate = cut.map(|cut| cut.2).or(armed.map(|fate| fate.1));
         let waits_ms = if let Call::Poll(poll) = &call { poll.wait_ms } else { 0 };
         let timeout_ms = target.timeout_ms + waits_ms;
         let mut sent =
@@ -407,7 +588,7 @@
         let arrives_ms = match fate {
             None => Some(1),
             Some(Fate::Slow(ms)) => Some(ms),
-            Some(Fate::ReplyLost | Fate::Lost | Fate::Late(_)) => {
+            Some(Fate::ReplyLost | Fate::Lost | Fate::Late { .. }) => {
                 sent.has_reply = false;
                 if sent.call.kind() == Kind::Start {
                     self.silent = node;
@@ -415,10 +596,11 @@
                 self.push(timeout_ms, Due::Reply(sent.clone(), sent.call.lost()));
                 match fate {
                     Some(Fate::ReplyLost) => Some(1),
-                    Some(Fate::Late(ms)) => {
-                        let process = self.nodes[node].worker.started_at_ms;
-                        sent.process = (!self.late_calls_outlive_processes).then_some(process);
-                        Some(ms)
+                    Some(Fate::Late { ms, .. }) if self.late_calls_outlive_processes => Some(ms),
+                    Some(Fate::Late { ms, accepted_ms }) => {
+                        let accepted_ms = accepted_ms.min(timeout_ms);
+                        self.push(accepted_ms, Due::Accept(sent.clone(), now_ms + ms));
+                        None
                     }
                     _ => None,
                 }
@@ -448,7 +630,9 @@
         let number = self.node_at(&sent.target);
         let node = &mut self.nodes[number];
         let worker = &mut node.worker;
-        if sent.process.is_some_and(|process| process != worker.started_at_ms) {
+        if sent.process.is_some_and(|process| process != worker.started_at_ms)
+            || names_other_process(&sent.call, worker.started_at_ms)
+        {
             return;
         }
         let refusal = if self.now_ms < node.down_until_ms {
@@ -509,6 +693,14 @@
                 self.note(&format!("{event:?}"));
                 self.apply(event);
             }
+            Due::Accept(sent, at_ms) => {
+                let Node { worker, down_until_ms, .. } = &self.nodes[self.node_at(&sent.target)];
+                if self.now_ms >= *down_until_ms {
+                    let process = Some(worker.started_at_ms);
+                    let after_ms = at_ms.saturating_sub(self.now_ms);
+                    self.push(after_ms, Due::Arrival(Sent { process, ..sent }));
+                }
+            }
             Due::Arrival(sent) => self.arrive(sent),
             Due::Wait(sent, until_ms) => {
                 let number = self.node_at(&sent.target);
@@ -551,32 +743,24 @@
                     _ => {}
                 });
             }
-            Due::Cancel(owner, number) if self.is_frozen(owner) => {
-                self.push(
-                    self.owners[owner].frozen_until_ms - self.now_ms,
-                    Due::Cancel(owner, number),
-                );
-            }
-            Due::Cancel(owner, number) => {
-                self.with_pool(owner, |pool, now| pool.cancel(now, number));
-            }
-            Due::Broken(request, owner) => {
-                let submission = self.requests[request].submission;
-                if let Some((_, number)) = submission.filter(|(at, _)| *at == owner) {
-                    self.push(0, Due::Cancel(owner, number));
-                    self.conclude(request, Attempt::ConnectionLost);
+            Due::Message(link, to, message) => self.deliver(link, to, message),
+            Due::GiveUp(request, sends) => {
+                if self.requests[request].sends == sends {
+                    self.leave(request, 1);
                 }
             }
-            Due::Send(request) => {
-                let request = &mut self.requests[request];
+            Due::Send(number) => {
+                let request = &mut self.requests[number];
                 if request.sends > 0 && request.resends_elsewhere {
                     request.cell = (request.cell + 1) % CELLS;
                 }
                 request.sends += 1;
                 request.arrived_ms = Some(self.now_ms);
                 request.previous_owner = PreviousOwner::None;
+                let sends = request.sends;
+                self.push(LIMIT_MS, Due::GiveUp(number, sends));
             }
-            Due::TakeOver(cell, missing) => self.take_over(cell, missing),
+            Due::TakeOver(cell, missing, generation) => self.take_over(cell, missing, generation),
             Due::Publish(number, id, entry) => {
                 self.nodes[number].published = (id, entry);
                 self.refresh(number % CELLS);
@@ -601,21 +785,38 @@
         }
     }
 
-    fn take_over(&mut self, cell: usize, missing: usize) {
-        self.generation += 1;
-        let mut pool = Pool::new(first_token(self.generation));
+    /// Has a daemon acquire a cell, in a new generation unless it has restarted within one.
+    fn take_over(&mut self, cell: usize, missing: usize, generation: Option<u64>) {
+        self.generation += u64::from(generation.is_none());
+        let generation = generation.unwrap_or(self.generation);
+        let mut pool = Pool::new(first_token(generation));
         let entries = self.entries(cell);
         let listed = entries.iter().enumerate().filter(|(index, _)| *index != missing);
         pool.set_workers(Millis(self.now_ms), listed.map(|(_, (id, entry))| (id, entry)));
-        self.owners.push(Owner { cell, pool: Some(pool), frozen_until_ms: 0, advanced_ms: 0 });
+        self.owners.push(Owner {
+            cell,
+            pool: Some(pool),
+            generation,
+            frozen_until_ms: 0,
+            reads_from_ms: 0,
+            advanced_ms: 0,
+        });
         self.note(&format!("owner {} takes cell {cell}", self.owners.len() - 1));
         self.perform(self.owners.len() - 1);
         self.push(300, Due::Refresh(cell));
     }
 
-    fn break_links(&mut self, owner: usize, after_ms: u64) {
-        for request in 0..self.requests.len() {
-            self.push(after_ms, Due::Broken(request, owner));
+    /// Silences the links of an owner, or closes them if its process has ended.
+    fn break_links(&mut self, owner: usize, has_ended: bool) {
+        for link in 0..self.links.len() {
+            if self.links[link].owner != owner {
+                continue;
+            }
+            if has_ended {
+                self.end_link(link, OWNER);
+            } else {
+                self.links[link].silent_until_ms = [self.now_ms + FOREVER_MS; 2];
+            }
         }
     }
 
@@ -650,34 +851,51 @@
             Event::Restart { pick, next, down_ms, entry_ms, old_entry_ms } => {
                 self.restart(self.pick(pick), next, down_ms, entry_ms, old_entry_ms);
             }
-            Event::Cut { pick, fate, for_ms } => {
+            Event::Cut { pick, kind, fate, for_ms } => {
                 let number = self.pick(pick);
                 if let Some(owner) = self.owner_of(number % CELLS) {
-                    self.nodes[number].cut = Some((owner, fate, self.now_ms + for_ms));
+                    self.nodes[number].cut = Some((owner, kind, fate, self.now_ms + for_ms));
                 }
             }
             Event::Owner { cell, change, pause_ms, missing } => {
                 let Some(owner) = self.owner_of(cell) else { return };
                 self.end_ownership(owner, change);
-                self.push(pause_ms, Due::TakeOver(cell, missing));
+                let generation = self.owners[owner].generation;
+                let generation = matches!(change, Change::Restart).then_some(generation);
+                self.push(pause_ms, Due::TakeOver(cell, missing, generation));
             }
-            Event::Stall { cell, for_ms } => {
-                let Some(owner) = self.owner_of(cell) else { return };
-                self.owners[owner].frozen_until_ms = self.now_ms + for_ms;
-                if for_ms >= LINK_TIMEOUT_MS {
-                    self.break_links(owner, LINK_TIMEOUT_MS);
-                }
+            Event::Stall { cell, for_ms, reads_after_ms } => {
+                let owner = self.owner_of(cell).filter(|owner| !self.is_frozen(*owner));
+                let Some(owner) = owner else { return };
+                self.freeze(owner, for_ms, reads_after_ms);
             }
             Event::Leave { noticed_ms } => {
                 let Some(request) = self.requests.len().checked_sub(1) else { return };
-                if let Some((owner, number)) = self.requests[request].submission.take() {
-                    self.push(noticed_ms, Due::Cancel(owner, number));
-                    self.resend(request);
+                self.leave(request, noticed_ms);
+            }
+            Event::Silence { is_silent, for_ms, leaves } => {
+                let Some(request) = self.requests.len().checked_sub(1) else { return };
+                let Some(link) = self.requests[request].submission else { return };
+                let until_ms = self.now_ms + for_ms;
+                self.links[link].silent_until_ms =
+                    is_silent.map(|is| if is { until_ms } else { 0 });
+                if leaves {
+                    self.leave(request, 1);
                 }
             }
+            Event::Helpless { for_ms } => {
+                self.cancels_lost_until_ms = self.now_ms + for_ms;
+                self.fates.push((Kind::Stop, Fate::Lost, self.now_ms + for_ms));
+            }
         }
     }
 
+    fn freeze(&mut self, owner: usize, for_ms: u64, reads_after_ms: u64) {
+        let owner = &mut self.owners[owner];
+        owner.frozen_until_ms = self.now_ms + for_ms;
+        owner.reads_from_ms = owner.frozen_until_ms + reads_after_ms;
+    }
+
     fn restart(
         &mut self,
         number: usize,
@@ -716,15 +934,12 @@
                 self.with_pool(owner, |pool, _| pool.relinquish());
                 self.owners[owner].pool = None;
             }
-            Change::Death => {
+            Change::Death | Change::Restart => {
                 self.owners[owner].pool = None;
-                self.break_links(owner, 1);
+                self.break_links(owner, true);
             }
-            Change::Freeze(for_ms) => {
-                self.owners[owner].frozen_until_ms = self.now_ms + for_ms;
-                self.break_links(owner, LINK_TIMEOUT_MS);
-            }
-            Change::StoreLost => self.break_links(owner, LINK_TIMEOUT_MS),
+            Change::Freeze(for_ms) => self.freeze(owner, for_ms, 0),
+            Change::StoreLost => self.break_links(owner, false),
         }
     }
 
@@ -752,12 +967,28 @@
                 may_wait: true,
                 is_remote: true,
             };
-            let owner = self.owner_of(request.cell).filter(|owner| !self.is_frozen(*owner));
-            let Some(owner) = owner else { continue };
-            let now = Millis(self.now_ms);
-            let Some(pool) = &mut self.owners[owner].pool else { continue };
-            self.requests[number].submission = Some((owner, pool.submit(now, submission)));
-            self.perform(owner);
+            let Some(owner) = self.owner_of(request.cell) else { continue };
+            let submitter = (number, request.sends);
+            let is_cut = |link: &Link| {
+                let is_silent = link.silent_until_ms.iter().any(|until_ms| self.now_ms < *until_ms);
+                link.submitter == submitter && link.owner == owner && is_silent
+            };
+            if self.links.iter().any(is_cut) {
+                continue;
+            }
+            self.requests[number].submission = Some(self.links.len());
+            self.links.push(Link {
+                submitter,
+                owner,
+                number: None,
+                is_closed: [false; 2],
+                heard_ms: [self.now_ms; 2],
+                silent_until_ms: [0; 2],
+                pinged_ms: self.now_ms,
+                echoed_ms: None,
+            });
+            let link = self.links.len() - 1;
+            self.push(1, Due::Message(link, OWNER, Message::Submit(submission)));
         }
     }
 
