Play stalls, silent links, departures and kills after a start in the soak

A closed connection showed through a silent link when no data were held back.

Change: these faults, a clock that begins anew behind that of the process before, callers that leave and resend to another daemon. A silent link holds the end of a connection back as well.

Planted faults were not run on the new schedule.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -311,6 +311,11 @@
         }
     }
 
+    /// Returns the number of zones.
+    pub const fn zones(&self) -> usize {
+        self.zones
+    }
+
     /// Returns how many runs have started on the workers of a zone.
     pub fn starts_in(&self, zone: usize) -> usize {
         let zone = format!("z{zone}");
--- a/crates/soak/src/evacuations.rs
+++ b/crates/soak/src/evacuations.rs
@@ -51,7 +51,10 @@
 /// Returns when a daemon knows of an evacuation at the latest.
 fn known_at(faults: &[AppliedFault], daemon: usize, evacuated_at: Instant) -> Instant {
     let disturbs = |fault: &&AppliedFault| match fault.fault {
-        Fault::Terminate(at, _) | Fault::Pause(at) | Fault::StoreLink(at, _) => at == daemon,
+        Fault::Terminate(at, _)
+        | Fault::KillAtStart(at)
+        | Fault::Pause(at)
+        | Fault::StoreLink(at, _) => at == daemon,
         Fault::StoreBehaviour(_) => true,
         _ => false,
     };
@@ -63,7 +66,7 @@
         if fault.began_at >= undisturbed_since + BOUND {
             break;
         }
-        if matches!(fault.fault, Fault::Terminate(..)) {
+        if matches!(fault.fault, Fault::Terminate(..) | Fault::KillAtStart(_)) {
             return fault.ended_at;
         }
         undisturbed_since = undisturbed_since.max(fault.ended_at);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -16,6 +16,9 @@
 pub enum Fault {
     /// A signal that terminates a daemon. The daemon is started again when the fault ends.
     Terminate(usize, Signal),
+    /// A daemon is killed right after a run has started in its zone, and started again when the fault
+    /// ends.
+    KillAtStart(usize),
     /// A daemon is suspended (SIGSTOP).
     Pause(usize),
     /// Behaviour of the connections from the other daemons to a daemon.
@@ -63,6 +66,18 @@
 /// Delays of orders that are carried out late, in milliseconds.
 const LATE_DELAY_MS: RangeInclusive<u64> = 300..=6_000;
 
+/// Longest stall of an owner that keeps its cell, in milliseconds, and the share of such ones among the
+/// suspended daemons.
+const STALL_MS: Range<u64> = 200..1_100;
+const STALL_SHARE: f64 = 0.6;
+/// Share of the workers with late orders whose process ends meanwhile, and how long after the begin
+/// and for how long, in milliseconds. Connections that are opened shortly before the end are accepted
+/// by the next process.
+const RESTART_SHARE: f64 = 0.6;
+const RESTART_AFTER_MS: Range<u64> = 300..3_000;
+const RESTART_MS: Range<u64> = 20..50;
+const UNACCEPTED_MS: u64 = 50;
+
 /// Generates the evacuations of a run: of one zone, and now and then of others too. They begin early
 /// and last until about the end of the other faults. Meanwhile the daemons of the zone are killed
 /// one after the other, so that the cell gets new owners.
@@ -102,28 +117,52 @@
     while at_ms < span_ms {
         let fault = random_fault(rng, daemons, workers);
         let durations_ms = match fault {
-            Fault::Behaviour(_, Behaviour::LateOrders(_)) => LATE_ORDERS_DURATION_MS,
+            Fault::Behaviour(worker, Behaviour::LateOrders(_)) => {
+                if rng.random_bool(RESTART_SHARE) {
+                    faults.extend(draw_restart(rng, worker, at_ms));
+                }
+                LATE_ORDERS_DURATION_MS
+            }
+            Fault::Pause(_) if rng.random_bool(STALL_SHARE) => STALL_MS,
             _ => 200..3_000,
         };
         let duration_ms = rng.random_range(durations_ms);
         faults.push(ScheduledFault { fault, starts_at_ms: at_ms, ends_at_ms: at_ms + duration_ms });
         at_ms += rng.random_range(150..1_200);
     }
+    faults.sort_by_key(|scheduled| scheduled.starts_at_ms);
     faults
 }
 
+/// Generates a restart of a worker with late orders. Its link is silent shortly before and meanwhile, so
+/// that the next process accepts the connections that were opened last, within the time-out of their calls.
+fn draw_restart(rng: &mut SmallRng, worker: usize, late_from_ms: u64) -> [ScheduledFault; 2] {
+    let starts_at_ms = late_from_ms + rng.random_range(RESTART_AFTER_MS);
+    let ends_at_ms = starts_at_ms + rng.random_range(RESTART_MS);
+    let silent_from_ms = starts_at_ms - UNACCEPTED_MS;
+    let restart = Fault::RestartWorker(worker, Publication::draw(rng));
+    [
+        ScheduledFault {
+            fault: Fault::WorkerLink(worker, Link::Silent),
+            starts_at_ms: silent_from_ms,
+            ends_at_ms: ends_at_ms + 1,
+        },
+        ScheduledFault { fault: restart, starts_at_ms, ends_at_ms },
+    ]
+}
+
 fn random_fault(rng: &mut SmallRng, daemons: usize, workers: usize) -> Fault {
     let daemon = rng.random_range(0..daemons);
     let worker = rng.random_range(0..workers);
-    let links = [Link::Slow(40), Link::Reset, Link::Silent, Link::OneWay];
+    let links = [Link::Slow(40), Link::Reset, Link::Silent, Link::OneWay, Link::NoRequests];
     let link = links[rng.random_range(0..links.len())];
     let behaviours = [Behaviour::Silent, Behaviour::Unhealthy, Behaviour::LosesReplies];
     let store_behaviours =
         [StoreBehaviour::Silent, StoreBehaviour::Busy, StoreBehaviour::LosesReplies];
-    match rng.random_range(0..17) {
+    match rng.random_range(0..20) {
         0 => Fault::Terminate(daemon, Signal::TERM),
         1 => Fault::Terminate(daemon, Signal::KILL),
-        2 => Fault::Pause(daemon),
+        2 | 14 => Fault::Pause(daemon),
         3 => Fault::PeerLink(daemon, link),
         4 => Fault::StoreLink(daemon, link),
         5 => Fault::WorkerLink(worker, link),
@@ -133,6 +172,8 @@
         9 => Fault::RestartWorker(worker, Publication::draw(rng)),
         10 => Fault::Trim,
         11 => Fault::Compact,
+        12 => Fault::KillAtStart(daemon),
+        13 => Fault::PeerLink(daemon, links[rng.random_range(2..links.len())]),
         _ => Fault::Behaviour(worker, Behaviour::LateOrders(draw_late_orders(rng))),
     }
 }
@@ -149,6 +190,7 @@
 pub fn start_fault(cluster: &mut Cluster, fault: Fault) {
     match fault {
         Fault::Terminate(daemon, signal) => cluster.daemons[daemon].signal(signal),
+        Fault::KillAtStart(_) => {}
         Fault::Pause(daemon) => cluster.daemons[daemon].signal(Signal::STOP),
         Fault::PeerLink(daemon, link) => cluster.daemons[daemon].peers_proxy.link.set(link),
         Fault::StoreLink(daemon, link) => cluster.daemons[daemon].store_proxy.link.set(link),
@@ -166,7 +208,7 @@
 /// Ends a fault: restarts or resumes the daemon, or restores the normal behaviour.
 pub fn end_fault(cluster: &mut Cluster, fault: Fault) {
     match fault {
-        Fault::Terminate(daemon, _) => cluster.restart(daemon),
+        Fault::Terminate(daemon, _) | Fault::KillAtStart(daemon) => cluster.restart(daemon),
         Fault::Pause(daemon) => cluster.daemons[daemon].signal(Signal::CONT),
         Fault::PeerLink(daemon, _) => cluster.daemons[daemon].peers_proxy.link.set(Link::Normal),
         Fault::StoreLink(daemon, _) => cluster.daemons[daemon].store_proxy.link.set(Link::Normal),
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -23,6 +23,8 @@
     Silent,
     /// Forwards requests and holds back replies.
     OneWay,
+    /// Forwards replies and holds back requests.
+    NoRequests,
     /// Closes the open connections and refuses new ones: no process listens.
     Refused,
 }
@@ -62,12 +64,22 @@
         }
     }
 
+    /// Whether data in a direction, and the end of its connection, are held back.
+    fn holds(&self, is_reply: bool) -> bool {
+        match self.get() {
+            Link::Silent => true,
+            Link::OneWay => is_reply,
+            Link::NoRequests => !is_reply,
+            Link::Normal | Link::Slow(_) | Link::Reset | Link::Refused => false,
+        }
+    }
+
     /// Whether a connection is closed that was opened after `ended_processes` had ended.
     fn closes(&self, ended_processes: u64) -> bool {
         match self.get() {
             Link::Silent => false,
             Link::Reset | Link::Refused => true,
-            Link::Normal | Link::Slow(_) | Link::OneWay => {
+            Link::Normal | Link::Slow(_) | Link::OneWay | Link::NoRequests => {
                 self.ended_processes.get() != ended_processes
             }
         }
@@ -160,22 +172,19 @@
         }
         let length = match read {
             Err(_) => continue,
-            Ok(Ok(0) | Err(_)) => return,
+            Ok(Ok(0) | Err(_)) => 0,
             Ok(Ok(length)) => length,
         };
-        loop {
-            match link.get() {
-                Link::Reset | Link::Refused => return,
-                Link::Silent => actix_rt::time::sleep(POLL_INTERVAL).await,
-                Link::OneWay if is_reply => actix_rt::time::sleep(POLL_INTERVAL).await,
-                Link::Slow(ms) => {
-                    actix_rt::time::sleep(Duration::from_millis(ms)).await;
-                    break;
-                }
-                Link::Normal | Link::OneWay => break,
-            }
+        while link.holds(is_reply) {
+            actix_rt::time::sleep(POLL_INTERVAL).await;
         }
-        if link.closes(ended_processes) || to.write_all(&buffer[..length]).await.is_err() {
+        if let Link::Slow(ms) = link.get() {
+            actix_rt::time::sleep(Duration::from_millis(ms)).await;
+        }
+        if length == 0
+            || link.closes(ended_processes)
+            || to.write_all(&buffer[..length]).await.is_err()
+        {
             return;
         }
     }
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -7,11 +7,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::{Either, select};
 use pool::job::JobSpec;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
+use rustix::process::Signal;
 use standins::metastore::StoreDefect;
 use standins::pool_worker::WorkerDefect;
+use tokio::sync::Notify;
 
 use crate::cluster::{Cluster, Layout, job};
 use crate::evacuations::{AppliedFault, late_starts};
@@ -27,6 +30,12 @@
 const OUTLASTING_RUN_MS: u64 = 6_000;
 /// How long the caller of such a run waits for an answer, in milliseconds.
 const OUTLASTED_WAIT_MS: u64 = 1_500;
+/// Share of the callers that leave when a daemon is suspended or a link between daemons is disturbed,
+/// and how long after that.
+const LEAVING_SHARE: f64 = 0.5;
+const LEAVES_AFTER: Duration = Duration::from_millis(30);
+/// How often a daemon that is to be killed after a start looks for one.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 /// Number of times that a caller sends a job before it gives up.
 const MAX_SENDS: u32 = 4;
 /// Shares of a core that the daemons of each zone state with even seeds, so that they delegate cells
@@ -85,6 +94,8 @@
     crashing: RefCell<Vec<JobSpec>>,
     jobs: Cell<usize>,
     pending: Cell<usize>,
+    /// Tells the callers that leave early to do so.
+    departures: Notify,
 }
 
 /// Runs one seed and returns the results.
@@ -107,7 +118,8 @@
     let cluster = Rc::new(RefCell::new(cluster));
     let stats = Rc::new(Stats::default());
     let callers = send_jobs(Rc::clone(&cluster), Rc::clone(&stats), rng, config.span_ms);
-    let ((), applied) = futures_util::future::join(callers, inject_faults(&cluster, &faults)).await;
+    let ((), applied) =
+        futures_util::future::join(callers, inject_faults(&cluster, &stats, &faults)).await;
     while stats.pending.get() > 0 {
         actix_rt::time::sleep(Duration::from_millis(50)).await;
     }
@@ -176,6 +188,7 @@
 /// Injects the faults, and returns them with the times at which they began and ended.
 async fn inject_faults(
     cluster: &Rc<RefCell<Cluster>>,
+    stats: &Rc<Stats>,
     faults: &[ScheduledFault],
 ) -> Vec<AppliedFault> {
     let mut transitions: Vec<(u64, bool, usize)> = Vec::new();
@@ -196,8 +209,23 @@
     for (at_ms, is_start, number) in transitions {
         let at = started_at + Duration::from_millis(at_ms);
         actix_rt::time::sleep(at.saturating_duration_since(Instant::now())).await;
-        let mut cluster = cluster.borrow_mut();
         let fault = faults[number].fault;
+        match fault {
+            Fault::KillAtStart(daemon) if is_start => {
+                let until = Instant::now()
+                    + Duration::from_millis(faults[number].ends_at_ms.saturating_sub(at_ms));
+                actix_rt::spawn(kill_at_start(Rc::clone(cluster), daemon, until));
+            }
+            Fault::Pause(_) | Fault::PeerLink(..) if is_start => {
+                let stats = Rc::clone(stats);
+                actix_rt::spawn(async move {
+                    actix_rt::time::sleep(LEAVES_AFTER).await;
+                    stats.departures.notify_waiters();
+                });
+            }
+            _ => {}
+        }
+        let mut cluster = cluster.borrow_mut();
         if is_start {
             start_fault(&mut cluster, fault);
             applied[number].began_at = Instant::now();
@@ -209,6 +237,21 @@
     applied
 }
 
+/// Kills a daemon as soon as a run has started in its zone, unless none does until `until`.
+async fn kill_at_start(cluster: Rc<RefCell<Cluster>>, daemon: usize, until: Instant) {
+    let starts = || {
+        let cluster = cluster.borrow();
+        cluster.starts_in(daemon * cluster.zones() / cluster.daemons.len())
+    };
+    let starts_before = starts();
+    while Instant::now() < until {
+        if starts() > starts_before {
+            return cluster.borrow().daemons[daemon].signal(Signal::KILL);
+        }
+        actix_rt::time::sleep(START_CHECK_INTERVAL).await;
+    }
+}
+
 async fn send_jobs(
     cluster: Rc<RefCell<Cluster>>,
     stats: Rc<Stats>,
@@ -239,7 +282,8 @@
     }
 }
 
-/// Sends a job up to `MAX_SENDS` times until it completes, each time to a random daemon.
+/// Sends a job up to `MAX_SENDS` times until it completes, each time to another daemon than the last.
+/// Some callers leave without waiting for an answer.
 async fn run_caller(
     cluster: Rc<RefCell<Cluster>>,
     stats: Rc<Stats>,
@@ -248,20 +292,28 @@
     mut rng: SmallRng,
 ) {
     let mut all_rejected = true;
+    let daemons = cluster.borrow().daemons.len();
+    let mut at = rng.random_range(0..daemons);
     for _ in 0..MAX_SENDS {
-        let sent = {
-            let cluster = cluster.borrow();
-            let at = rng.random_range(0..cluster.daemons.len());
-            cluster.request(at, &spec, wait_ms)
+        at = (at + rng.random_range(1..daemons.max(2))) % daemons;
+        let sent = cluster.borrow().request(at, &spec, wait_ms);
+        let answer = if rng.random_bool(LEAVING_SHARE) {
+            let leaves = stats.departures.notified();
+            match select(std::pin::pin!(sent), std::pin::pin!(leaves)).await {
+                Either::Left((answer, _)) => answer.map_err(drop),
+                Either::Right(_) => Err(()),
+            }
+        } else {
+            sent.await.map_err(drop)
         };
-        match sent.await {
+        match answer {
             Ok(200) => {
                 all_rejected = false;
                 stats.completed.set(stats.completed.get() + 1);
                 break;
             }
             Ok(429 | 503) => {}
-            Ok(_) | Err(_) => all_rejected = false,
+            Ok(_) | Err(()) => all_rejected = false,
         }
         actix_rt::time::sleep(RESEND_DELAY).await;
     }
--- a/crates/standins/src/pool_worker_server.rs
+++ b/crates/standins/src/pool_worker_server.rs
@@ -19,6 +19,8 @@
 const MAX_BODY_BYTES: usize = 1 << 16;
 /// Amounts by which the clock of a worker's process may be ahead, in milliseconds.
 const CLOCK_OFFSET_RANGE_MS: std::ops::Range<u64> = 0..100_000;
+/// Share of the processes whose clock is behind that of the process before.
+const EARLIER_CLOCK_SHARE: f64 = 0.5;
 /// Interval at which a waiting poll checks whether a run has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
 
@@ -164,7 +166,12 @@
         let mut worker = self.worker.borrow_mut();
         // In Unix time, unlike this server's clock, and never the same for two processes.
         let started_at_ms = unix_ms().max(worker.started_at_ms + 1);
-        worker.restart(self.now_ms(), rand::random_range(CLOCK_OFFSET_RANGE_MS));
+        // A clock that begins anew often shows an earlier time than that of the process before, at which
+        // leases by that one's clock seem to last long.
+        let before_ms = worker.clock_offset_ms();
+        let is_earlier = before_ms > 0 && rand::random_bool(EARLIER_CLOCK_SHARE);
+        let offsets_ms = if is_earlier { 0..before_ms } else { CLOCK_OFFSET_RANGE_MS };
+        worker.restart(self.now_ms(), rand::random_range(offsets_ms));
         worker.started_at_ms = started_at_ms;
     }
 
