--- a/crates/pool/tests/late_starts.rs
+++ b/crates/pool/tests/late_starts.rs
@@ -7,25 +7,35 @@
 
 use dispatch::clock::Millis;
 use pool::call::PollReply;
-use pool::pool::{Action, Pool};
+use pool::pool::{Action, LINK_TIMEOUT_MS, Pool};
 use pool::tokens::first_token;
 use pool::worker::LEASE_MS;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use support::entry;
-use support::event_orders::{CELLS, Change, Event, Fate, Kind, NextProcess, Pick, Script, World};
+use support::event_orders::{
+    CELLS, Change, Defect, Event, Fate, Kind, NextProcess, Pick, Script, World,
+};
 
 /// Number of cases, unless the environment variable `PROPTEST_CASES` has another one.
 const CASES: u32 = 500;
 
+const fn script(slow_permille: Vec<u64>, events: Vec<(u64, Event)>) -> Script {
+    Script { slow_permille, patience_ms: LINK_TIMEOUT_MS, events }
+}
+
+const fn defect_of(is_verified: bool) -> Defect {
+    if is_verified { Defect::Nothing } else { Defect::UnverifiedStarts }
+}
+
 const fn submission(cell: usize, resends_elsewhere: bool) -> Event {
     Event::Submit { cell, resends_elsewhere, tasks: 1, task_ms: 6_000, declared_ms: 60 }
 }
 
-const fn late_starts(after_ms: u64, late_ms: u64, is_verified: bool) -> Event {
-    let fate = Fate::Accepted { after_ms, late_ms, is_verified };
-    Event::Calls { kind: Kind::Start, fate, for_ms: 1 }
+const fn late_starts(accepted_ms: u64, late_ms: u64) -> Event {
+    let fate = Fate::Late { ms: accepted_ms + late_ms, accepted_ms };
+    Event::Calls { kind: Kind::Start, fate, for_ms: 8 }
 }
 
 const fn restart(pick: Pick, down_ms: u64) -> Event {
@@ -42,9 +52,9 @@
     submission: Event,
     cut_ms: u64,
 ) -> Vec<(u64, Event)> {
-    let cut = Event::Cut { pick: Pick::Silent, fate: Fate::Lost, for_ms: cut_ms };
+    let cut = Event::Cut { pick: Pick::Silent, kind: None, fate: Fate::Lost, for_ms: cut_ms };
     let restarts = (0..workers).map(|number| (0, restart(Pick::Number(number), down_ms)));
-    let mut events: Vec<_> = restarts.chain([(0, late), (0, submission), (2, cut)]).collect();
+    let mut events: Vec<_> = restarts.chain([(0, late), (0, submission), (8, cut)]).collect();
     events[0].0 = 500;
     events
 }
@@ -52,7 +62,7 @@
 /// The owner dies, and the next one is cut off from the worker from the start.
 fn death() -> Vec<(u64, Event)> {
     let lost = Event::Calls { kind: Kind::Poll, fate: Fate::Lost, for_ms: 10 };
-    let cut = Event::Cut { pick: Pick::Silent, fate: Fate::Lost, for_ms: 8_000 };
+    let cut = Event::Cut { pick: Pick::Silent, kind: None, fate: Fate::Lost, for_ms: 8_000 };
     let death = Event::Owner { cell: 0, change: Change::Death, pause_ms: 600, missing: 9 };
     vec![(50, death), (595, lost), (55, cut)]
 }
@@ -65,10 +75,10 @@
     ];
     for (case, workers, submission, change) in cases {
         for is_verified in [false, true] {
-            let late = late_starts(40, 5_000, is_verified);
+            let late = late_starts(40, 5_000);
             let mut events = prelude(workers, 20, late, submission.clone(), 8_000);
             events.extend(change.clone());
-            let world = World::play(&Script { slow_permille: vec![0; workers], events }, false);
+            let world = World::play(&script(vec![0; workers], events), defect_of(is_verified));
             let trace = world.trace();
             assert_eq!(
                 world.overlap.is_none(),
@@ -80,7 +90,7 @@
     }
 }
 
-fn events(is_verified: bool) -> impl Strategy<Value = Event> {
+fn events() -> impl Strategy<Value = Event> {
     let picks =
         || prop_oneof![Just(Pick::Silent), Just(Pick::Busy), (0..4_usize).prop_map(Pick::Number)];
     let lost = (prop_oneof![Just(Kind::Poll), Just(Kind::Stop)], 2_u64..4_000);
@@ -89,10 +99,10 @@
     let late = prop_oneof![0_u64..1_200, 1_000_u64..9_000];
     prop_oneof![
         3 => (0..CELLS, any::<bool>()).prop_map(|(cell, elsewhere)| submission(cell, elsewhere)),
-        3 => (0_u64..100, late).prop_map(move |(ms, late_ms)| late_starts(ms, late_ms, is_verified)),
+        3 => (0_u64..100, late).prop_map(|(ms, late_ms)| late_starts(ms, late_ms)),
         3 => (picks(), prop_oneof![0_u64..90, 0_u64..2_000]).prop_map(|(pick, ms)| restart(pick, ms)),
         2 => (picks(), 200_u64..6_000)
-            .prop_map(|(pick, for_ms)| Event::Cut { pick, fate: Fate::Lost, for_ms }),
+            .prop_map(|(pick, for_ms)| Event::Cut { pick, kind: None, fate: Fate::Lost, for_ms }),
         1 => lost.prop_map(|(kind, for_ms)| Event::Calls { kind, fate: Fate::Lost, for_ms }),
         1 => change.prop_map(|(cell, change, pause_ms)| {
             Event::Owner { cell, change, pause_ms, missing: 9 }
@@ -111,15 +121,15 @@
     let slow_permille = vec(prop_oneof![Just(0), Just(20), 0..=20_u64], 4);
     let late = (0_u64..100, 0_u64..9_000);
     let first = (0_u64..90, late, (0..CELLS, any::<bool>()), 1_000_u64..8_000);
-    let scripts = (slow_permille, first, vec((pauses, events(is_verified)), 0..8));
+    let scripts = (slow_permille, first, vec((pauses, events()), 0..8));
     let starts = std::cell::Cell::new(0);
     let played =
         TestRunner::new_with_rng(config, rng).run(&scripts, |(slow_permille, first, rest)| {
             let (down_ms, (after_ms, late_ms), (cell, elsewhere), cut_ms) = first;
-            let late = late_starts(after_ms, late_ms, is_verified);
+            let late = late_starts(after_ms, late_ms);
             let mut events = prelude(4, down_ms, late, submission(cell, elsewhere), cut_ms);
             events.extend(rest);
-            let world = World::play(&Script { slow_permille, events }, false);
+            let world = World::play(&script(slow_permille, events), defect_of(is_verified));
             starts.set(starts.get() + world.starts);
             prop_assert!(world.overlap.is_none(), "{:?}\n{}", world.overlap, world.trace());
             Ok(())
@@ -138,11 +148,11 @@
 /// is gone for good.
 #[test]
 fn a_task_starts_elsewhere_once_the_lease_of_its_start_in_doubt_is_over() {
-    let lost = Event::Calls { kind: Kind::Start, fate: Fate::Lost, for_ms: 1 };
-    let gone = Event::Cut { pick: Pick::Silent, fate: Fate::Lost, for_ms: 60_000 };
+    let lost = Event::Calls { kind: Kind::Start, fate: Fate::Lost, for_ms: 8 };
+    let gone = Event::Cut { pick: Pick::Silent, kind: None, fate: Fate::Lost, for_ms: 60_000 };
     for slow_permille in [0, 20] {
-        let events = vec![(500, lost.clone()), (0, submission(0, false)), (2, gone.clone())];
-        let world = World::play(&Script { slow_permille: vec![slow_permille; 4], events }, false);
+        let events = vec![(500, lost.clone()), (0, submission(0, false)), (8, gone.clone())];
+        let world = World::play(&script(vec![slow_permille; 4], events), Defect::Nothing);
         let trace = world.trace();
         let at_ms = |text: &str| {
             let line = trace.lines().find(|line| line.contains(text));
--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -5,18 +5,18 @@
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
-use pool::bounds::{LINK_TIMEOUT_MS, RESEND_MS};
 use pool::call::{
     End, PollCall, PollReply, Refusal, StartCall, StartReply, StopCall, StopReply, Target,
 };
 use pool::catalogue::WorkerEntry;
 use pool::failover::{Attempt, Decision, decide, outcome_if_too_late};
 use pool::job::{JobSpec, Outcome, PreviousOwner};
-use pool::pool::{Action, Pool, Submission};
+use pool::pool::{Action, LINK_TIMEOUT_MS, Pool, Submission};
 use pool::tokens::first_token;
 use standins::pool_worker::{PoolWorker, Work};
 
 use super::{cores, entry, job, terms};
+use pool::bounds::RESEND_MS;
 
 pub const CELLS: usize = 2;
 const TASK_CORES: u64 = 8;
@@ -29,6 +29,10 @@
 const WAIT_STEP_MS: u64 = 20;
 /// Time after the last step by which late calls and callers that resend are done, in milliseconds.
 const TAIL_MS: u64 = 18_000;
+/// Interval between two pings of a submission in flight, in milliseconds.
+const PING_MS: u64 = 100;
+/// How long a link stays silent to a daemon that is gone for good, in milliseconds.
+pub const FOREVER_MS: u64 = 60_000;
 /// Clock of the workers' first processes at the begin. That of a later one is always lower.
 const CLOCK_MS: u64 = 9_000_000;
 const CLOCK_STEP_MS: u64 = 1_000_000;
@@ -47,15 +51,11 @@
     ReplyLost,
     /// Arrives after this time, while its caller still waits.
     Slow(u64),
-    /// Gets no reply, and is carried out after this time.
-    Late(u64),
-    /// Goes over a connection that is accepted after `after_ms`, gets no reply, and is carried out
-    /// `late_ms` later by the process that has accepted it, unless that one has ended. Whether the sender
-    /// of a start makes sure which process that is.
-    Accepted {
-        after_ms: u64,
-        late_ms: u64,
-        is_verified: bool,
+    /// Gets no reply. The process that listens after `accepted_ms`, but within the call's time-out,
+    /// accepts its connection and carries it out after `ms`, unless that process has ended.
+    Late {
+        ms: u64,
+        accepted_ms: u64,
     },
 }
 
@@ -83,6 +83,9 @@
     Freeze(u64),
     /// The owner goes on without the store, until its workers refuse its calls.
     StoreLost,
+    /// The owner's process ends, and its next one acquires the cell, under a later generation because
+    /// it has ended the membership of the one before.
+    Restart,
 }
 
 #[derive(Clone, Debug)]
@@ -109,9 +112,10 @@
         entry_ms: u64,
         old_entry_ms: Option<u64>,
     },
-    /// A worker is cut off from the owner of its cell.
+    /// Calls from the owner of its cell to a worker have this fate; those of all kinds without `kind`.
     Cut {
         pick: Pick,
+        kind: Option<Kind>,
         fate: Fate,
         for_ms: u64,
     },
@@ -122,22 +126,50 @@
         pause_ms: u64,
         missing: usize,
     },
-    /// The owner of a cell is stalled, and keeps the cell.
+    /// The owner of a cell is stalled, and keeps the cell. It reads what other daemons have sent
+    /// meanwhile some time after it has sent its renewals.
     Stall {
         cell: usize,
         for_ms: u64,
+        reads_after_ms: u64,
     },
-    /// The caller of the latest job leaves, or its daemon loses power, and it sends the job again.
+    /// The link between the owner and the daemon of the latest job's caller falls silent in the
+    /// directions to the owner and to that daemon. The caller may leave in that moment; a daemon
+    /// that loses power is silent for good.
+    Silence {
+        is_silent: [bool; 2],
+        for_ms: u64,
+        leaves: bool,
+    },
+    /// All stops and all cancellations are lost.
+    Helpless {
+        for_ms: u64,
+    },
+    /// The caller of the latest job leaves and sends it again.
     Leave {
         noticed_ms: u64,
     },
 }
 
+/// A fault of the model, which a property has to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    Nothing,
+    /// A late call is carried out by the process that then has its worker's id.
+    LateCallsOutliveProcesses,
+    /// Starts go to any process that accepts their connection.
+    UnverifiedStarts,
+    /// Owners count all submitters as waiting until their link is broken.
+    ContactNotAsked,
+}
+
 /// A case of the property: each event follows the one before after a time.
 #[derive(Clone, Debug)]
 pub struct Script {
     /// For each worker by how much its clock is slower, in thousandths; cells alternate.
     pub slow_permille: Vec<u64>,
+    /// Silence after which the daemons of callers take a link for broken, in milliseconds.
+    pub patience_ms: u64,
     pub events: Vec<(u64, Event)>,
 }
 
@@ -192,17 +224,53 @@
     has_reply: bool,
 }
 
+/// Sides of a link; a direction has the number of the side that receives.
+const OWNER: usize = 0;
+const SUBMITTER: usize = 1;
+
+/// What the daemon of a caller and the owner of a cell send to each other.
+enum Message {
+    Submit(Submission),
+    /// A ping of the owner, with its time.
+    Ping(u64),
+    /// The answer to a ping, with the same time.
+    Echo(u64),
+    Answer(Outcome),
+    Close,
+}
+
+/// The connection for one submission. What is sent while it is silent arrives after the silence,
+/// unless a side has closed it by then.
+struct Link {
+    /// The request and the number of its sends, each of which comes to another daemon.
+    submitter: (usize, u32),
+    owner: usize,
+    /// The owner's number of the submission, once it has arrived.
+    number: Option<u64>,
+    is_closed: [bool; 2],
+    heard_ms: [u64; 2],
+    silent_until_ms: [u64; 2],
+    pinged_ms: u64,
+}
+
+impl Sent {
+    /// Whether a start is meant for another process than this one.
+    fn is_for_other(&self, process: u64) -> bool {
+        self.call.kind() == Kind::Start
+            && self.target.process.is_some_and(|meant_for| meant_for != process)
+    }
+}
+
 enum Due {
     Script(Event),
-    /// The process that listens accepts the connection of a call, whose caller gives up after the first
-    /// time. It is carried out after the second one.
-    Accept(Sent, u64, u64),
+    /// A connection is accepted for a call that is carried out at this time.
+    Accept(Sent, u64),
     Arrival(Sent),
     /// A poll waits at its worker until this time.
     Wait(Sent, u64),
     Reply(Sent, Reply),
-    Cancel(usize, u64),
-    Broken(usize, usize),
+    Message(usize, usize, Message),
+    GiveUp(usize, u32),
     Send(usize),
     TakeOver(usize, usize),
     Publish(usize, Rc<str>, WorkerEntry),
@@ -215,13 +283,14 @@
     down_until_ms: u64,
     processes: u64,
     published: (Rc<str>, WorkerEntry),
-    cut: Option<(usize, Fate, u64)>,
+    cut: Option<(usize, Option<Kind>, Fate, u64)>,
 }
 
 struct Owner {
     cell: usize,
     pool: Option<Pool>,
     frozen_until_ms: u64,
+    reads_from_ms: u64,
     advanced_ms: u64,
 }
 
@@ -232,7 +301,8 @@
     resends_elsewhere: bool,
     arrived_ms: Option<u64>,
     previous_owner: PreviousOwner,
-    submission: Option<(usize, u64)>,
+    /// The link of the present submission.
+    submission: Option<usize>,
     is_answered: bool,
     sends: u32,
 }
@@ -243,6 +313,9 @@
     nodes: Vec<Node>,
     owners: Vec<Owner>,
     requests: Vec<Request>,
+    links: Vec<Link>,
+    patience_ms: u64,
+    cancels_lost_until_ms: u64,
     queue: BinaryHeap<Reverse<(u64, usize)>>,
     due: BTreeMap<usize, Due>,
     last_due: usize,
@@ -250,7 +323,7 @@
     busy: usize,
     silent: usize,
     generation: u64,
-    late_calls_outlive_processes: bool,
+    defect: Defect,
     trace: Vec<String>,
     pub starts: usize,
     pub overlap: Option<String>,
@@ -258,7 +331,7 @@
 
 impl World {
     /// Plays a script until its late calls and its callers are done, or a task has two runs.
-    pub fn play(script: &Script, late_calls_outlive_processes: bool) -> Self {
+    pub fn play(script: &Script, defect: Defect) -> Self {
         let node = |(number, slow_permille): (usize, &u64)| {
             let published = (Rc::from(number.to_string()), entry(number, WORKER_CORES));
             Node {
@@ -275,6 +348,9 @@
             nodes: script.slow_permille.iter().enumerate().map(node).collect(),
             owners: Vec::new(),
             requests: Vec::new(),
+            links: Vec::new(),
+            patience_ms: script.patience_ms,
+            cancels_lost_until_ms: 0,
             queue: BinaryHeap::new(),
             due: BTreeMap::new(),
             last_due: 0,
@@ -282,7 +358,7 @@
             busy: 0,
             silent: 0,
             generation: 0,
-            late_calls_outlive_processes,
+            defect,
             trace: Vec::new(),
             starts: 0,
             overlap: None,
@@ -323,6 +399,8 @@
                 next_ms = next_ms.min(due_ms.max(owner.frozen_until_ms));
             }
         }
+        let links = (0..self.links.len()).filter_map(|link| self.next_of_link(link));
+        next_ms = links.fold(next_ms, u64::min);
         if let Some(Reverse((at_ms, _))) = self.queue.peek() {
             next_ms = next_ms.min(*at_ms);
         }
@@ -336,6 +414,7 @@
                 self.handle(due);
             }
         }
+        self.record_io();
         for owner in 0..self.owners.len() {
             let Owner { pool: Some(pool), advanced_ms, .. } = &self.owners[owner] else { continue };
             let due = pool.next_due(Millis(self.now_ms));
@@ -348,27 +427,144 @@
                 self.with_pool(owner, Pool::advance);
             }
         }
-        self.record_contacts();
+        (0..self.links.len()).for_each(|link| self.tend_link(link));
         self.submit_waiting();
     }
 
-    /// Lets the pools know which submitters wait: all that have not left.
-    fn record_contacts(&mut self) {
+    /// Records which owners have read all that has arrived.
+    fn record_io(&mut self) {
+        let now = Millis(self.now_ms);
+        for owner in &mut self.owners {
+            let has_read = self.now_ms >= owner.frozen_until_ms.max(owner.reads_from_ms);
+            let is_asked = self.defect != Defect::ContactNotAsked;
+            if let (Some(pool), true) = (&mut owner.pool, has_read && is_asked) {
+                pool.record_io(now);
+            }
+        }
+        if self.defect == Defect::ContactNotAsked {
+            for Link { owner, number, .. } in &self.links {
+                if let (Some(pool), Some(number)) = (&mut self.owners[*owner].pool, number) {
+                    pool.record_contact(*number, now);
+                }
+            }
+        }
+    }
+
+    /// Whether each side takes part in a link: the owner from the submission's arrival until it answers.
+    fn is_up(&self, link: usize) -> [bool; 2] {
+        let Link { number, is_closed, .. } = &self.links[link];
+        [!is_closed[OWNER] && number.is_some(), !is_closed[SUBMITTER]]
+    }
+
+    fn next_of_link(&self, link: usize) -> Option<u64> {
+        let Link { owner, heard_ms, pinged_ms, .. } = &self.links[link];
+        let [owner_is_up, submitter_is_up] = self.is_up(link);
+        let silent_ms = (heard_ms[OWNER] + LINK_TIMEOUT_MS).max(self.owners[*owner].reads_from_ms);
+        let pings_ms = (pinged_ms + PING_MS).max(self.owners[*owner].reads_from_ms);
+        let gives_up_ms = heard_ms[SUBMITTER] + self.patience_ms;
+        let next = [(owner_is_up, silent_ms.min(pings_ms)), (submitter_is_up, gives_up_ms)];
+        next.into_iter().filter(|(is_up, _)| *is_up).map(|(_, at_ms)| at_ms).min()
+    }
+
+    /// Has both sides of a link notice its silence, and the owner send its pings.
+    fn tend_link(&mut self, link: usize) {
+        let [owner_is_up, submitter_is_up] = self.is_up(link);
+        let Link { owner, heard_ms, pinged_ms, .. } = self.links[link];
+        let has_read = self.now_ms >= self.owners[owner].reads_from_ms;
+        if owner_is_up && has_read && self.now_ms >= heard_ms[OWNER] + LINK_TIMEOUT_MS {
+            self.end_link(link, OWNER);
+        } else if owner_is_up && has_read && self.now_ms >= pinged_ms + PING_MS {
+            self.links[link].pinged_ms = self.now_ms;
+            self.push(1, Due::Message(link, SUBMITTER, Message::Ping(self.now_ms)));
+        }
+        if submitter_is_up && self.now_ms >= heard_ms[SUBMITTER] + self.patience_ms {
+            self.end_link(link, SUBMITTER);
+        }
+    }
+
+    /// Closes one side of a link, and tells the other one.
+    fn end_link(&mut self, link: usize, side: usize) {
+        self.close_side(link, side);
+        self.push(1, Due::Message(link, 1 - side, Message::Close));
+    }
+
+    fn close_side(&mut self, link: usize, side: usize) {
+        let Link { owner, number, submitter: (request, _), .. } = self.links[link];
+        if std::mem::replace(&mut self.links[link].is_closed[side], true) {
+            return;
+        }
+        self.note(&format!("link {link} of job {request} to owner {owner} ends at side {side}"));
+        if side == SUBMITTER && self.requests[request].submission == Some(link) {
+            self.conclude(request, Attempt::ConnectionLost);
+        } else if side == OWNER
+            && let Some(number) = number
+        {
+            self.with_pool(owner, |pool, now| pool.cancel(now, number));
+        }
+    }
+
+    /// Delivers a message once its link is not silent and its receiver reads.
+    fn deliver(&mut self, link: usize, to: usize, message: Message) {
+        let Link { owner, number, submitter: (request, _), .. } = self.links[link];
+        if self.links[link].is_closed[to] {
+            return;
+        }
+        let reads_from_ms = if to == OWNER { self.owners[owner].reads_from_ms } else { 0 };
+        let at_ms = self.links[link].silent_until_ms[to].max(reads_from_ms);
+        if self.now_ms < at_ms {
+            return self.push(at_ms - self.now_ms, Due::Message(link, to, message));
+        }
+        self.links[link].heard_ms[to] = self.now_ms;
         let now = Millis(self.now_ms);
-        for (owner, number) in self.requests.iter().filter_map(|request| request.submission) {
-            let is_frozen = self.is_frozen(owner);
-            if let (Some(pool), false) = (&mut self.owners[owner].pool, is_frozen) {
-                pool.record_contact(number, now);
+        match message {
+            Message::Submit(submission) => {
+                let Some(pool) = &mut self.owners[owner].pool else {
+                    self.links[link].is_closed = [true; 2];
+                    return self.conclude(request, Attempt::NotStarted);
+                };
+                self.links[link].number = Some(pool.submit(now, submission));
+                self.links[link].pinged_ms = 0;
+                self.perform(owner);
+            }
+            Message::Ping(at_ms) => {
+                self.push(1, Due::Message(link, OWNER, Message::Echo(at_ms)));
             }
+            Message::Echo(at_ms) => {
+                if let Some(number) = number {
+                    self.with_pool(owner, |pool, now| {
+                        let is_withheld = pool.lacks_contact();
+                        pool.record_contact(number, Millis(at_ms));
+                        if is_withheld {
+                            pool.advance(now);
+                        }
+                    });
+                }
+            }
+            Message::Answer(outcome) => {
+                self.links[link].is_closed = [true; 2];
+                self.conclude(request, Attempt::Outcome(outcome));
+            }
+            Message::Close => self.close_side(link, to),
         }
     }
 
+    /// The caller of a request leaves, which its daemon tells the owner after a time.
+    fn leave(&mut self, request: usize, told_ms: u64) {
+        let Some(link) = self.requests[request].submission.take() else { return };
+        self.links[link].is_closed[SUBMITTER] = true;
+        if self.now_ms < self.cancels_lost_until_ms {
+            self.links[link].silent_until_ms = [self.now_ms + FOREVER_MS; 2];
+        }
+        self.push(told_ms, Due::Message(link, OWNER, Message::Close));
+        self.resend(request);
+    }
+
     /// Whether nothing can start any more.
     fn is_over(&self) -> bool {
         let is_open = |request: &Request| !request.is_answered && request.arrived_ms.is_some();
         let may_start = |due: &Due| match due {
-            Due::Script(_) | Due::Send(_) => true,
-            Due::Accept(sent, ..) | Due::Arrival(sent) => sent.call.kind() == Kind::Start,
+            Due::Script(_) | Due::Send(_) | Due::Message(.., Message::Submit(_)) => true,
+            Due::Accept(sent, _) | Due::Arrival(sent) => sent.call.kind() == Kind::Start,
             _ => false,
         };
         !self.requests.iter().any(is_open) && !self.due.values().any(may_start)
@@ -405,11 +601,10 @@
                 Action::Stop(target, call) => self.send_call(owner, target, Call::Stop(call)),
                 Action::Poll(target, call) => self.send_call(owner, target, Call::Poll(call)),
                 Action::Answer(number, outcome) => {
-                    let submission = Some((owner, number));
-                    let request = self.requests.iter().position(|r| r.submission == submission);
-                    if let Some(request) = request {
-                        self.conclude(request, Attempt::Outcome(outcome));
-                    }
+                    let of = |link: &Link| link.owner == owner && link.number == Some(number);
+                    let Some(link) = self.links.iter().position(of) else { continue };
+                    self.links[link].is_closed[OWNER] = true;
+                    self.push(1, Due::Message(link, SUBMITTER, Message::Answer(outcome)));
                 }
                 _ => {}
             }
@@ -420,9 +615,12 @@
     fn send_call(&mut self, owner: usize, target: Target, call: Call) {
         let node = self.node_at(&target);
         let now_ms = self.now_ms;
-        let cut = self.nodes[node].cut.filter(|cut| cut.0 == owner && now_ms < cut.2);
-        let armed = self.fates.iter().find(|fate| fate.0 == call.kind() && now_ms < fate.2);
-        let fate = cut.or(armed.map(|fate| (0, fate.1, 0))).map(|(_, fate, _)| fate);
+        let kind = call.kind();
+        let cut = self.nodes[node].cut.filter(|(from, cut, _, until_ms)| {
+            *from == owner && cut.is_none_or(|cut| cut == kind) && now_ms < *until_ms
+        });
+        let armed = self.fates.iter().find(|fate| fate.0 == kind && now_ms < fate.2);
+        let fate = cut.map(|cut| cut.2).or(armed.map(|fate| fate.1));
         let waits_ms = if let Call::Poll(poll) = &call { poll.wait_ms } else { 0 };
         let timeout_ms = target.timeout_ms + waits_ms;
         let mut sent =
@@ -430,18 +628,7 @@
         let arrives_ms = match fate {
             None => Some(1),
             Some(Fate::Slow(ms)) => Some(ms),
-            Some(Fate::Accepted { after_ms, late_ms, is_verified }) => {
-                sent.has_reply = false;
-                sent.target.process = sent.target.process.filter(|_| is_verified);
-                if sent.call.kind() == Kind::Start {
-                    self.silent = node;
-                }
-                let after_ms = after_ms.min(timeout_ms);
-                let rest_ms = timeout_ms - after_ms;
-                self.push(after_ms, Due::Accept(sent.clone(), rest_ms, late_ms));
-                None
-            }
-            Some(Fate::ReplyLost | Fate::Lost | Fate::Late(_)) => {
+            Some(Fate::ReplyLost | Fate::Lost | Fate::Late { .. }) => {
                 sent.has_reply = false;
                 if sent.call.kind() == Kind::Start {
                     self.silent = node;
@@ -449,15 +636,16 @@
                 self.push(timeout_ms, Due::Reply(sent.clone(), sent.call.lost()));
                 match fate {
                     Some(Fate::ReplyLost) => Some(1),
-                    Some(Fate::Late(ms)) => {
-                        let process = self.nodes[node].worker.started_at_ms;
-                        sent.process = (!self.late_calls_outlive_processes).then_some(process);
-                        if self.late_calls_outlive_processes {
-                            // The process that receives the call is not the one that was asked.
-                            sent.target.process = None;
-                        }
+                    Some(Fate::Late { ms, .. })
+                        if self.defect == Defect::LateCallsOutliveProcesses =>
+                    {
                         Some(ms)
                     }
+                    Some(Fate::Late { ms, accepted_ms }) => {
+                        let accepted_ms = accepted_ms.min(timeout_ms);
+                        self.push(accepted_ms, Due::Accept(sent.clone(), now_ms + ms));
+                        None
+                    }
                     _ => None,
                 }
             }
@@ -482,41 +670,24 @@
         }
     }
 
-    /// Whether a start has reached another process than the one that it is meant for. Its sender notices
-    /// that before it sends the start.
-    fn is_misdirected(&self, sent: &Sent) -> bool {
-        let process = self.nodes[self.node_at(&sent.target)].worker.started_at_ms;
-        let is_other = sent.target.process.is_some_and(|expected| expected != process);
-        sent.call.kind() == Kind::Start && is_other
-    }
-
-    fn accept(&mut self, mut sent: Sent, rest_ms: u64, late_ms: u64) {
-        let node = &self.nodes[self.node_at(&sent.target)];
-        let lost = sent.call.lost();
-        if self.now_ms < node.down_until_ms {
-            self.push(rest_ms, Due::Reply(sent, lost));
-        } else if self.is_misdirected(&sent) {
-            let reply = sent.call.refused(Refusal::InstanceMismatch);
-            self.push(1, Due::Reply(sent, reply));
-        } else {
-            sent.process = Some(node.worker.started_at_ms);
-            self.push(rest_ms, Due::Reply(sent.clone(), lost));
-            self.push(late_ms, Due::Arrival(sent));
-        }
-    }
-
     fn arrive(&mut self, sent: Sent) {
         let number = self.node_at(&sent.target);
-        let is_misdirected = self.is_misdirected(&sent);
         let node = &mut self.nodes[number];
         let worker = &mut node.worker;
         if sent.process.is_some_and(|process| process != worker.started_at_ms) {
             return;
         }
+        let is_verified = match self.defect {
+            Defect::LateCallsOutliveProcesses => sent.has_reply,
+            Defect::UnverifiedStarts => false,
+            Defect::Nothing | Defect::ContactNotAsked => true,
+        };
+        let is_for_other =
+            node.id != sent.target.id || is_verified && sent.is_for_other(worker.started_at_ms);
         let refusal = if self.now_ms < node.down_until_ms {
             Some(Refusal::NotListening)
         } else {
-            (node.id != sent.target.id || is_misdirected).then_some(Refusal::InstanceMismatch)
+            is_for_other.then_some(Refusal::InstanceMismatch)
         };
         if let Some(refusal) = refusal {
             let reply = sent.call.refused(refusal);
@@ -571,7 +742,14 @@
                 self.note(&format!("{event:?}"));
                 self.apply(event);
             }
-            Due::Accept(sent, rest_ms, late_ms) => self.accept(sent, rest_ms, late_ms),
+            Due::Accept(sent, at_ms) => {
+                let Node { worker, down_until_ms, .. } = &self.nodes[self.node_at(&sent.target)];
+                if self.now_ms >= *down_until_ms {
+                    let process = Some(worker.started_at_ms);
+                    let after_ms = at_ms.saturating_sub(self.now_ms);
+                    self.push(after_ms, Due::Arrival(Sent { process, ..sent }));
+                }
+            }
             Due::Arrival(sent) => self.arrive(sent),
             Due::Wait(sent, until_ms) => {
                 let number = self.node_at(&sent.target);
@@ -614,31 +792,22 @@
                     _ => {}
                 });
             }
-            // The owner's timers are handled before the closed connection is read.
-            Due::Cancel(owner, number) if self.is_frozen(owner) => {
-                self.push(
-                    self.owners[owner].frozen_until_ms - self.now_ms + 1,
-                    Due::Cancel(owner, number),
-                );
-            }
-            Due::Cancel(owner, number) => {
-                self.with_pool(owner, |pool, now| pool.cancel(now, number));
-            }
-            Due::Broken(request, owner) => {
-                let submission = self.requests[request].submission;
-                if let Some((_, number)) = submission.filter(|(at, _)| *at == owner) {
-                    self.push(0, Due::Cancel(owner, number));
-                    self.conclude(request, Attempt::ConnectionLost);
+            Due::Message(link, to, message) => self.deliver(link, to, message),
+            Due::GiveUp(request, sends) => {
+                if self.requests[request].sends == sends {
+                    self.leave(request, 1);
                 }
             }
-            Due::Send(request) => {
-                let request = &mut self.requests[request];
+            Due::Send(number) => {
+                let request = &mut self.requests[number];
                 if request.sends > 0 && request.resends_elsewhere {
                     request.cell = (request.cell + 1) % CELLS;
                 }
                 request.sends += 1;
                 request.arrived_ms = Some(self.now_ms);
                 request.previous_owner = PreviousOwner::None;
+                let sends = request.sends;
+                self.push(LIMIT_MS, Due::GiveUp(number, sends));
             }
             Due::TakeOver(cell, missing) => self.take_over(cell, missing),
             Due::Publish(number, id, entry) => {
@@ -671,15 +840,29 @@
         let entries = self.entries(cell);
         let listed = entries.iter().enumerate().filter(|(index, _)| *index != missing);
         pool.set_workers(Millis(self.now_ms), listed.map(|(_, (id, entry))| (id, entry)));
-        self.owners.push(Owner { cell, pool: Some(pool), frozen_until_ms: 0, advanced_ms: 0 });
+        self.owners.push(Owner {
+            cell,
+            pool: Some(pool),
+            frozen_until_ms: 0,
+            reads_from_ms: 0,
+            advanced_ms: 0,
+        });
         self.note(&format!("owner {} takes cell {cell}", self.owners.len() - 1));
         self.perform(self.owners.len() - 1);
         self.push(300, Due::Refresh(cell));
     }
 
-    fn break_links(&mut self, owner: usize, after_ms: u64) {
-        for request in 0..self.requests.len() {
-            self.push(after_ms, Due::Broken(request, owner));
+    /// Silences the links of an owner, or closes them if its process has ended.
+    fn break_links(&mut self, owner: usize, has_ended: bool) {
+        for link in 0..self.links.len() {
+            if self.links[link].owner != owner {
+                continue;
+            }
+            if has_ended {
+                self.end_link(link, OWNER);
+            } else {
+                self.links[link].silent_until_ms = [self.now_ms + FOREVER_MS; 2];
+            }
         }
     }
 
@@ -714,10 +897,10 @@
             Event::Restart { pick, next, down_ms, entry_ms, old_entry_ms } => {
                 self.restart(self.pick(pick), next, down_ms, entry_ms, old_entry_ms);
             }
-            Event::Cut { pick, fate, for_ms } => {
+            Event::Cut { pick, kind, fate, for_ms } => {
                 let number = self.pick(pick);
                 if let Some(owner) = self.owner_of(number % CELLS) {
-                    self.nodes[number].cut = Some((owner, fate, self.now_ms + for_ms));
+                    self.nodes[number].cut = Some((owner, kind, fate, self.now_ms + for_ms));
                 }
             }
             Event::Owner { cell, change, pause_ms, missing } => {
@@ -725,23 +908,38 @@
                 self.end_ownership(owner, change);
                 self.push(pause_ms, Due::TakeOver(cell, missing));
             }
-            Event::Stall { cell, for_ms } => {
-                let Some(owner) = self.owner_of(cell) else { return };
-                self.owners[owner].frozen_until_ms = self.now_ms + for_ms;
-                if for_ms >= LINK_TIMEOUT_MS {
-                    self.break_links(owner, LINK_TIMEOUT_MS);
-                }
+            Event::Stall { cell, for_ms, reads_after_ms } => {
+                let owner = self.owner_of(cell).filter(|owner| !self.is_frozen(*owner));
+                let Some(owner) = owner else { return };
+                self.freeze(owner, for_ms, reads_after_ms);
             }
             Event::Leave { noticed_ms } => {
                 let Some(request) = self.requests.len().checked_sub(1) else { return };
-                if let Some((owner, number)) = self.requests[request].submission.take() {
-                    self.push(noticed_ms, Due::Cancel(owner, number));
-                    self.resend(request);
+                self.leave(request, noticed_ms);
+            }
+            Event::Silence { is_silent, for_ms, leaves } => {
+                let Some(request) = self.requests.len().checked_sub(1) else { return };
+                let Some(link) = self.requests[request].submission else { return };
+                let until_ms = self.now_ms + for_ms;
+                self.links[link].silent_until_ms =
+                    is_silent.map(|is| if is { until_ms } else { 0 });
+                if leaves {
+                    self.leave(request, 1);
                 }
             }
+            Event::Helpless { for_ms } => {
+                self.cancels_lost_until_ms = self.now_ms + for_ms;
+                self.fates.push((Kind::Stop, Fate::Lost, self.now_ms + for_ms));
+            }
         }
     }
 
+    fn freeze(&mut self, owner: usize, for_ms: u64, reads_after_ms: u64) {
+        let owner = &mut self.owners[owner];
+        owner.frozen_until_ms = self.now_ms + for_ms;
+        owner.reads_from_ms = owner.frozen_until_ms + reads_after_ms;
+    }
+
     fn restart(
         &mut self,
         number: usize,
@@ -780,15 +978,12 @@
                 self.with_pool(owner, |pool, _| pool.relinquish());
                 self.owners[owner].pool = None;
             }
-            Change::Death => {
+            Change::Death | Change::Restart => {
                 self.owners[owner].pool = None;
-                self.break_links(owner, 1);
-            }
-            Change::Freeze(for_ms) => {
-                self.owners[owner].frozen_until_ms = self.now_ms + for_ms;
-                self.break_links(owner, LINK_TIMEOUT_MS);
+                self.break_links(owner, true);
             }
-            Change::StoreLost => self.break_links(owner, LINK_TIMEOUT_MS),
+            Change::Freeze(for_ms) => self.freeze(owner, for_ms, 0),
+            Change::StoreLost => self.break_links(owner, false),
         }
     }
 
@@ -816,12 +1011,27 @@
                 may_wait: true,
                 is_remote: true,
             };
-            let owner = self.owner_of(request.cell).filter(|owner| !self.is_frozen(*owner));
-            let Some(owner) = owner else { continue };
-            let now = Millis(self.now_ms);
-            let Some(pool) = &mut self.owners[owner].pool else { continue };
-            self.requests[number].submission = Some((owner, pool.submit(now, submission)));
-            self.perform(owner);
+            let Some(owner) = self.owner_of(request.cell) else { continue };
+            let submitter = (number, request.sends);
+            let is_cut = |link: &Link| {
+                let is_silent = link.silent_until_ms.iter().any(|until_ms| self.now_ms < *until_ms);
+                link.submitter == submitter && link.owner == owner && is_silent
+            };
+            if self.links.iter().any(is_cut) {
+                continue;
+            }
+            self.requests[number].submission = Some(self.links.len());
+            self.links.push(Link {
+                submitter,
+                owner,
+                number: None,
+                is_closed: [false; 2],
+                heard_ms: [self.now_ms; 2],
+                silent_until_ms: [0; 2],
+                pinged_ms: self.now_ms,
+            });
+            let link = self.links.len() - 1;
+            self.push(1, Due::Message(link, OWNER, Message::Submit(submission)));
         }
     }
 
