Start a job of another daemon only after a sign of life since its request was sent

A request to run a job may be on its way for seconds, for example while the link between two daemons is cut: TCP delivers it when the cut heals. The owner took it for news, since it had not been there when I/O was last processed, and started a job whose caller had left and sent it again to another cell. A stop followed at once, but takes up to 50 ms, and may be lost for longer.

Change: a new submission of another daemon counts from the last contact on its connection, which it was sent after, and has none on a connection that was idle or silent. Its tasks start when the first ping is echoed; that ping is sent at once if the contact is older than a ping interval. Cost: a round trip between two daemons for the first job on an idle link.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -36,8 +36,8 @@
         for job in remote.values().filter(|job| job.connection == connection) {
             let owned = owned.get_mut(&job.cell).filter(|owned| owned.serial == job.serial);
             let Some(owned) = owned else { continue };
-            owned.pool.record_contact(job.number, Millis(at_ms));
             is_withheld |= owned.pool.lacks_contact();
+            owned.pool.record_contact(job.number, Millis(at_ms));
         }
         if is_withheld {
             self.pools_changed.notify_one();
@@ -114,7 +114,7 @@
     }
 
     async fn run_for_peer(self: &Rc<Self>, requester: Requester, request: RunRequest) -> Reply {
-        let Requester { incarnation: from, connection } = requester;
+        let Requester { incarnation: from, connection, contact_ms } = requester;
         let RunRequest { cell, submission, submitter } = request;
         let demand = Demand::of(&submission.spec);
         let key = (from, Rc::clone(&submission.spec.id));
@@ -122,6 +122,10 @@
         let on_submit = |serial, number| {
             let job = RemoteJob { connection, cell: cell.clone(), serial, number };
             self.remote_jobs.borrow_mut().insert(key, job);
+            if let Some(contact_ms) = contact_ms {
+                let at = Millis(contact_ms);
+                self.with_pool(&cell, serial, |pool, _| pool.record_contact(number, at));
+            }
         };
         let submission = Submission { is_remote: true, ..submission };
         let result = self.run_locally(&cell, submission, on_submit).await;
--- a/crates/peers/src/links.rs
+++ b/crates/peers/src/links.rs
@@ -42,6 +42,9 @@
     pub incarnation: Incarnation,
     /// Number of the connection on which the request arrived, unique within this process.
     pub connection: u64,
+    /// When the sender was last known to wait before this request arrived on the same connection, by the
+    /// clock of the [`ContactObserver`]; `None` if that is not known. The request was sent after that.
+    pub contact_ms: Option<u64>,
 }
 
 /// Follows how recently the senders of requests were known to wait for their replies.
@@ -355,6 +358,7 @@
         let (replies, mut outgoing) = mpsc::channel::<ProtocolFrame<P>>(MAX_QUEUED_FRAMES);
         let in_flight = InFlightRequests::<P>::default();
         let has_requests = Notify::new();
+        let contact_ms = Cell::new(None);
         let reader = async {
             while let Some(Ok(bytes)) = next_before_silence_limit(&mut source, &in_flight).await {
                 let Some(frame) = self.open_frame(&bytes) else {
@@ -368,10 +372,11 @@
                             let _ = replies.try_send(Frame { from, id, body: Body::Ping });
                         }
                         if let Some(contacts) = contacts.clone().filter(|_| id != KEEPALIVE_PING) {
+                            let now_ms = contacts.now_ms();
+                            let at_ms = if is_numbered(id) { id.min(now_ms) } else { now_ms };
+                            contact_ms.set(Some(at_ms));
                             // Runs after the handlers of the frames before this one.
                             in_flight.spawn(async move {
-                                let now_ms = contacts.now_ms();
-                                let at_ms = if is_numbered(id) { id.min(now_ms) } else { now_ms };
                                 contacts.record_contact(connection, at_ms);
                             });
                         }
@@ -379,7 +384,9 @@
                     }
                     Body::Reply(_) => break,
                 };
-                let reply = handler(Requester { incarnation: frame.from, connection }, request);
+                let requester =
+                    Requester { incarnation: frame.from, connection, contact_ms: contact_ms.get() };
+                let reply = handler(requester, request);
                 has_requests.notify_one();
                 let replies = replies.clone();
                 in_flight.spawn(async move {
@@ -395,7 +402,12 @@
                 }
             }
         };
-        let pinger = self.send_pings(&replies, &in_flight, &has_requests, contacts.as_deref());
+        let pinger = self.send_pings(
+            &replies,
+            &in_flight,
+            (&has_requests, &contact_ms),
+            contacts.as_deref(),
+        );
         let (reader, writer) = (std::pin::pin!(reader), std::pin::pin!(writer));
         select(select(reader, writer), std::pin::pin!(pinger)).await;
     }
@@ -406,7 +418,7 @@
         &self,
         replies: &mpsc::Sender<ProtocolFrame<P>>,
         in_flight: &InFlightRequests<P>,
-        has_requests: &Notify,
+        (has_requests, contact_ms): (&Notify, &Cell<Option<u64>>),
         contacts: Option<&dyn ContactObserver>,
     ) {
         let Some(contacts) = contacts.filter(|_| P::CONTACT_INTERVAL_MS > 0) else {
@@ -414,7 +426,11 @@
         };
         loop {
             has_requests.notified().await;
-            actix_rt::time::sleep(Duration::from_millis(P::FIRST_PING_DELAY_MS)).await;
+            let is_recent =
+                |at_ms| contacts.now_ms().saturating_sub(at_ms) < P::CONTACT_INTERVAL_MS;
+            if contact_ms.get().is_some_and(is_recent) {
+                actix_rt::time::sleep(Duration::from_millis(P::FIRST_PING_DELAY_MS)).await;
+            }
             while in_flight.any_unfinished() {
                 let id = contacts.now_ms();
                 let _ = replies.try_send(Frame { from: self.local, id, body: Body::Ping });
--- a/crates/pool/src/contact.rs
+++ b/crates/pool/src/contact.rs
@@ -29,7 +29,15 @@
     },
 }
 
+/// Stands for the last sign of life of a submitter that has given none yet.
+const NEVER: Millis = Millis(0);
+
 impl Job {
+    /// Whether no submitter of the job is known to have waited after its request was sent.
+    pub(crate) fn awaits_first_contact(&self) -> bool {
+        self.contact_at == NEVER
+    }
+
     /// Whether a submitter of the job was known to wait within the last [`CONTACT_MS`].
     pub(crate) const fn is_in_contact(&self, now: Millis) -> bool {
         now.since(self.contact_at) < CONTACT_MS
@@ -63,21 +71,28 @@
         }
     }
 
-    /// Returns when the submitter of a request that has just been read was certainly waiting: the
-    /// request was not there yet when I/O was last processed.
+    /// Returns when the submitter of a request that has just been read was certainly waiting. One of
+    /// this daemon's own callers was not there yet when I/O was last processed. The request of
+    /// another daemon may have been on its way for any time, for example while a link was silent.
     pub(crate) fn contact_of_new_submission(&self, now: Millis, is_remote: bool) -> Millis {
-        self.io_at.unwrap_or(if is_remote { now } else { Millis(u64::MAX) })
+        match (self.io_at, is_remote) {
+            (None, false) => Millis(u64::MAX),
+            (None, true) => now,
+            (Some(io_at), false) => io_at,
+            (Some(_), true) => NEVER,
+        }
     }
 
     /// Whether starts or renewals are withheld because submitters are not known to wait.
-    pub const fn lacks_contact(&self) -> bool {
-        self.contact_lost_at.is_some()
+    pub fn lacks_contact(&self) -> bool {
+        self.contact_lost_at.is_some() || self.jobs.values().any(Job::awaits_first_contact)
     }
 
     /// Determines the workers that get neither starts nor renewals, because both would extend the
     /// lease of a run whose job is without contact.
     pub(crate) fn update_contact(&mut self, now: Millis) {
-        let silent = || self.jobs.values().filter(|job| !job.is_in_contact(now));
+        let has_lost_contact = |job: &&Job| !job.is_in_contact(now) && !job.awaits_first_contact();
+        let silent = || self.jobs.values().filter(has_lost_contact);
         let jobs = silent().count();
         if jobs == 0 && self.contact_lost_at.is_none() {
             return;
