Keep jobs that wait for the first sign of life of their submitter

What callers saw: 429 for a job whose declared time leaves no slack, when it was sent to another daemon over an idle link.

A job without a sign of life is refused only when its deadline is over, and asks for no earlier turn of the loop. The time of a ping without a number is again that of its recording (contacts.rs compares the two).

--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -354,7 +354,7 @@
         let path = format!("{PATH_PREFIX}{}", job.id);
         let body = adapter::callers::write_job(&job);
         let left = cluster.send(cluster.daemons[at].callers_addr, "POST", &path, body, 400).await;
-        assert!(left.is_err(), "the job was answered before the caller disconnected");
+        assert!(left.is_err(), "the job was answered before the caller disconnected: {left:?}");
         assert_eq!(cluster.count_starts(&job), 2);
         pause(400).await;
         let running: usize = cluster.workers.iter().map(|worker| worker.active_count()).sum();
--- a/crates/peers/src/links.rs
+++ b/crates/peers/src/links.rs
@@ -372,12 +372,13 @@
                             let _ = replies.try_send(Frame { from, id, body: Body::Ping });
                         }
                         if let Some(contacts) = contacts.clone().filter(|_| id != KEEPALIVE_PING) {
-                            let now_ms = contacts.now_ms();
-                            let at_ms = if is_numbered(id) { id.min(now_ms) } else { now_ms };
-                            contact_ms.set(Some(at_ms));
+                            let time_of = move |now_ms: u64| {
+                                if is_numbered(id) { id.min(now_ms) } else { now_ms }
+                            };
+                            contact_ms.set(Some(time_of(contacts.now_ms())));
                             // Runs after the handlers of the frames before this one.
                             in_flight.spawn(async move {
-                                contacts.record_contact(connection, at_ms);
+                                contacts.record_contact(connection, time_of(contacts.now_ms()));
                             });
                         }
                         continue;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -463,7 +463,7 @@
         let ends = self.jobs.values().map(|job| {
             let latest_useful_start = job.latest_useful_start().plus(1);
             let may_give_up = job.has_pending_suspect() && now < latest_useful_start;
-            if job.started && !may_give_up {
+            if job.started && !may_give_up || job.awaits_first_contact() {
                 job.deadline
             } else {
                 job.deadline.min(latest_useful_start)
@@ -502,7 +502,9 @@
             if now >= job.deadline {
                 return Some((*number, job.started.then_some(Reason::TimeOver)));
             }
-            (!job.started && now > job.latest_useful_start()).then_some((*number, None))
+            // A job that waits for the first sign of life of its submitter lacks no room.
+            let may_wait = job.started || job.awaits_first_contact();
+            (!may_wait && now > job.latest_useful_start()).then_some((*number, None))
         };
         let mut expired: Vec<(u64, Option<Reason>)> =
             self.jobs.iter().filter_map(expired).collect();
