Renew adopted runs only after a sign of life of their submitter

And a worker that was withheld stayed so after all contacts had returned, since the flag was computed by another rule than the one that asks for it.

Change: only jobs that have not started are left out, and the flag is computed as long as any worker has it. An old contact of an idle connection is not recorded, so that ordinary jobs are no loss of contact. A request of a daemon that does not echo pings (the version before) counts when it is read, as before: a busy one of them sends no ping, and its jobs would not have started. A cancellation that cannot be queued closes its link, since the echoes for other jobs would keep the job alive.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -5,6 +5,7 @@
 use dispatch::clock::Millis;
 use dispatch::ticket::Incarnation;
 use peers::links::{ContactObserver, Requester};
+use pool::bounds::CONTACT_MS;
 use pool::job::{Outcome, Reason};
 use pool::load_table::Demand;
 use pool::pool::Submission;
@@ -115,17 +116,19 @@
 
     async fn run_for_peer(self: &Rc<Self>, requester: Requester, request: RunRequest) -> Reply {
         let Requester { incarnation: from, connection, contact_ms } = requester;
-        let RunRequest { cell, submission, submitter } = request;
+        let RunRequest { cell, submission, submitter, echoes_pings } = request;
         let demand = Demand::of(&submission.spec);
         let key = (from, Rc::clone(&submission.spec.id));
         let _guard = RemoteJobGuard { entry: Rc::clone(self), key: key.clone() };
         let on_submit = |serial, number| {
             let job = RemoteJob { connection, cell: cell.clone(), serial, number };
             self.remote_jobs.borrow_mut().insert(key, job);
-            if let Some(contact_ms) = contact_ms {
-                let at = Millis(contact_ms);
-                self.with_pool(&cell, serial, |pool, _| pool.record_contact(number, at));
-            }
+            self.with_pool(&cell, serial, |pool, now| {
+                let contact_at = if echoes_pings { contact_ms.map(Millis) } else { Some(now) };
+                if let Some(at) = contact_at.filter(|at| now.since(*at) < CONTACT_MS) {
+                    pool.record_contact(number, at);
+                }
+            });
         };
         let submission = Submission { is_remote: true, ..submission };
         let result = self.run_locally(&cell, submission, on_submit).await;
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -43,6 +43,10 @@
     /// [`Request::CellLoad`]; `None` from a daemon of a version that does not know that message.
     #[serde(deserialize_with = "or_default")]
     pub submitter: Option<SocketAddr>,
+    /// Whether the submitter echoes pings while it waits; `false` from a daemon of a version before
+    /// them, whose request counts as a sign of life when it is read.
+    #[serde(deserialize_with = "or_default")]
+    pub echoes_pings: bool,
 }
 
 /// Request or notification from one daemon to another.
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -81,6 +81,8 @@
         actix_rt::spawn(async move {
             if let Err(error) = entry.links.notify(addr, message).await {
                 log::info!("part=route event=cancel_lost owner={addr} why=\"{error}\"");
+                // The owner drops the job with the link, whose further echoes would keep it alive.
+                entry.links.close(&[addr]);
             }
         });
     }
@@ -351,7 +353,7 @@
         place.set(Some(Place::Remote(addr)));
         let job = Rc::clone(&submission.spec.id);
         let submitter = Some(self.settings.advertised);
-        let message = RunRequest { cell: cell.clone(), submission, submitter };
+        let message = RunRequest { cell: cell.clone(), submission, submitter, echoes_pings: true };
         match self.run_remotely(addr, message).await {
             Ok(answer) => {
                 self.responsiveness.borrow_mut().record_reply(addr);
--- a/crates/entry/tests/messages.rs
+++ b/crates/entry/tests/messages.rs
@@ -39,7 +39,12 @@
         is_remote: false,
     };
     let cell = Cell { zone: "z0".into(), partition: 9 };
-    RunRequest { cell, submission, submitter: Some(([127, 0, 0, 1], 7_000).into()) }
+    RunRequest {
+        cell,
+        submission,
+        submitter: Some(([127, 0, 0, 1], 7_000).into()),
+        echoes_pings: true,
+    }
 }
 
 fn valid_messages() -> Vec<Vec<u8>> {
@@ -169,6 +174,9 @@
     let bytes = postcard::to_allocvec(&(&request.cell, &request.submission)).unwrap();
     let read: RunRequest = postcard::from_bytes(&bytes).unwrap();
     assert_eq!((read.cell, read.submitter), (request.cell.clone(), None));
+    let bytes = (&request.cell, &request.submission, &request.submitter);
+    let read: RunRequest = postcard::from_bytes(&postcard::to_allocvec(&bytes).unwrap()).unwrap();
+    assert_eq!((read.submitter, read.echoes_pings), (request.submitter, false));
     let bytes = postcard::to_allocvec(&request).unwrap();
     let (_, submission): (Cell, Submission) = postcard::from_bytes(&bytes).unwrap();
     assert_eq!(submission.spec, request.submission.spec);
--- a/crates/pool/src/contact.rs
+++ b/crates/pool/src/contact.rs
@@ -18,7 +18,7 @@
     Lost {
         /// Number of jobs without contact.
         jobs: usize,
-        /// Time since the oldest of the last signs of life, in milliseconds.
+        /// Time since the oldest of the last signs of life, in milliseconds; zero if there was none.
         age_ms: u64,
     },
     /// No start or renewal is withheld any more: submitters were in contact again, or their jobs have
@@ -91,17 +91,23 @@
     /// Determines the workers that get neither starts nor renewals, because both would extend the
     /// lease of a run whose job is without contact.
     pub(crate) fn update_contact(&mut self, now: Millis) {
-        let has_lost_contact = |job: &&Job| !job.is_in_contact(now) && !job.awaits_first_contact();
-        let silent = || self.jobs.values().filter(has_lost_contact);
+        // A job that awaits its first contact may have adopted runs, which get no renewal either.
+        let lacks_contact =
+            |job: &&Job| !job.is_in_contact(now) && (job.started || !job.awaits_first_contact());
+        let silent = || self.jobs.values().filter(lacks_contact);
         let jobs = silent().count();
-        if jobs == 0 && self.contact_lost_at.is_none() {
+        let is_withheld = self.workers.values().any(|worker| worker.lacks_contact);
+        if jobs == 0 && self.contact_lost_at.is_none() && !is_withheld {
             return;
         }
         if jobs == 0 {
-            let after_ms = self.contact_lost_at.take().map_or(0, |at| now.since(at));
-            self.actions.push(Action::ReportContact(ContactChange::Restored { after_ms }));
+            if let Some(lost_at) = self.contact_lost_at.take() {
+                let change = ContactChange::Restored { after_ms: now.since(lost_at) };
+                self.actions.push(Action::ReportContact(change));
+            }
         } else if self.contact_lost_at.is_none() {
-            let age_ms = silent().map(|job| now.since(job.contact_at)).max().unwrap_or(0);
+            let known = silent().filter(|job| !job.awaits_first_contact());
+            let age_ms = known.map(|job| now.since(job.contact_at)).max().unwrap_or(0);
             self.contact_lost_at = Some(now);
             self.actions.push(Action::ReportContact(ContactChange::Lost { jobs, age_ms }));
         }
--- a/crates/pool/tests/late_departures.rs
+++ b/crates/pool/tests/late_departures.rs
@@ -5,8 +5,11 @@
 
 use dispatch::clock::Millis;
 use pool::bounds::{CONTACT_MS, LINK_TIMEOUT_MS, RESEND_MS};
-use pool::job::Outcome;
-use support::fleet::Fleet;
+use pool::job::{Outcome, PreviousOwner};
+use pool::pool::Pool;
+use pool::tokens::first_token;
+use support::fleet::{Fleet, TASK_CORES};
+use support::job;
 
 const TASK_MS: u64 = 6_000;
 
@@ -109,10 +112,52 @@
 fn one_submitter_in_contact_is_enough() {
     let mut fleet = Fleet::new(1);
     let first = fleet.submit_remote(TASK_MS);
-    let spec = support::job(&format!("{:016x}", 1), 1, support::fleet::TASK_CORES, TASK_MS);
-    fleet.submit_for_peer(spec, pool::job::PreviousOwner::None);
+    let spec = job(&format!("{:016x}", 1), 1, TASK_CORES, TASK_MS);
+    fleet.submit_for_peer(spec, PreviousOwner::None);
     fleet.in_contact.remove(&first);
     fleet.run_for(3_000);
     fleet.workers[0].advance_to(fleet.now_ms);
     assert_eq!((fleet.active(), fleet.starts), (vec![1], 1));
 }
+
+/// Returns a fleet of one worker with the runs of two jobs, whose owner has handed the cell over, and what
+/// the jobs report of it.
+fn handed_over() -> (Fleet, [PreviousOwner; 2]) {
+    let mut fleet = Fleet::with_slow_clocks(1, 20);
+    let numbers = [(); 2].map(|()| fleet.submit_as(1, 20_000, 60, true));
+    fleet.run_for(50);
+    fleet.pool.renew_all_leases(Millis(fleet.now_ms));
+    fleet.perform();
+    fleet.pool.relinquish();
+    fleet.perform();
+    let progress = numbers.map(|number| match fleet.outcomes.remove(&number) {
+        Some(Outcome::Moved(progress)) => PreviousOwner::Reported(progress),
+        outcome => panic!("not moved: {outcome:?}"),
+    });
+    let mut pool = Pool::new(first_token(2));
+    pool.record_io(Millis(fleet.now_ms));
+    fleet.replace_owner(pool);
+    (fleet, progress)
+}
+
+/// Guards against adopted runs that are renewed although no submitter has given a sign of life to their
+/// owner, and against workers whose runs are not renewed any more after all of them have.
+#[test]
+fn adopted_runs_are_renewed_from_the_first_sign_of_life_on() {
+    for signs in [0, 1, 2] {
+        let (mut fleet, [first, second]) = handed_over();
+        let spec = |number: u64| job(&format!("{number:016x}"), 1, TASK_CORES, 60);
+        let numbers =
+            [fleet.submit_for_peer(spec(1), first), fleet.submit_for_peer(spec(2), second)];
+        fleet.in_contact.clear();
+        fleet.pool.record_contact(numbers[0], Millis(fleet.now_ms - CONTACT_MS));
+        for number in numbers.into_iter().take(signs) {
+            fleet.run_for(3);
+            fleet.in_contact.insert(number);
+        }
+        fleet.run_for(RESEND_MS);
+        fleet.workers[0].advance_to(fleet.now_ms);
+        // Without the other job's sign of life, the first one's task runs again after its lease.
+        assert_eq!(fleet.active(), [signs], "{signs} of two jobs with a sign of life");
+    }
+}
