Keep the worker client's library out of what stand-ins build

Cause: the connections of the worker client brought hyper into httpedge, on which the stand-ins depend.

--- a/crates/httpedge/src/lib.rs
+++ b/crates/httpedge/src/lib.rs
@@ -4,5 +4,6 @@
 //! plain values instead of streams.
 
 pub mod client;
+#[cfg(feature = "process-connections")]
 pub mod connections;
 pub mod server;
