--- a/crates/pool/src/bounds.rs
+++ b/crates/pool/src/bounds.rs
@@ -15,7 +15,7 @@
 /// users' `resendMs`.
 pub const RESEND_MS: u64 = 1_300;
 /// Longest time that a message between two VMs is on its way without being counted as lost, in
-/// milliseconds: the closing of a caller's connection, or a request to run a job.
+/// milliseconds, such as the closing of a caller's connection.
 pub const TRANSIT_MS: u64 = 50;
 /// How long after the last sign of life of a job's submitter its tasks are started and their leases
 /// renewed, in milliseconds. The sign of life is a time at which the submitter's daemon had processed
