Leave time for processes that stand still, and count leases from signs of life

On real processes everything may stand still for some hundred milliseconds, a worker and a caller too; the bounds of one run at a time left 10 of 1,300 ms for that, and an owner started the task of a silent worker elsewhere 38 ms after the end of its lease.

- A lease counts from the last sign of life of the submitters of all runs on its worker, not from the decision to start or renew, which may be 200 ms later.
- A task in doubt is free as soon as the worker that the previous owner named, polled after the submission, lacks its run.
That is known, and no longer waited for.

--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -9,7 +9,7 @@
 
 use dispatch::clock::Millis;
 
-use crate::bounds::{LINK_TIMEOUT_MS, MAX_LEASE_BOUND_MS};
+use crate::bounds::{LINK_TIMEOUT_MS, MAX_LEASE_BOUND_MS, STALL_MS};
 use crate::call::End;
 use crate::job::{Job, PreviousOwner, TaskName, TaskState};
 use crate::pool::Pool;
@@ -17,11 +17,11 @@
 
 /// How long a run that the previous owner handed over can continue without being found, in
 /// milliseconds.
-pub const IN_DOUBT_REPORTED_MS: u64 = MAX_LEASE_BOUND_MS;
+pub const IN_DOUBT_REPORTED_MS: u64 = MAX_LEASE_BOUND_MS + STALL_MS;
 /// The same for a previous owner that stopped responding. An owner of the version before this one
 /// does not know [`CONTACT_MS`](crate::bounds::CONTACT_MS), and starts runs until it notices the
 /// broken link.
-pub const IN_DOUBT_UNRESPONSIVE_MS: u64 = LINK_TIMEOUT_MS + MAX_LEASE_BOUND_MS;
+pub const IN_DOUBT_UNRESPONSIVE_MS: u64 = LINK_TIMEOUT_MS + MAX_LEASE_BOUND_MS + STALL_MS;
 
 /// Returns how long runs of the previous owner can continue without being found, in
 /// milliseconds. An owner that stopped responding may still start runs until it notices the
@@ -125,29 +125,43 @@
         }
     }
 
-    /// Searches for the runs of tasks in doubt. Tasks become pending again once no such run can
-    /// be left.
+    /// Searches for the runs of tasks in doubt. Tasks become pending again once the worker that the
+    /// previous owner named has no such run, or once none can be left anywhere.
     pub(crate) fn resolve_in_doubt(&mut self, now: Millis) {
         let in_doubt = self.jobs.iter().filter(|(_, job)| job.is_in_doubt());
         let numbers: Vec<u64> = in_doubt.map(|(number, _)| *number).collect();
         for number in numbers {
             let Some(mut job) = self.jobs.remove(&number) else { continue };
             self.adopt_runs(number, &mut job);
-            let mut not_found = Vec::new();
-            if now >= job.in_doubt_until {
-                for (task_index, task) in job.tasks.iter_mut().enumerate() {
-                    if task.state == TaskState::InDoubt {
-                        task.state = TaskState::Pending;
-                        not_found.push(task_index);
-                    }
+            let mut ended = Vec::new();
+            for task_index in 0..job.tasks.len() {
+                if let Some(evidence) = self.end_of_doubt(&job, task_index, now) {
+                    job.tasks[task_index].state = TaskState::Pending;
+                    ended.push((task_index, evidence));
                 }
             }
             self.jobs.insert(number, job);
-            for task_index in not_found {
-                self.report_interruption(number, task_index, InterruptionEvidence::NotFound);
+            for (task_index, evidence) in ended {
+                self.report_interruption(number, task_index, evidence);
             }
             self.finish_if_done(number);
             self.fail_if_exhausted(now, number);
         }
     }
+
+    /// Returns what shows that no run of a task in doubt is active or will begin, or `None` if one may be.
+    fn end_of_doubt(
+        &mut self,
+        job: &Job,
+        task_index: usize,
+        now: Millis,
+    ) -> Option<InterruptionEvidence> {
+        let task = job.tasks.get(task_index).filter(|task| task.state == TaskState::InDoubt)?;
+        if now >= job.in_doubt_until {
+            return Some(InterruptionEvidence::NotFound);
+        }
+        let worker = self.workers.get_mut(task.worker.as_deref()?)?;
+        let is_absent = worker.confirms_absence(&job.name(task_index), job.submitted_at, now);
+        is_absent.then_some(InterruptionEvidence::Absent)
+    }
 }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -269,6 +269,8 @@
     pub terms: Terms,
     /// Arrival time of the caller's request, on this daemon's clock.
     pub arrived_at: Millis,
+    /// When the job was submitted to this owner.
+    pub(crate) submitted_at: Millis,
     /// Time at which the caller stops waiting.
     pub deadline: Millis,
     /// State of every task, ordered by step and then by index in the step.
@@ -310,6 +312,7 @@
             spec,
             terms,
             arrived_at,
+            submitted_at: now,
             deadline,
             tasks,
             started: false,
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -6,6 +6,7 @@
 
 use dispatch::clock::Millis;
 
+use crate::bounds::STALL_MS;
 use crate::call::{End, Report, Target};
 use crate::catalogue::{WorkerEntry, WorkerState};
 use crate::cold::ColdStart;
@@ -173,6 +174,8 @@
     clock: Option<ClockReading>,
     /// Start time of the process that sent the last report, in Unix milliseconds.
     started_at_ms: Option<u64>,
+    /// When the last poll under the present token was sent that the worker has answered.
+    reported_at: Option<Millis>,
     /// Since when the process at the worker's address may not be the one that sent the last report;
     /// `None` if there is no sign of that.
     process_doubted_at: Option<Millis>,
@@ -223,6 +226,7 @@
             lacks_contact: false,
             clock: None,
             started_at_ms: None,
+            reported_at: None,
             process_doubted_at: None,
             cursor: 0,
             acked: 0,
@@ -341,9 +345,20 @@
     /// Returns whether runs of this daemon are active, or may be: those of a lost worker have ended
     /// with their lease.
     pub fn may_have_active_runs(&self, now: Millis) -> bool {
-        let has_lapsed = self.is_lost() && now >= self.lease_bound;
-        let is_in_doubt = |run: &Run| run.state == RunState::InDoubt && now < late_until(run);
-        !(self.runs.is_empty() || has_lapsed) || self.runs.values().any(is_in_doubt)
+        let is_possible = |run: &Run| !self.is_lost() || now < self.expires_at(run);
+        self.runs.values().any(is_possible)
+    }
+
+    /// Whether the worker has been asked after `since` for its runs, and has none of the task. Orders of
+    /// a previous owner have no effect any more then. If it has not been asked, it is polled soon.
+    pub(crate) fn confirms_absence(&mut self, task: &TaskName, since: Millis, now: Millis) -> bool {
+        if self.reported_at.is_none_or(|at| at <= since) {
+            if self.unanswered_polls == 0 {
+                self.poll_no_later_than(now);
+            }
+            return false;
+        }
+        !self.runs.contains_key(task) && !self.orphaned_runs.contains_key(task)
     }
 
     /// Returns whether a run of the task may be active on this worker, or may still begin. No other
@@ -352,7 +367,8 @@
         let is_silent = self.unanswered_polls > 0;
         let is_possible = |run: &Run| !is_silent || now < self.expires_at(run);
         let is_active = |orphan: &OrphanedRun| {
-            let has_lapsed = is_silent && now.since(orphan.seen_at) >= MAX_LEASE_BOUND_MS;
+            let has_lapsed =
+                is_silent && now.since(orphan.seen_at) >= MAX_LEASE_BOUND_MS + STALL_MS;
             orphan.end.is_none() && !has_lapsed
         };
         self.runs.get(task).is_some_and(is_possible)
@@ -369,19 +385,23 @@
         self.runs.keys().filter(|name| &*name.job == job && name.step == step).count() as u32
     }
 
-    /// Returns the expiry of a lease that begins at `now`, in milliseconds of the worker's clock, or
-    /// `None` before its first reply. The lease ends within [`LEASE_BOUND_MS`] whatever the age of the
-    /// last reply, and is at least as long as [`Self::shortest_lease_ms`].
-    pub fn lease_expiry_at(&self, now: Millis) -> Option<u64> {
-        Some(self.clock?.earliest_at(now).saturating_add(LEASE_MS))
+    /// Returns the expiry of a lease that is granted at `now` and counts from `contact_at`, in
+    /// milliseconds of the worker's clock, or `None` before its first reply. The lease ends within
+    /// [`LEASE_BOUND_MS`] after `contact_at` whatever the age of the last reply, and is at least as long
+    /// as [`Self::shortest_lease_ms`].
+    pub(crate) fn lease_expiry_at(&self, now: Millis, contact_at: Millis) -> Option<u64> {
+        let lease_ms = LEASE_MS.saturating_sub(now.since(contact_at));
+        Some(self.clock?.earliest_at(now).saturating_add(lease_ms))
     }
 
-    /// Returns how long a lease that begins at `now` lasts if the worker's clock is not slow, in
-    /// milliseconds: less than [`LEASE_MS`] by the drift that the age of the last reply allows for, and
-    /// zero before the first reply.
-    fn shortest_lease_ms(&self, now: Millis) -> u64 {
+    /// Returns how long a lease that is granted at `now` and counts from `contact_at` lasts if the
+    /// worker's clock is not slow, in milliseconds: less than [`LEASE_MS`] by the time since
+    /// `contact_at` and by the drift that the age of the last reply allows for, and zero before the
+    /// first reply.
+    fn shortest_lease_ms(&self, now: Millis, contact_at: Millis) -> u64 {
         let drift_ms = |clock: ClockReading| max_drift_ms(now.since(clock.read_at));
-        self.clock.map_or(0, |clock| LEASE_MS.saturating_sub(drift_ms(clock)))
+        let lease_ms = LEASE_MS.saturating_sub(now.since(contact_at));
+        self.clock.map_or(0, |clock| lease_ms.saturating_sub(drift_ms(clock)))
     }
 
     /// Returns up to which number ended runs may be acknowledged: all that were received, unless the
@@ -404,13 +424,15 @@
         self.clock.and_then(|clock| clock.process)
     }
 
-    /// Records a run that is being started: reserves its resources and schedules the renewal of
-    /// its lease. It takes the place of an earlier run of the task whose end was not confirmed.
-    pub fn place(&mut self, name: TaskName, run: Run) {
+    /// Records a run that is being started with a lease that counts from `contact_at`: reserves its
+    /// resources and schedules the renewal of its lease. It takes the place of an earlier run of the
+    /// task whose end was not confirmed.
+    pub(crate) fn place(&mut self, name: TaskName, run: Run, contact_at: Millis) {
         self.remove(&name);
         self.used = self.used.plus(run.resources);
         self.lease_bound = self.lease_bound.max(run.sent_at.plus(LEASE_BOUND_MS));
-        let renewed_after_ms = self.shortest_lease_ms(run.sent_at).saturating_sub(RENEW_AHEAD_MS);
+        let lease_ms = self.shortest_lease_ms(run.sent_at, contact_at);
+        let renewed_after_ms = lease_ms.saturating_sub(RENEW_AHEAD_MS);
         self.poll_no_later_than(run.sent_at.plus(renewed_after_ms));
         self.runs.insert(name, run);
     }
@@ -419,7 +441,8 @@
     /// so that the lease may be the longest one that a worker grants.
     pub(crate) fn place_adopted(&mut self, name: TaskName, run: Run) {
         self.lease_bound = self.lease_bound.max(run.sent_at.plus(MAX_LEASE_BOUND_MS));
-        self.place(name, run);
+        let seen_at = run.sent_at;
+        self.place(name, run, seen_at);
     }
 
     /// Removes a run and frees its resources.
@@ -435,21 +458,21 @@
     }
 
     /// Records that a poll is being sent. Returns the new lease expiry on the worker's clock, or
-    /// `None` if the lease is not to be renewed.
-    pub fn begin_poll(&mut self, now: Millis) -> Option<u64> {
+    /// `None` if the lease is not to be renewed. A renewed lease counts from `contact_at`.
+    pub(crate) fn begin_poll(&mut self, now: Millis, contact_at: Millis) -> Option<u64> {
         self.poll_sent_at = Some(now);
         self.polled_token = self.token;
         self.polled_addr = self.entry.addr;
         self.next_poll_at = None;
         self.acking = self.ack_cursor();
-        self.renew_lease(now)
+        self.renew_lease(now, contact_at)
     }
 
-    /// Renews the lease of the worker's runs, if there are any. Returns the new expiry on the worker's
-    /// clock. The lease of a worker that left the last poll unanswered, or whose clock may be that of
+    /// Renews the lease of the worker's runs, if there are any, counted from `contact_at`. Returns the
+    /// new expiry on the worker's clock. The lease of a worker that left the last poll unanswered, or whose clock may be that of
     /// another process, is not renewed, so that the time by which its runs have ended is known here.
     /// Neither is one that would keep runs alive that nobody waits for.
-    pub fn renew_lease(&mut self, now: Millis) -> Option<u64> {
+    pub(crate) fn renew_lease(&mut self, now: Millis, contact_at: Millis) -> Option<u64> {
         if self.runs.is_empty()
             || self.unanswered_polls > 0
             || self.is_clock_doubted()
@@ -457,7 +480,7 @@
         {
             return None;
         }
-        let lease_until_ms = self.lease_expiry_at(now)?;
+        let lease_until_ms = self.lease_expiry_at(now, contact_at)?;
         self.lease_bound = self.lease_bound.max(now.plus(LEASE_BOUND_MS));
         Some(lease_until_ms)
     }
@@ -474,12 +497,12 @@
     /// Returns how long a poll may wait at the worker for a run to end, in milliseconds: slightly
     /// longer than the remaining time of the run that is expected to end first. With a longer
     /// `timeout_ms` of the call it is shorter, so that the next renewal still arrives in time. A
-    /// poll that has to show the worker's process does not wait.
-    pub fn poll_wait_ms(&self, timeout_ms: u64, now: Millis) -> u64 {
+    /// poll that has to show the worker's process does not wait. The lease counts from `contact_at`.
+    pub(crate) fn poll_wait_ms(&self, timeout_ms: u64, now: Millis, contact_at: Millis) -> u64 {
         if self.is_clock_doubted() {
             return 0;
         }
-        let lease_ms = self.shortest_lease_ms(now);
+        let lease_ms = self.shortest_lease_ms(now, contact_at);
         let longest_ms = lease_ms.saturating_sub(RENEWAL_MARGIN_MS + 2 * timeout_ms);
         let longest_ms =
             if self.withholds_lease() { longest_ms.min(POLL_WAIT_SLACK_MS) } else { longest_ms };
@@ -579,31 +602,35 @@
         awaited.map(|run| self.expires_at(run)).min()
     }
 
-    /// Returns when a run of a silent worker has certainly ended, and will not begin.
+    /// Returns when a run of a silent worker has certainly ended, and will not begin. The worker may
+    /// stand still when the lease expires, and end its runs after that.
     fn expires_at(&self, run: &Run) -> Millis {
-        match run.state {
+        let lapses_at = match run.state {
             RunState::InDoubt => self.lease_bound.max(late_until(run)),
             RunState::Starting | RunState::Running | RunState::Stopping | RunState::Stopped => {
                 self.lease_bound
             }
-        }
+        };
+        lapses_at.plus(STALL_MS)
     }
 
     /// Returns the runs whose lease has certainly expired as interrupted, so that their tasks can
     /// be restarted. Their resources stay reserved until a poll shows that they are free. A run whose
     /// start got no reply is kept for as long as it may still begin, unless a poll settles it before.
     pub fn expire_runs(&mut self, now: Millis) -> Vec<RunUpdate> {
-        if now < self.lease_bound {
+        if now < self.lease_bound.plus(STALL_MS) {
             return Vec::new();
         }
         let loss = self.report_loss(LossCause::Silent);
-        let has_expired = |run: &&mut Run| run.state != RunState::InDoubt || now >= late_until(run);
-        let expired = self.runs.values_mut().filter(has_expired).filter_map(|run| {
-            let job_task = run.task_ref.take()?;
+        let has_expired = |run: &Run| now >= self.expires_at(run);
+        let expired = self.runs.iter().filter(|(_, run)| has_expired(run));
+        let expired: Vec<TaskName> = expired.map(|(task, _)| task.clone()).collect();
+        let interrupted = expired.iter().filter_map(|task| {
+            let job_task = self.runs.get_mut(task)?.task_ref.take()?;
             let evidence = InterruptionEvidence::LeaseExpired;
             Some(RunUpdate::Interrupted { job_task, evidence })
         });
-        loss.into_iter().chain(expired).collect()
+        loss.into_iter().chain(interrupted).collect()
     }
 
     /// Records that the worker's entry has changed. Returns a report if it names another process.
@@ -768,6 +795,9 @@
             asked_at: sent_at,
             read_at: now,
         });
+        if self.polled_token == self.token {
+            self.reported_at = Some(sent_at);
+        }
         self.acked = self.acking;
         changes.extend(self.apply_ended(now, report));
         changes.extend(self.apply_missing(sent_at, report));
