Keep the progress of a job that reaches a cell which is being given up

A pool that has been fenced answered a submission with Moved and no progress, whatever the submission said of the previous owner's runs. The next owner would have started tasks whose runs were active. Such a submission is now answered as not owned, which leaves what the submitter knows as it is, and a submission whose outcome is lost counts as aborted, in place of moved without runs.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -11,7 +11,7 @@
 use pool::cells::Cell;
 use pool::contact::ContactChange;
 use pool::crashes::Crash;
-use pool::job::{Outcome, Progress};
+use pool::job::{Outcome, Reason};
 use pool::load_table::Demand;
 use pool::loss::{ProcessChange, WorkerLoss};
 use pool::pool::{Action, Pool, Submission};
@@ -59,7 +59,8 @@
 
 impl Entry {
     /// Runs a job on an owned cell and waits for its outcome. Returns `None` if the cell is not
-    /// owned. Calls `on_submit` with the serial of the ownership and the submission number.
+    /// owned, or is being given up. Calls `on_submit` with the serial of the ownership and the
+    /// submission number.
     pub async fn run_locally(
         self: &Rc<Self>,
         cell: &Cell,
@@ -72,7 +73,7 @@
         let now = self.now_after_stall_check();
         let (serial, number, receiver) = {
             let mut owned = self.owned.borrow_mut();
-            let owned = owned.get_mut(cell)?;
+            let owned = owned.get_mut(cell).filter(|owned| !owned.pool.is_fenced())?;
             let number = owned.pool.submit(now, submission);
             let (sender, receiver) = oneshot::channel();
             self.outcome_senders.borrow_mut().insert((owned.serial, number), sender);
@@ -82,7 +83,7 @@
         let ownership = OwnershipRef { cell: cell.clone(), serial };
         let guard = SubmissionGuard { entry: Rc::clone(self), ownership, number };
         self.perform_actions(cell);
-        let outcome = receiver.await.unwrap_or(Outcome::Moved(Progress::default()));
+        let outcome = receiver.await.unwrap_or(Outcome::Aborted(Reason::NoOwner));
         drop(guard);
         Some((outcome, self.backlog_of(cell)))
     }
