Stop a run that shows after its lease was taken for expired

An owner that has taken the run of a silent worker for ended starts its task elsewhere. If the worker's next report still lists the run, because its process stood still, nothing stopped it: no stop was sent for a running run without a job, and it ended only with its lease.

The test fails before: no stop was sent for either of two runs.

--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -921,7 +921,8 @@
                     RunState::Starting | RunState::InDoubt if is_wanted => {
                         (run.state, run.since) = (RunState::Running, now);
                     }
-                    RunState::InDoubt => {
+                    // Also a run whose lease was taken for expired while its worker was silent.
+                    RunState::InDoubt | RunState::Running if !is_wanted => {
                         (run.state, run.since) = (RunState::Stopping, now);
                         changes.push(RunUpdate::Stop { task: task.clone(), run: run.run });
                     }
@@ -931,6 +932,7 @@
                     }
                     RunState::Starting
                     | RunState::Running
+                    | RunState::InDoubt
                     | RunState::Stopping
                     | RunState::Stopped => {}
                 }
--- a/crates/pool/tests/losses.rs
+++ b/crates/pool/tests/losses.rs
@@ -6,9 +6,9 @@
 
 use dispatch::clock::Millis;
 use pool::bounds::STALL_MS;
-use pool::call::{PollReply, Refusal, Report, StartReply, StopReply};
+use pool::call::{ActiveRun, PollReply, Refusal, Report, StartReply, StopReply};
 use pool::catalogue::{WorkerEntry, WorkerState};
-use pool::job::PreviousOwner;
+use pool::job::{PreviousOwner, TaskName};
 use pool::loss::{LossCause, WorkerLife};
 use pool::pool::{Action, Pool, Submission};
 use pool::tokens::first_token;
@@ -287,3 +287,23 @@
     let runs: usize = pool.workers().map(|(_, worker)| worker.runs.len()).sum();
     assert!(runs <= 1, "{runs} runs are kept");
 }
+
+/// Guards against a run beside its successor: its worker was silent beyond its lease, stood still and
+/// runs it on.
+#[test]
+fn a_run_that_shows_after_its_lease_was_taken_for_expired_is_stopped() {
+    let mut pool = pool_with_runs(WorkerState::Ready);
+    for ms in (20..=LEASE_BOUND_MS + STALL_MS + 20).step_by(20) {
+        pool.poll_reply(Millis(ms), "0", Millis(ms), &PollReply::Lost);
+    }
+    let interrupted = pool.take_actions().into_iter();
+    let interrupted = interrupted.filter(|a| matches!(a, Action::ReportInterruption(_))).count();
+    assert_eq!(interrupted, 2, "both tasks may start again");
+    let task = |index| TaskName { job: Rc::from(ID), step: 0, index };
+    let active = |index| ActiveRun { task: Some(task(index)), run: 1, percent: 50 };
+    let running = vec![active(0), active(1)];
+    let report = Report { clock_ms: 6_400, started_at_ms: Some(1), running, ended: Vec::new() };
+    pool.poll_reply(Millis(1_400), "0", Millis(1_390), &PollReply::Report(report));
+    let stops = pool.take_actions().into_iter().filter(|a| matches!(a, Action::Stop(..)));
+    assert_eq!(stops.count(), 2);
+}
