Keep the requests of one submitter for one job apart

An owner kept the jobs of other daemons by the submitter's process and the id of the job. A second request of the same process for the same job, for example after its caller had sent it again or its link was replaced, took the entry of the first one.

- a cancellation of the first request ended the second one, whose submitter got no reply, and left the run to the first one,
- the end of the first request, also by its link, removed the entry of the second one: a cancellation of that one was ignored, and its contact was not recorded, so that its run lost its lease.

A cancelled request also stayed in progress until its link closed, and kept the owner pinging.

Requests are now numbered by their submitter, and cancellations and withdrawals name the number. Messages of the version before are read and mean the last request of the job, as before. A cancelled request ends.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod ownership;
 pub mod peers;
 pub mod protocol;
+pub mod remote_jobs;
 pub mod route;
 pub mod run;
 pub mod settings;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,9 +1,9 @@
 //! Handles the requests of other entry daemons.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
-use dispatch::ticket::Incarnation;
 use peers::links::{ContactObserver, Requester};
 use pool::bounds::CONTACT_MS;
 use pool::job::{Outcome, Reason};
@@ -11,17 +11,22 @@
 use pool::pool::Submission;
 
 use crate::protocol::{Reply, Request, RunRequest};
-use crate::state::{Entry, RemoteJob, RemoteJobKey};
+use crate::remote_jobs::{RemoteJob, RemoteJobKey};
+use crate::state::Entry;
 
 /// Removes a job that another daemon submitted from `remote_jobs` when its request ends.
 struct RemoteJobGuard {
     entry: Rc<Entry>,
     key: RemoteJobKey,
+    /// Serial of the ownership and submission number, once the job was submitted.
+    submission: Cell<Option<(u64, u64)>>,
 }
 
 impl Drop for RemoteJobGuard {
     fn drop(&mut self) {
-        self.entry.remote_jobs.borrow_mut().remove(&self.key);
+        if let Some((serial, number)) = self.submission.get() {
+            self.entry.remote_jobs.borrow_mut().remove(&self.key, serial, number);
+        }
     }
 }
 
@@ -34,7 +39,7 @@
         let remote = self.remote_jobs.borrow();
         let mut owned = self.owned.borrow_mut();
         let mut is_withheld = false;
-        for job in remote.values().filter(|job| job.connection == connection) {
+        for job in remote.on_connection(connection) {
             let owned = owned.get_mut(&job.cell).filter(|owned| owned.serial == job.serial);
             let Some(owned) = owned else { continue };
             is_withheld |= owned.pool.lacks_contact();
@@ -56,8 +61,8 @@
         let from = requester.incarnation;
         match request {
             Request::Run(request) => Some(self.run_for_peer(requester, *request).await),
-            Request::Cancel(job) => {
-                self.cancel_for_peer(from, job);
+            Request::Cancel(job, attempt) => {
+                self.cancel_for_peer(&(from, job), attempt);
                 None
             }
             Request::Rejoin => {
@@ -107,8 +112,8 @@
                 self.loads_changed.notify_waiters();
                 None
             }
-            Request::Withdraw(job) => {
-                self.withdraw_for_peer(from, job);
+            Request::Withdraw(job, attempt) => {
+                self.withdraw_for_peer(&(from, job), attempt);
                 None
             }
         }
@@ -116,12 +121,17 @@
 
     async fn run_for_peer(self: &Rc<Self>, requester: Requester, request: RunRequest) -> Reply {
         let Requester { incarnation: from, connection, contact_ms } = requester;
-        let RunRequest { cell, submission, submitter, echoes_pings } = request;
+        let RunRequest { cell, submission, submitter, echoes_pings, attempt } = request;
         let demand = Demand::of(&submission.spec);
         let key = (from, Rc::clone(&submission.spec.id));
-        let _guard = RemoteJobGuard { entry: Rc::clone(self), key: key.clone() };
+        let guard = RemoteJobGuard {
+            entry: Rc::clone(self),
+            key: key.clone(),
+            submission: Cell::default(),
+        };
         let on_submit = |serial, number| {
-            let job = RemoteJob { connection, cell: cell.clone(), serial, number };
+            guard.submission.set(Some((serial, number)));
+            let job = RemoteJob { attempt, connection, cell: cell.clone(), serial, number };
             self.remote_jobs.borrow_mut().insert(key, job);
             self.with_pool(&cell, serial, |pool, now| {
                 let contact_at = if echoes_pings { contact_ms.map(Millis) } else { Some(now) };
@@ -144,17 +154,26 @@
 
     /// Withdraws a queued job that another daemon submitted. If the job has started or is not known,
     /// nothing happens, and the other daemon learns that from its outcome.
-    fn withdraw_for_peer(self: &Rc<Self>, from: Incarnation, job: Rc<str>) {
-        let found = self.remote_jobs.borrow().get(&(from, job)).cloned();
+    fn withdraw_for_peer(self: &Rc<Self>, key: &RemoteJobKey, attempt: u64) {
+        let found = self.remote_jobs.borrow().find(key, attempt).cloned();
         if let Some(RemoteJob { cell, serial, number, .. }) = found {
             self.withdraw_submission(&cell, serial, number);
         }
     }
 
-    fn cancel_for_peer(self: &Rc<Self>, from: Incarnation, job: Rc<str>) {
-        let found = self.remote_jobs.borrow_mut().remove(&(from, job));
+    /// Ends a request whose submitter no longer waits for it. Other requests for the same job, also
+    /// those of the same submitter, go on.
+    fn cancel_for_peer(self: &Rc<Self>, key: &RemoteJobKey, attempt: u64) {
+        let found = self.remote_jobs.borrow().find(key, attempt).cloned();
         let Some(RemoteJob { cell, serial, number, .. }) = found else { return };
+        self.remote_jobs.borrow_mut().remove(key, serial, number);
         self.with_pool(&cell, serial, |pool, now| pool.cancel(now, number));
+        // Lets the request end. A submitter that still waits, because it did not say which request it
+        // means, must not take its job for one that was not started.
+        let sender = self.outcome_senders.borrow_mut().remove(&(serial, number));
+        if let Some(sender) = sender {
+            let _ = sender.send(Outcome::Aborted(Reason::NoOwner));
+        }
         self.perform_actions(&cell);
     }
 }
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -47,6 +47,10 @@
     /// them, whose request counts as a sign of life when it is read.
     #[serde(deserialize_with = "or_default")]
     pub echoes_pings: bool,
+    /// Number of the request, unique within the submitter's process, by which it cancels or withdraws
+    /// this one; zero from a daemon of a version that does not number its requests.
+    #[serde(deserialize_with = "or_default")]
+    pub attempt: u64,
 }
 
 /// Request or notification from one daemon to another.
@@ -55,8 +59,9 @@
 pub enum Request {
     /// Run a job on a cell that the receiver owns, and return its outcome.
     Run(Box<RunRequest>),
-    /// Notification that the sender no longer waits for the job with this id that it submitted.
-    Cancel(Rc<str>),
+    /// Notification that the sender no longer waits for the job with this id that it submitted in the
+    /// request with this number; zero as in [`RunRequest::attempt`].
+    Cancel(Rc<str>, #[serde(deserialize_with = "or_default")] u64),
     /// Notification that the store rebalances the cells: the receiver should rejoin the group at
     /// once.
     Rejoin,
@@ -93,9 +98,10 @@
     /// Notification that a cell of the sender, which refused a job of the receiver a short time ago,
     /// has room again.
     CellLoad(LoadReport),
-    /// Notification that the sender would submit the job with this id to another cell if it is still
-    /// queued at the receiver. The outcome of the job shows whether the receiver has withdrawn it.
-    Withdraw(Rc<str>),
+    /// Notification that the sender would submit the job with this id to another cell if the request
+    /// with this number is still queued at the receiver. The outcome of the job shows whether the
+    /// receiver has withdrawn it. The number is zero as in [`RunRequest::attempt`].
+    Withdraw(Rc<str>, #[serde(deserialize_with = "or_default")] u64),
     /// Notification of the speeds that the sender learned while it owned a cell of the receiver.
     Speeds(CellSpeeds),
 }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -68,6 +68,7 @@
     entry: Rc<Entry>,
     addr: SocketAddr,
     job: Rc<str>,
+    attempt: u64,
     is_finished: bool,
 }
 
@@ -77,7 +78,7 @@
             return;
         }
         let (entry, addr) = (Rc::clone(&self.entry), self.addr);
-        let message = Request::Cancel(Rc::clone(&self.job));
+        let message = Request::Cancel(Rc::clone(&self.job), self.attempt);
         actix_rt::spawn(async move {
             if let Err(error) = entry.links.notify(addr, message).await {
                 log::info!("part=route event=cancel_lost owner={addr} why=\"{error}\"");
@@ -134,8 +135,8 @@
 enum Place {
     /// In a pool of this daemon, with the serial of the ownership and the submission number.
     Local(u64, u64),
-    /// At another daemon.
-    Remote(SocketAddr),
+    /// At another daemon, with the number of the request.
+    Remote(SocketAddr, u64),
 }
 
 impl JobRequest {
@@ -350,10 +351,16 @@
             return Ok(result.map(|(outcome, backlog)| (outcome, backlog, Vec::new())));
         }
         let Some(addr) = self.owner_of(cell) else { return Err(Attempt::NotStarted) };
-        place.set(Some(Place::Remote(addr)));
+        let attempt = self.allocate_attempt();
+        place.set(Some(Place::Remote(addr, attempt)));
         let job = Rc::clone(&submission.spec.id);
-        let submitter = Some(self.settings.advertised);
-        let message = RunRequest { cell: cell.clone(), submission, submitter, echoes_pings: true };
+        let message = RunRequest {
+            cell: cell.clone(),
+            submission,
+            submitter: Some(self.settings.advertised),
+            echoes_pings: true,
+            attempt,
+        };
         match self.run_remotely(addr, message).await {
             Ok(answer) => {
                 self.responsiveness.borrow_mut().record_reply(addr);
@@ -430,7 +437,7 @@
         queued: &QueuedJob<'_>,
     ) -> Option<Moving> {
         let place = queued.place.get()?;
-        if let Place::Remote(addr) = place
+        if let Place::Remote(addr, _) = place
             && !self.withdrawing_peers.borrow().contains(&addr)
         {
             return None;
@@ -449,10 +456,10 @@
         let deduction = DeductionGuard::new(self, &better, queued.demand);
         match place {
             Place::Local(serial, number) => self.withdraw_submission(queued.cell, serial, number),
-            Place::Remote(addr) => {
+            Place::Remote(addr, attempt) => {
                 let (entry, job) = (Rc::clone(self), Rc::clone(&queued.job));
                 actix_rt::spawn(async move {
-                    let message = Request::Withdraw(Rc::clone(&job));
+                    let message = Request::Withdraw(Rc::clone(&job), attempt);
                     if let Err(error) = entry.links.notify(addr, message).await {
                         log::info!(
                             "part=route event=withdraw_lost job={job} owner={addr} why=\"{error}\""
@@ -472,7 +479,8 @@
         let job = Rc::clone(&message.submission.spec.id);
         let left_ms = message.submission.limit_ms.saturating_sub(message.submission.age_ms);
         let wait_ms = left_ms + REPLY_MARGIN_MS;
-        let mut guard = ForwardGuard { entry: Rc::clone(self), addr, job, is_finished: false };
+        let (entry, attempt) = (Rc::clone(self), message.attempt);
+        let mut guard = ForwardGuard { entry, addr, job, attempt, is_finished: false };
         let reply = self.links.call(addr, Request::Run(Box::new(message)), wait_ms).await;
         guard.is_finished = reply.is_ok();
         match reply? {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -34,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::ownership::GroupState;
 use crate::protocol::EntryProtocol;
+use crate::remote_jobs::RemoteJobs;
 use crate::settings::Settings;
 use crate::speeds::ReleasedSpeeds;
 use crate::worker_counts::ZoneCount;
@@ -59,23 +60,6 @@
     pub holder: Option<SocketAddr>,
 }
 
-/// Key of a job that another daemon submitted here: the incarnation of that daemon (the id of its
-/// process) and the id of the job.
-pub type RemoteJobKey = (Incarnation, Rc<str>);
-
-/// A job that another daemon submitted here.
-#[derive(Clone, Debug)]
-pub struct RemoteJob {
-    /// Number of the connection on which the request arrived.
-    pub connection: u64,
-    /// Cell on which the job runs.
-    pub cell: Cell,
-    /// Serial of the ownership of the cell.
-    pub serial: u64,
-    /// Submission number.
-    pub number: u64,
-}
-
 /// An entry daemon.
 #[derive(Debug)]
 pub struct Entry {
@@ -197,10 +181,11 @@
     /// Wakes the loop that drives the pools.
     pub pools_changed: Notify,
     /// Jobs that other daemons submitted here.
-    pub remote_jobs: RefCell<HashMap<RemoteJobKey, RemoteJob>>,
+    pub remote_jobs: RefCell<RemoteJobs>,
     /// Senders of the outcomes of jobs, by serial of the ownership and submission number.
     pub(crate) outcome_senders: RefCell<HashMap<(u64, u64), oneshot::Sender<Outcome>>>,
     next_serial: Value<u64>,
+    last_attempt: Value<u64>,
 }
 
 impl Entry {
@@ -273,6 +258,7 @@
             remote_jobs: RefCell::default(),
             outcome_senders: RefCell::default(),
             next_serial: Value::new(1),
+            last_attempt: Value::default(),
             settings,
         }))
     }
@@ -296,6 +282,13 @@
         serial
     }
 
+    /// Returns a number for a request that submits a job to another daemon, unique within this process
+    /// and not zero.
+    pub fn allocate_attempt(&self) -> u64 {
+        self.last_attempt.set(self.last_attempt.get() + 1);
+        self.last_attempt.get()
+    }
+
     /// Whether requests may be sent to a daemon, because it did not fail to reply lately.
     pub fn is_responsive(&self, addr: SocketAddr) -> bool {
         self.responsiveness.borrow().is_responsive(addr, self.now())
--- a/crates/entry/tests/messages.rs
+++ b/crates/entry/tests/messages.rs
@@ -44,6 +44,7 @@
         submission,
         submitter: Some(([127, 0, 0, 1], 7_000).into()),
         echoes_pings: true,
+        attempt: 5,
     }
 }
 
@@ -67,7 +68,8 @@
         Request::TakeOver(cell.clone(), 7),
         Request::Hello(addr, "z0".into()),
         Request::WorkerCounts,
-        Request::Withdraw("0000000000000001".into()),
+        Request::Cancel("0000000000000001".into(), 5),
+        Request::Withdraw("0000000000000001".into(), 5),
         Request::Run(Box::new(run_request())),
         Request::Speeds(CellSpeeds {
             cell: Cell { zone: "z0".into(), partition: 9 },
@@ -177,6 +179,9 @@
     let bytes = (&request.cell, &request.submission, &request.submitter);
     let read: RunRequest = postcard::from_bytes(&postcard::to_allocvec(&bytes).unwrap()).unwrap();
     assert_eq!((read.submitter, read.echoes_pings), (request.submitter, false));
+    let bytes = (&request.cell, &request.submission, &request.submitter, request.echoes_pings);
+    let read: RunRequest = postcard::from_bytes(&postcard::to_allocvec(&bytes).unwrap()).unwrap();
+    assert_eq!((read.echoes_pings, read.attempt), (true, 0));
     let bytes = postcard::to_allocvec(&request).unwrap();
     let (_, submission): (Cell, Submission) = postcard::from_bytes(&bytes).unwrap();
     assert_eq!(submission.spec, request.submission.spec);
@@ -233,3 +238,20 @@
     assert_eq!(reports.len(), 1);
     assert!(postcard::to_allocvec(&reports[0]).unwrap().len() <= 24);
 }
+
+/// Guards against cancellations that are lost in a rolling update because the other version cannot read
+/// which request they end.
+#[test]
+fn cancellations_are_read_by_and_from_the_version_before() {
+    let id = "0000000000000001";
+    for request in [Request::Cancel(id.into(), 5), Request::Withdraw(id.into(), 5)] {
+        let bytes = postcard::to_allocvec(&request).unwrap();
+        let before: (u32, String) = postcard::from_bytes(&bytes).unwrap();
+        assert_eq!(before.1, id);
+        let read = postcard::from_bytes(&postcard::to_allocvec(&before).unwrap());
+        let Ok(Request::Cancel(read, 0) | Request::Withdraw(read, 0)) = read else {
+            panic!("{request:?} of the version before cannot be read");
+        };
+        assert_eq!(&*read, id);
+    }
+}
