Wait for the runs of a lost owner also after a handover

A job whose owner has stopped responding is submitted to the next owner with its tasks in doubt for 1,470 ms. If that owner handed the cell over, the one after it took the tasks for runs that were handed over, and waited for 1,020 ms only. The first owner starts and renews for 200 ms after the last sign of life of the submitter, so that its run could be active still.

The test failed before: cut after 210 ms, two runs.

--- a/crates/pool/src/adoption.rs
+++ b/crates/pool/src/adoption.rs
@@ -27,9 +27,13 @@
 /// milliseconds. An owner that stopped responding may still start runs until it notices the
 /// broken link, which takes up to [`LINK_TIMEOUT_MS`]. Its last start may have reached a process of the
 /// worker that it did not know, which shortens the lease to its maximum only.
-pub(crate) const fn in_doubt_ms(previous_owner: &PreviousOwner) -> u64 {
+pub(crate) fn in_doubt_ms(previous_owner: &PreviousOwner) -> u64 {
     match previous_owner {
         PreviousOwner::None => 0,
+        // The runs may be those of an owner that stopped responding to the one that reports them.
+        PreviousOwner::Reported(progress) if progress.has_unknown_runs() => {
+            IN_DOUBT_UNRESPONSIVE_MS
+        }
         PreviousOwner::Reported(_) => IN_DOUBT_REPORTED_MS,
         PreviousOwner::Unresponsive => IN_DOUBT_UNRESPONSIVE_MS,
     }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -168,6 +168,14 @@
     pub failures: Vec<(u32, u32)>,
 }
 
+impl Progress {
+    /// Whether tasks may have runs of an owner before the one that reports them, which that one has not
+    /// found.
+    pub(crate) fn has_unknown_runs(&self) -> bool {
+        self.placed.iter().any(|placed| placed.worker.is_empty())
+    }
+}
+
 /// The most recent start of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/pool/tests/owners_in_succession.rs
+++ b/crates/pool/tests/owners_in_succession.rs
@@ -131,6 +131,33 @@
     }
 }
 
+/// Guards against a next owner that counts with a previous one that handed its cell over, although the
+/// runs that it was told of are those of one that stopped responding.
+#[test]
+fn a_handover_shortens_no_wait_for_the_runs_of_an_owner_that_stopped_responding() {
+    for age_ms in (60..460).step_by(10) {
+        let mut old = Fleet::with_slow_clocks(1, 20);
+        let number = old.submit_remote(TASK_MS);
+        // The next owners reach the other one of their two workers only.
+        let mut next = Fleet::with_slow_clocks(2, 20);
+        next.down_until_ms[0] = u64::MAX;
+        next.replace_owner(Pool::new(first_token(2)));
+        old.run_for(age_ms);
+        next.run_for(old.now_ms - next.now_ms);
+        old.in_contact.remove(&number);
+        let moved = submit(&mut next, PreviousOwner::Unresponsive);
+        let progress = relinquish(&mut next, moved);
+        next.replace_owner(Pool::new(first_token(3)));
+        submit(&mut next, PreviousOwner::Reported(progress));
+        old.run_for(next.now_ms - old.now_ms);
+        while runs(&mut next) == 0 {
+            next.run_for(1);
+            old.run_for(1);
+        }
+        assert_eq!(runs(&mut old), 0, "cut after {age_ms} ms: two runs at {}", old.now_ms);
+    }
+}
+
 /// Guards against an owner that loses its cell, or starts a task again beside its run, because a worker
 /// refuses its earlier calls once it has seen the token that the owner continues under.
 #[test]
