Report the run that a waiting task waits for at a handover

A job that is submitted again while the stop of its earlier run is not confirmed waits for the end of that run. If its owner handed the cell over meanwhile, it reported the task as never started, and the next owner started it at once on another worker.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -21,7 +21,7 @@
 use crate::estimate::Estimates;
 use crate::evacuation::StartLimits;
 use crate::job::{
-    Job, JobSpec, Outcome, PreviousOwner, Progress, Reason, Step, TaskName, TaskState,
+    Job, JobSpec, Outcome, Placed, PreviousOwner, Progress, Reason, Step, TaskName, TaskState,
 };
 use crate::loss::{ProcessChange, WorkerLife, WorkerLoss};
 use crate::placement::{self, Conditions, TaskRequirements};
@@ -430,13 +430,39 @@
         let mut watchers: Vec<(u64, u64)> = self.watchers.drain().collect();
         watchers.sort_unstable();
         for (number, job) in watchers {
-            let progress = self.jobs.get(&job).map(Job::progress).unwrap_or_default();
-            self.actions.push(Action::Answer(number, Outcome::Moved(progress)));
+            let progress = self.jobs.get(&job).map(|job| self.progress_of(job));
+            let outcome = Outcome::Moved(progress.unwrap_or_default());
+            self.actions.push(Action::Answer(number, outcome));
         }
         self.jobs.clear();
         self.by_id.clear();
     }
 
+    /// Returns the progress of a job for the next owner. A task that waits for the end of a run counts
+    /// as placed, because the next owner must not start it before that either.
+    fn progress_of(&self, job: &Job) -> Progress {
+        let mut progress = job.progress();
+        let now = self.last_advance_at.unwrap_or_default();
+        for (task_index, task) in job.tasks.iter().enumerate() {
+            if task.state != TaskState::Pending {
+                continue;
+            }
+            let name = job.name(task_index);
+            let may_run = |(_, worker): &(&Rc<str>, &Worker)| worker.may_run(&name, now);
+            let mut workers = self.workers.iter().filter(may_run);
+            let Some((id, worker)) = workers.next() else { continue };
+            let run = worker.runs.get(&name).map(|run| run.run);
+            let run = run.max(worker.orphaned_runs.get(&name).map(|orphan| orphan.run));
+            let is_only_one = workers.next().is_none();
+            progress.placed.push(Placed {
+                task_index: task_index as u32,
+                run: task.run.max(run.unwrap_or_default()),
+                worker: if is_only_one { Rc::clone(id) } else { Rc::default() },
+            });
+        }
+        progress
+    }
+
     /// Renews the leases of all workers that reply, so that their runs are still alive when the next
     /// owner takes over after a handover.
     pub fn renew_all_leases(&mut self, now: Millis) {
--- a/crates/pool/tests/owners_in_succession.rs
+++ b/crates/pool/tests/owners_in_succession.rs
@@ -158,6 +158,30 @@
     }
 }
 
+/// Guards against a handover that tells nothing of an earlier run of a task, whose stop the worker has not
+/// confirmed.
+#[test]
+fn a_handover_names_the_run_that_a_waiting_task_waits_for() {
+    for age_ms in [10, 300] {
+        let case = format!("handed over after {age_ms} ms");
+        let mut fleet = Fleet::with_slow_clocks(2, 20);
+        let number = submit(&mut fleet, PreviousOwner::None);
+        fleet.run_for(50);
+        let worker = fleet.active().iter().position(|active| *active > 0).expect("a run");
+        fleet.stops_lost_until_ms = u64::MAX;
+        fleet.pool.cancel(Millis(fleet.now_ms), number);
+        // A job that was handed over before does not leave the queue.
+        let number = submit(&mut fleet, PreviousOwner::Reported(Progress::default()));
+        require_one_run(&mut fleet, age_ms, &case);
+        let progress = relinquish(&mut fleet, number);
+        fleet.down_until_ms[worker] = u64::MAX;
+        fleet.replace_owner(Pool::new(first_token(2)));
+        submit(&mut fleet, PreviousOwner::Reported(progress));
+        require_one_run(&mut fleet, 2_000, &case);
+        assert_eq!(runs(&mut fleet), 1, "{case}: not started again");
+    }
+}
+
 /// Guards against an owner that loses its cell, or starts a task again beside its run, because a worker
 /// refuses its earlier calls once it has seen the token that the owner continues under.
 #[test]
