Let requests for an open job share its runs

A caller sends its request again while the closing of its first connection has not been seen at this daemon. The second request was submitted to the cell with the most room, whose owner does not know of the first run: two runs of each task. The daemon knows the job by its id, so the request joins its run, which is cancelled when the last request leaves. Each request is answered by its own time limit.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -145,11 +145,23 @@
             limit_ms.min(left_ms.map_or(u64::MAX, |left_ms| left_ms - RESPONSE_MARGIN_MS));
         let mut guard = InFlightGuard::new(self, &spec.id, arrived_at);
         let tasks = spec.task_count();
-        let job = JobRequest { spec, terms: route.terms.clone(), arrived_at, limit_ms };
-        let mut trace = Trace::default();
-        let id = Rc::clone(&job.spec.id);
-        let outcome = self.open_jobs.run(&id, self.run_job(&job, &mut trace)).await;
+        let job = Rc::new(JobRequest { spec, terms: route.terms.clone(), arrived_at, limit_ms });
+        if self.open_jobs.contains(&job.spec.id) {
+            self.metrics.joined.with_label_values(&["submitter"]).inc();
+            log::info!("part=callers event=joined job={id}");
+        }
+        let run = {
+            let (entry, job) = (Rc::clone(self), Rc::clone(&job));
+            async move {
+                let mut trace = Trace::default();
+                let outcome = entry.run_job(&job, &mut trace).await;
+                (outcome, trace)
+            }
+        };
+        let result = self.open_jobs.run(&job.spec.id, limit_ms, run).await;
         guard.is_answered = true;
+        let (outcome, trace) = result.unzip();
+        let trace = trace.unwrap_or_default();
         let (response, why) = match &outcome {
             None => (render_cancelled(), "cancelled"),
             Some(outcome) => (render_outcome(outcome), outcome.as_str()),
--- a/crates/entry/src/cancel.rs
+++ b/crates/entry/src/cancel.rs
@@ -1,50 +1,100 @@
 //! Cancels jobs on behalf of their callers.
 //!
 //! A best-effort job is known only to the daemon that holds its caller's connection. A cancellation
-//! may arrive at any daemon, which then forwards it to all others. Dropping the caller's request
-//! stops the job's runs.
+//! may arrive at any daemon, which then forwards it to all others. Dropping the last request for a
+//! job stops the job's runs.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use futures_util::future::{Either, join_all, select};
+use futures_util::FutureExt as _;
+use futures_util::future::{Either, LocalBoxFuture, Shared, WeakShared, join_all, select};
+use pool::job::{Outcome, Reason};
 use tokio::sync::Notify;
 
 use crate::protocol::{Reply, Request};
+use crate::route::Trace;
 use crate::state::Entry;
 
 /// Time-out for the replies of other daemons to a cancellation, in milliseconds.
 const PEER_TIMEOUT_MS: u64 = 250;
 
+/// Outcome of a job and the attempts that were made to run it.
+pub type JobResult = (Outcome, Trace);
+type SharedRun = Shared<LocalBoxFuture<'static, JobResult>>;
+
 /// Jobs whose callers are connected to this daemon.
 #[derive(Debug, Default)]
 pub struct OpenJobs {
-    notifications: RefCell<HashMap<Rc<str>, Rc<Notify>>>,
+    jobs: RefCell<HashMap<Rc<str>, OpenJob>>,
+}
+
+/// A job and what its requests share.
+#[derive(Debug)]
+struct OpenJob {
+    cancel: Rc<Notify>,
+    // Dropping the last request drops the run, which cancels the job at its owner.
+    run: WeakShared<LocalBoxFuture<'static, JobResult>>,
 }
 
 impl OpenJobs {
-    /// Runs a request for a job until it completes or the job is cancelled. Returns `None` if it
-    /// was cancelled.
-    pub async fn run<T>(&self, job: &Rc<str>, request: impl Future<Output = T>) -> Option<T> {
-        let cancel = Rc::clone(self.notifications.borrow_mut().entry(Rc::clone(job)).or_default());
-        let guard = OpenJobGuard { jobs: self, job, cancel };
+    /// Runs a job for a request until it completes or is cancelled. Returns `None` if it was cancelled.
+    ///
+    /// If the job is open already, because the closing of an earlier caller's connection has not been
+    /// seen, `run` is dropped and the request joins the run of the job for `limit_ms` at the most: a
+    /// second one could be sent to another cell, whose owner does not know of the first.
+    pub async fn run(
+        &self,
+        job: &Rc<str>,
+        limit_ms: u64,
+        run: impl Future<Output = JobResult> + 'static,
+    ) -> Option<JobResult> {
+        let (guard, run, is_joined) = self.open(job, run);
         let cancelled = guard.cancel.notified();
+        let request = async {
+            if !is_joined {
+                return run.await;
+            }
+            let limit = Duration::from_millis(limit_ms);
+            let time_over = || (Outcome::Aborted(Reason::TimeOver), Trace::default());
+            actix_rt::time::timeout(limit, run).await.unwrap_or_else(|_| time_over())
+        };
         match select(std::pin::pin!(request), std::pin::pin!(cancelled)).await {
-            Either::Left((outcome, _)) => Some(outcome),
+            Either::Left((result, _)) => Some(result),
             Either::Right(_) => None,
         }
     }
 
+    /// Returns the run of a job, and whether it was open already.
+    fn open<'a>(
+        &'a self,
+        job: &'a Rc<str>,
+        run: impl Future<Output = JobResult> + 'static,
+    ) -> (OpenJobGuard<'a>, SharedRun, bool) {
+        let mut jobs = self.jobs.borrow_mut();
+        let known = jobs.get(job).and_then(|open| Some((&open.cancel, open.run.upgrade()?)));
+        if let Some((cancel, run)) = known {
+            return (OpenJobGuard { jobs: self, job, cancel: Rc::clone(cancel) }, run, true);
+        }
+        let (cancel, run) = (Rc::new(Notify::new()), run.boxed_local().shared());
+        if let Some(weak_run) = run.downgrade() {
+            let open_job = OpenJob { cancel: Rc::clone(&cancel), run: weak_run };
+            jobs.insert(Rc::clone(job), open_job);
+        }
+        (OpenJobGuard { jobs: self, job, cancel }, run, false)
+    }
+
     /// Whether a caller of the job is connected to this daemon.
     pub fn contains(&self, job: &str) -> bool {
-        self.notifications.borrow().contains_key(job)
+        self.jobs.borrow().contains_key(job)
     }
 
     /// Cancels all requests for a job. Returns whether there were any.
     pub fn cancel(&self, job: &str) -> bool {
-        let cancel = self.notifications.borrow().get(job).cloned();
+        let cancel = self.jobs.borrow().get(job).map(|open| Rc::clone(&open.cancel));
         if let Some(cancel) = &cancel {
             cancel.notify_waiters();
         }
@@ -66,7 +116,7 @@
 impl Drop for OpenJobGuard<'_> {
     fn drop(&mut self) {
         if Rc::strong_count(&self.cancel) <= LAST_REQUEST_REFERENCES {
-            self.jobs.notifications.borrow_mut().remove(self.job);
+            self.jobs.jobs.borrow_mut().remove(self.job);
         }
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -45,6 +45,8 @@
     pub forwarded: IntCounterVec,
     /// Offers of jobs to owners of cells, this daemon included, by the basis of the choice.
     pub offers: IntCounterVec,
+    /// Requests for jobs that were in progress, by the role of the daemon that knew of them.
+    pub joined: IntCounterVec,
     /// Requests to withdraw a queued job, by result.
     pub moves: IntCounterVec,
     /// Notices that a cell has room again, by what became of them.
@@ -148,6 +150,7 @@
             store_calls: counters("entry_store_calls_total", "Store calls.", &["call", "result"])?,
             forwarded: counters("entry_forwarded_total", "Jobs sent on.", &["result"])?,
             offers: counters("entry_offers_total", "Offers of jobs to cells.", &["basis"])?,
+            joined: counters("entry_joined_total", "Requests for jobs in progress.", &["by"])?,
             moves: counters("entry_moves_total", "Moves of queued jobs.", &["result"])?,
             free_notices: counters(
                 "entry_free_notices_total",
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -362,6 +362,26 @@
     }
 }
 
+/// Guards against a second run of a task, in another cell, for a request whose first caller's closing
+/// has not been seen.
+#[actix_rt::test]
+async fn requests_for_an_open_job_share_its_runs() {
+    let cluster = start(2, 1, 1).await;
+    // Leaves no room for the same job in the cell.
+    let job = job(1, 2, 900, "900");
+    let path = format!("{PATH_PREFIX}{}", job.id);
+    let body = adapter::callers::write_job(&job);
+    let first = cluster.send(cluster.daemons[0].callers_addr, "POST", &path, body, 500);
+    let second = async {
+        pause(200).await;
+        cluster.submit(0, &job).await
+    };
+    let (first, second) = futures_util::join!(first, second);
+    assert!(first.is_err(), "the job was answered before the first caller disconnected");
+    assert_eq!(second.map(|(status, _)| status), Ok(200));
+    assert_eq!(cluster.count_starts(&job), 2);
+}
+
 #[actix_rt::test]
 async fn draining_and_unhealthy_workers_get_no_tasks() {
     let cluster = start(1, 1, 3).await;
