Run a job that is sent again in the cell of its owner that has it

The cell of a request is chosen by load, so that the second request for a job may come to another cell of the owner that runs it, or that is still stopping its runs. The owner knows of both and started the job beside itself. It now submits the job to the cell that knows of it, where it joins the job or waits for the end of its run. Meanwhile the job is neither withdrawn nor displaced, and a refusal or a lost cell ends it in place of letting its submitter try other cells.

The new test in path.rs fails without it (60 starts of 30 tasks), and its last part if remote_jobs names the requested cell.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -11,6 +11,7 @@
 use pool::cells::Cell;
 use pool::contact::ContactChange;
 use pool::crashes::Crash;
+use pool::in_progress::{JobActivity, outcome_of_known_job};
 use pool::job::{Outcome, Progress};
 use pool::load_table::Demand;
 use pool::loss::{ProcessChange, WorkerLoss};
@@ -59,17 +60,24 @@
 
 impl Entry {
     /// Runs a job on an owned cell and waits for its outcome. Returns `None` if the cell is not
-    /// owned. Calls `on_submit` with the serial of the ownership and the submission number.
+    /// owned. If another owned cell knows the job, the job is submitted there. Calls `on_submit` with
+    /// the cell that gets the job, the serial of its ownership and the submission number.
     pub async fn run_locally(
         self: &Rc<Self>,
-        cell: &Cell,
-        submission: Submission,
-        on_submit: impl FnOnce(u64, u64),
+        requested: &Cell,
+        mut submission: Submission,
+        on_submit: impl FnOnce(&Cell, u64, u64),
     ) -> Option<(Outcome, Backlog)> {
-        if !self.may_take_job(&submission) {
+        let now = self.now_after_stall_check();
+        let (cell, activity) = self.choose_cell(requested, &submission, now)?;
+        let cell = &cell;
+        let is_known = activity != JobActivity::Unknown;
+        if is_known {
+            // A refusal would let the submitter try cells whose owners do not know the job.
+            submission.may_wait = true;
+        } else if !self.may_take_job(&submission) {
             return None;
         }
-        let now = self.now_after_stall_check();
         let (serial, number, receiver) = {
             let mut owned = self.owned.borrow_mut();
             let owned = owned.get_mut(cell)?;
@@ -78,13 +86,38 @@
             self.outcome_senders.borrow_mut().insert((owned.serial, number), sender);
             (owned.serial, number, receiver)
         };
-        on_submit(serial, number);
+        on_submit(cell, serial, number);
         let ownership = OwnershipRef { cell: cell.clone(), serial };
         let guard = SubmissionGuard { entry: Rc::clone(self), ownership, number };
         self.perform_actions(cell);
         let outcome = receiver.await.unwrap_or(Outcome::Moved(Progress::default()));
         drop(guard);
-        Some((outcome, self.backlog_of(cell)))
+        let outcome =
+            if is_known { outcome_of_known_job(outcome, cell == requested) } else { outcome };
+        Some((outcome, self.backlog_of(requested)))
+    }
+
+    /// Returns the owned cell that gets a submission, with what its pool knows of the job, or `None` if
+    /// the requested cell is not owned.
+    fn choose_cell(
+        &self,
+        requested: &Cell,
+        submission: &Submission,
+        now: Millis,
+    ) -> Option<(Cell, JobActivity)> {
+        let owned = self.owned.borrow();
+        let (requested, _) = owned.get_key_value(requested)?;
+        let pools = owned.iter().map(|(cell, owned)| (cell, &owned.pool));
+        let (cell, activity) = submission.choose_pool(requested, pools, now);
+        if activity != JobActivity::Unknown {
+            self.metrics.joined.with_label_values(&["owner"]).inc();
+            log::info!(
+                "part=owner event=joined job={} cell={cell} requested={requested} state={}",
+                submission.spec.id,
+                activity.as_str(),
+            );
+        }
+        Some((cell.clone(), activity))
     }
 
     /// Returns the load of an owned cell.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -6,6 +6,7 @@
 use dispatch::ticket::Incarnation;
 use peers::links::{ContactObserver, Requester};
 use pool::bounds::CONTACT_MS;
+use pool::cells::Cell;
 use pool::job::{Outcome, Reason};
 use pool::load_table::Demand;
 use pool::pool::Submission;
@@ -120,10 +121,10 @@
         let demand = Demand::of(&submission.spec);
         let key = (from, Rc::clone(&submission.spec.id));
         let _guard = RemoteJobGuard { entry: Rc::clone(self), key: key.clone() };
-        let on_submit = |serial, number| {
-            let job = RemoteJob { connection, cell: cell.clone(), serial, number };
+        let on_submit = |at: &Cell, serial, number| {
+            let job = RemoteJob { connection, cell: at.clone(), serial, number };
             self.remote_jobs.borrow_mut().insert(key, job);
-            self.with_pool(&cell, serial, |pool, now| {
+            self.with_pool(at, serial, |pool, now| {
                 let contact_at = if echoes_pings { contact_ms.map(Millis) } else { Some(now) };
                 if let Some(at) = contact_at.filter(|at| now.since(*at) < CONTACT_MS) {
                     pool.record_contact(number, at);
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -342,7 +342,11 @@
     ) -> Result<Option<Answer>, Attempt> {
         if self.owned.borrow().contains_key(cell) {
             let demand = Demand::of(&submission.spec);
-            let on_submit = |serial, number| place.set(Some(Place::Local(serial, number)));
+            let on_submit = |at: &Cell, serial, number| {
+                if at == cell {
+                    place.set(Some(Place::Local(serial, number)));
+                }
+            };
             let result = self.run_locally(cell, submission, on_submit).await;
             if result.as_ref().is_some_and(|(outcome, _)| is_lack_of_room(outcome)) {
                 self.record_refused_daemon(cell, self.settings.advertised, demand);
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -382,6 +382,42 @@
     assert_eq!(cluster.count_starts(&job), 2);
 }
 
+/// Guards against a second run of a task for a request that another daemon sends to another cell of the
+/// same owner.
+#[actix_rt::test]
+async fn a_job_that_is_sent_again_runs_in_one_cell_of_its_owner() {
+    let mut cluster = start(2, 1, 1).await;
+    for _ in 1..44 {
+        cluster.add_worker(0).await;
+    }
+    // The zone has two cells from now on.
+    pause(4_000).await;
+    for id in 1..5 {
+        // Leaves no room for the same job in the cell, and fits the other one.
+        let job = job(id, 30, 500, "500");
+        let again = async {
+            pause(200).await;
+            cluster.submit(1, &job).await
+        };
+        let (first, again) = futures_util::join!(cluster.submit(0, &job), again);
+        let statuses = [first, again].map(|answer| answer.map(|(status, _)| status));
+        assert_eq!(statuses, [Ok(200), Ok(200)]);
+        assert_eq!(cluster.count_starts(&job), 30);
+    }
+    // The cancellation has to name the cell that got the job.
+    let job = job(9, 30, 1_500, "1500");
+    let (path, body) = (format!("{PATH_PREFIX}{}", job.id), adapter::callers::write_job(&job));
+    let leave = async |at: usize, after_ms| {
+        pause(200 * at as u64).await;
+        let addr = cluster.daemons[at].callers_addr;
+        cluster.send(addr, "POST", &path, body.clone(), after_ms).await.unwrap_err();
+    };
+    futures_util::join!(leave(0, 400), leave(1, 400));
+    pause(400).await;
+    assert_eq!(cluster.count_starts(&job), 30);
+    assert!(cluster.workers.iter().all(|worker| worker.active_count() == 0));
+}
+
 #[actix_rt::test]
 async fn draining_and_unhealthy_workers_get_no_tasks() {
     let cluster = start(1, 1, 3).await;
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -134,6 +134,7 @@
         let competes = |job: &Job| {
             arriving.is_none_or(|arriving| arriving.terms.service == job.terms.service)
                 && job.has_unsuspected_pending()
+                && !self.awaits_earlier_run(job, now)
                 && !self.crashes.is_confined(&job.terms.route, now)
         };
         let waiting = self.jobs.iter().filter(|(_, job)| competes(job));
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -283,6 +283,8 @@
     pub in_doubt_until: Millis,
     /// Latest time at which a submitter of the job was known to wait.
     pub(crate) contact_at: Millis,
+    /// Whether a run of an earlier submission may have been active when this one arrived.
+    pub(crate) had_earlier_run: bool,
 }
 
 impl Job {
@@ -317,6 +319,7 @@
             task_ms,
             in_doubt_until: now,
             contact_at: now,
+            had_earlier_run: false,
         }
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod failover;
 pub mod free_cores;
 pub mod free_notice;
+pub mod in_progress;
 pub mod job;
 pub mod load_table;
 pub mod loss;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -300,6 +300,7 @@
         job.apply_previous_progress(&previous_owner, now, in_doubt_ms(&previous_owner));
         self.mark_suspects(&mut job);
         self.adopt_runs(number, &mut job);
+        job.had_earlier_run = self.may_have_unwanted_run(&job.spec.id, now);
         let (route, work) = (&job.terms.route, job.total_work());
         match self.admission(&job, may_wait, now) {
             Admission::Refused(outcome) => {
@@ -338,11 +339,12 @@
 
     /// Withdraws a queued job so that it can be submitted to another cell. Returns whether the job was
     /// withdrawn; its submitter then gets the outcome [`Reason::Withdrawn`]. A job of which any task
-    /// may have been sent to a worker, by this or a previous owner, stays, and so does one that
-    /// another submission waits for.
+    /// may have been sent to a worker, by this or a previous owner or for an earlier submission, stays,
+    /// and so does one that another submission waits for.
     pub fn withdraw(&mut self, now: Millis, number: u64) -> bool {
         let Some(job_number) = self.watchers.get(&number).copied() else { return false };
-        let is_queued = self.jobs.get(&job_number).is_some_and(|job| !job.started);
+        let is_movable = |job: &Job| !job.started && !self.awaits_earlier_run(job, now);
+        let is_queued = self.jobs.get(&job_number).is_some_and(is_movable);
         let watchers = self.watchers.values().filter(|watched_job| **watched_job == job_number);
         if !is_queued || watchers.count() > 1 {
             return false;
