--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,11 +1,12 @@
 //! Handles the requests of other entry daemons.
 
-use std::cell::Cell;
+use std::cell::Cell as Value;
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
 use peers::links::{ContactObserver, Requester};
 use pool::bounds::CONTACT_MS;
+use pool::cells::Cell;
 use pool::job::{Outcome, Reason};
 use pool::load_table::Demand;
 use pool::pool::Submission;
@@ -19,7 +20,7 @@
     entry: Rc<Entry>,
     key: RemoteJobKey,
     /// Serial of the ownership and submission number, once the job was submitted.
-    submission: Cell<Option<(u64, u64)>>,
+    submission: Value<Option<(u64, u64)>>,
 }
 
 impl Drop for RemoteJobGuard {
@@ -127,13 +128,13 @@
         let guard = RemoteJobGuard {
             entry: Rc::clone(self),
             key: key.clone(),
-            submission: Cell::default(),
+            submission: Value::default(),
         };
-        let on_submit = |serial, number| {
+        let on_submit = |at: &Cell, serial, number| {
             guard.submission.set(Some((serial, number)));
-            let job = RemoteJob { attempt, connection, cell: cell.clone(), serial, number };
+            let job = RemoteJob { attempt, connection, cell: at.clone(), serial, number };
             self.remote_jobs.borrow_mut().insert(key, job);
-            self.with_pool(&cell, serial, |pool, now| {
+            self.with_pool(at, serial, |pool, now| {
                 let contact_at = if echoes_pings { contact_ms.map(Millis) } else { Some(now) };
                 if let Some(at) = contact_at.filter(|at| now.since(*at) < CONTACT_MS) {
                     pool.record_contact(number, at);
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -362,6 +362,62 @@
     }
 }
 
+/// Guards against a second run of a task, in another cell, for a request whose first caller's closing
+/// has not been seen.
+#[actix_rt::test]
+async fn requests_for_an_open_job_share_its_runs() {
+    let cluster = start(2, 1, 1).await;
+    // Leaves no room for the same job in the cell.
+    let job = job(1, 2, 900, "900");
+    let path = format!("{PATH_PREFIX}{}", job.id);
+    let body = adapter::callers::write_job(&job);
+    let first = cluster.send(cluster.daemons[0].callers_addr, "POST", &path, body, 500);
+    let second = async {
+        pause(200).await;
+        cluster.submit(0, &job).await
+    };
+    let (first, second) = futures_util::join!(first, second);
+    assert!(first.is_err(), "the job was answered before the first caller disconnected");
+    assert_eq!(second.map(|(status, _)| status), Ok(200));
+    assert_eq!(cluster.count_starts(&job), 2);
+}
+
+/// Guards against a second run of a task for a request that another daemon sends to another cell of the
+/// same owner.
+#[actix_rt::test]
+async fn a_job_that_is_sent_again_runs_in_one_cell_of_its_owner() {
+    let mut cluster = start(2, 1, 1).await;
+    for _ in 1..44 {
+        cluster.add_worker(0).await;
+    }
+    // The zone has two cells from now on.
+    pause(4_000).await;
+    for id in 1..5 {
+        // Leaves no room for the same job in the cell, and fits the other one.
+        let job = job(id, 30, 500, "500");
+        let again = async {
+            pause(200).await;
+            cluster.submit(1, &job).await
+        };
+        let (first, again) = futures_util::join!(cluster.submit(0, &job), again);
+        let statuses = [first, again].map(|answer| answer.map(|(status, _)| status));
+        assert_eq!(statuses, [Ok(200), Ok(200)]);
+        assert_eq!(cluster.count_starts(&job), 30);
+    }
+    // The cancellation has to name the cell that got the job.
+    let job = job(9, 30, 1_500, "1500");
+    let (path, body) = (format!("{PATH_PREFIX}{}", job.id), adapter::callers::write_job(&job));
+    let leave = async |at: usize, after_ms| {
+        pause(200 * at as u64).await;
+        let addr = cluster.daemons[at].callers_addr;
+        cluster.send(addr, "POST", &path, body.clone(), after_ms).await.unwrap_err();
+    };
+    futures_util::join!(leave(0, 400), leave(1, 400));
+    pause(400).await;
+    assert_eq!(cluster.count_starts(&job), 30);
+    assert!(cluster.workers.iter().all(|worker| worker.active_count() == 0));
+}
+
 #[actix_rt::test]
 async fn draining_and_unhealthy_workers_get_no_tasks() {
     let cluster = start(1, 1, 3).await;
