--- a/crates/pool/tests/event_orders.rs
+++ b/crates/pool/tests/event_orders.rs
@@ -10,7 +10,8 @@
 use proptest::strategy::Union;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use support::event_orders::{
-    CELLS, Change, Defect, Event, FOREVER_MS, Fate, Kind, NextProcess, Pick, Script, World,
+    CELLS, Change, Defect, Event, FOREVER_MS, Fate, Kind, NextProcess, Pick, STALL_MS, Script,
+    World,
 };
 
 /// Number of cases, unless the environment variable `PROPTEST_CASES` has another one.
@@ -111,6 +112,16 @@
     })
 }
 
+fn standstills() -> impl Strategy<Value = Event> {
+    let picks = prop_oneof![3 => Just(Pick::Busy), 1 => picks()];
+    let for_ms = prop_oneof![1_u64..=STALL_MS, Just(STALL_MS)];
+    (picks, for_ms).prop_map(|(pick, for_ms)| Event::StandStill { pick, for_ms })
+}
+
+fn unordered_calls() -> impl Strategy<Value = Event> {
+    (any::<u64>(), 100_u64..6_000).prop_map(|(seed, for_ms)| Event::Unordered { seed, for_ms })
+}
+
 fn helpless() -> impl Strategy<Value = Event> {
     (1_000_u64..6_000).prop_map(|for_ms| Event::Helpless { for_ms })
 }
@@ -141,7 +152,7 @@
             events.push((0, first));
             events.extend(rest);
             events[0].0 = idle_ms;
-            Script { slow_permille, patience_ms, events }
+            Script { slow_permille, patience_ms, closes_after_ms: 0, events }
         })
         .boxed()
 }
@@ -211,6 +222,41 @@
     scripts((0.9, late_starts()), vec![restarts_under_starts(), owners.boxed()])
 }
 
+/// Workers that stand still while nothing but time ends the runs of callers that leave, or while they
+/// are cut off.
+fn standing_workers() -> BoxedStrategy<Script> {
+    let kinds = vec![standstills().boxed(), silences().boxed(), leaves().boxed(), cuts().boxed()];
+    scripts((0.7, helpless().boxed()), kinds)
+}
+
+/// Workers that stand still beside everything else.
+fn standstills_in_any_order() -> BoxedStrategy<Script> {
+    let calls = [Kind::Start, Kind::Stop, Kind::Poll].map(|kind| calls(kind).boxed());
+    let mut kinds = calls.to_vec();
+    kinds.extend([restarts().boxed(), cuts().boxed(), owner_changes().boxed()]);
+    kinds.extend([stalls().boxed(), leaves().boxed(), unordered_calls().boxed()]);
+    kinds.extend([silences().boxed(), standstills().boxed()]);
+    scripts((0.9, standstills().boxed()), kinds)
+}
+
+/// Callers that stand still between their decision to leave and the end of their connection.
+fn standing_callers() -> BoxedStrategy<Script> {
+    let mut kinds = vec![silences().boxed(), leaves().boxed(), cuts().boxed()];
+    kinds.extend([owner_changes().boxed(), stalls().boxed(), unordered_calls().boxed()]);
+    let closes_after_ms = prop_oneof![1 => 1_u64..=STALL_MS, 2 => Just(STALL_MS)];
+    (scripts((0.5, helpless().boxed()), kinds), closes_after_ms)
+        .prop_map(|(script, closes_after_ms)| Script { closes_after_ms, ..script })
+        .boxed()
+}
+
+/// Calls to one worker, and their replies, that overtake each other.
+fn unordered() -> BoxedStrategy<Script> {
+    let mut kinds = vec![leaves().boxed(), restarts().boxed(), cuts().boxed()];
+    kinds.extend([owner_changes().boxed(), stalls().boxed(), calls(Kind::Stop).boxed()]);
+    kinds.extend([calls(Kind::Start).boxed(), unordered_calls().boxed()]);
+    scripts((0.9, unordered_calls().boxed()), kinds)
+}
+
 /// Number of cases that are played of a family.
 fn case_count(cases: u32) -> u32 {
     let variable = std::env::var("PROPTEST_CASES").ok();
@@ -270,10 +316,36 @@
     check(&restarted_owners(), Defect::Nothing, CASES);
 }
 
+/// Guards against runs that their workers end late.
+#[test]
+fn no_task_has_two_active_runs_when_workers_stand_still() {
+    check(&standing_workers(), Defect::Nothing, CASES);
+}
+
+#[test]
+fn no_task_has_two_active_runs_when_workers_stand_still_in_any_order_of_events() {
+    check(&standstills_in_any_order(), Defect::Nothing, CASES);
+}
+
+/// Guards against runs that go on for callers who close their connections late.
+#[test]
+fn no_task_has_two_active_runs_when_callers_close_late() {
+    check(&standing_callers(), Defect::Nothing, CASES);
+}
+
+/// Guards against rules that hold only if calls to a worker arrive in the order of their sending.
+#[test]
+fn no_task_has_two_active_runs_when_calls_overtake_each_other() {
+    check(&unordered(), Defect::Nothing, CASES);
+}
+
 /// Guards against families that no longer draw the orders that they are meant for.
 #[test]
 fn planted_faults_are_found() {
     let families = [
+        ("leases from the decision", standing_workers(), Defect::LeasesFromDecision),
+        ("leases from the decision, callers", standing_callers(), Defect::LeasesFromDecision),
+        ("long standstills", standing_workers(), Defect::LongStandstills),
         ("departures", departures(), Defect::ContactNotAsked),
         ("stalled owners", stalled_owners(), Defect::ContactNotAsked),
         ("starts at the next process", restarted_workers(), Defect::UnverifiedStarts),
--- a/crates/pool/tests/late_starts.rs
+++ b/crates/pool/tests/late_starts.rs
@@ -23,7 +23,7 @@
 const CASES: u32 = 500;
 
 const fn script(slow_permille: Vec<u64>, events: Vec<(u64, Event)>) -> Script {
-    Script { slow_permille, patience_ms: LINK_TIMEOUT_MS, events }
+    Script { slow_permille, patience_ms: LINK_TIMEOUT_MS, closes_after_ms: 0, events }
 }
 
 const fn defect_of(is_verified: bool) -> Defect {
--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
 use dispatch::clock::Millis;
@@ -16,13 +17,15 @@
 use standins::pool_worker::{PoolWorker, Work};
 
 use super::{cores, entry, job, terms};
-use pool::bounds::RESEND_MS;
+use pool::bounds::{CONTACT_MS, RESEND_MS};
 
 pub const CELLS: usize = 2;
 const TASK_CORES: u64 = 8;
 const WORKER_CORES: u64 = 16;
 const LIMIT_MS: u64 = 2_500;
 const MAX_SENDS: u32 = 4;
+/// Longest time for which a process of a caller or a worker stands still, in milliseconds.
+pub const STALL_MS: u64 = 300;
 /// Longest time that an owner sleeps while nothing is due, in milliseconds.
 const MAX_PAUSE_MS: u64 = 100;
 /// Longest interval at which a waiting poll looks for ends at its worker, in milliseconds.
@@ -51,6 +54,8 @@
     ReplyLost,
     /// Arrives after this time, while its caller still waits.
     Slow(u64),
+    /// The call and its reply take times that follow from this seed, within the time-out.
+    Unordered(u64),
     /// Gets no reply. The process that listens after `accepted_ms`, but within the call's time-out,
     /// accepts its connection and carries it out after `ms`, unless that process has ended.
     Late {
@@ -141,6 +146,16 @@
         for_ms: u64,
         leaves: bool,
     },
+    /// Calls to the workers and their replies overtake each other.
+    Unordered {
+        seed: u64,
+        for_ms: u64,
+    },
+    /// A worker's process stands still, unless another process does.
+    StandStill {
+        pick: Pick,
+        for_ms: u64,
+    },
     /// All stops and all cancellations are lost.
     Helpless {
         for_ms: u64,
@@ -161,6 +176,10 @@
     UnverifiedStarts,
     /// Owners count all submitters as waiting until their link is broken.
     ContactNotAsked,
+    /// Leases count from the decision to send them, and not from the submitter's last sign of life.
+    LeasesFromDecision,
+    /// Workers stand still for longer than owners count with.
+    LongStandstills,
 }
 
 /// A case of the property: each event follows the one before after a time.
@@ -170,6 +189,9 @@
     pub slow_permille: Vec<u64>,
     /// Silence after which the daemons of callers take a link for broken, in milliseconds.
     pub patience_ms: u64,
+    /// Time from a caller's decision that it has had no answer until it closes its connection, in
+    /// milliseconds.
+    pub closes_after_ms: u64,
     pub events: Vec<(u64, Event)>,
 }
 
@@ -222,6 +244,7 @@
     /// The process that has received the call, which its death would end.
     process: Option<u64>,
     has_reply: bool,
+    reply_ms: u64,
 }
 
 /// Sides of a link; a direction has the number of the side that receives.
@@ -251,6 +274,7 @@
     heard_ms: [u64; 2],
     silent_until_ms: [u64; 2],
     pinged_ms: u64,
+    echoed_ms: u64,
 }
 
 impl Sent {
@@ -271,6 +295,8 @@
     Reply(Sent, Reply),
     Message(usize, usize, Message),
     GiveUp(usize, u32),
+    /// A caller that has decided to leave closes its connection, which the owner is told after a time.
+    Close(usize, u32, u64),
     Send(usize),
     TakeOver(usize, usize),
     Publish(usize, Rc<str>, WorkerEntry),
@@ -281,6 +307,7 @@
     id: Rc<str>,
     worker: PoolWorker,
     down_until_ms: u64,
+    stands_until_ms: u64,
     processes: u64,
     published: (Rc<str>, WorkerEntry),
     cut: Option<(usize, Option<Kind>, Fate, u64)>,
@@ -304,6 +331,8 @@
     /// The link of the present submission.
     submission: Option<usize>,
     is_answered: bool,
+    /// Whether the caller has decided that it has had no answer to its last send.
+    is_given_up: bool,
     sends: u32,
 }
 
@@ -315,6 +344,7 @@
     requests: Vec<Request>,
     links: Vec<Link>,
     patience_ms: u64,
+    closes_after_ms: u64,
     cancels_lost_until_ms: u64,
     queue: BinaryHeap<Reverse<(u64, usize)>>,
     due: BTreeMap<usize, Due>,
@@ -338,6 +368,7 @@
                 id: Rc::clone(&published.0),
                 worker: PoolWorker::new(published.1.capacity, CLOCK_MS, *slow_permille),
                 down_until_ms: 0,
+                stands_until_ms: 0,
                 processes: 0,
                 published,
                 cut: None,
@@ -350,6 +381,7 @@
             requests: Vec::new(),
             links: Vec::new(),
             patience_ms: script.patience_ms,
+            closes_after_ms: script.closes_after_ms,
             cancels_lost_until_ms: 0,
             queue: BinaryHeap::new(),
             due: BTreeMap::new(),
@@ -441,11 +473,16 @@
                 pool.record_io(now);
             }
         }
-        if self.defect == Defect::ContactNotAsked {
-            for Link { owner, number, .. } in &self.links {
-                if let (Some(pool), Some(number)) = (&mut self.owners[*owner].pool, number) {
-                    pool.record_contact(*number, now);
-                }
+        for Link { owner, number, echoed_ms, .. } in &self.links {
+            let counts_with = match self.defect {
+                Defect::ContactNotAsked => true,
+                Defect::LeasesFromDecision => self.now_ms < echoed_ms + CONTACT_MS,
+                _ => false,
+            };
+            if let (true, Some(pool), Some(number)) =
+                (counts_with, &mut self.owners[*owner].pool, number)
+            {
+                pool.record_contact(*number, now);
             }
         }
     }
@@ -530,6 +567,7 @@
                 self.push(1, Due::Message(link, OWNER, Message::Echo(at_ms)));
             }
             Message::Echo(at_ms) => {
+                self.links[link].echoed_ms = at_ms;
                 if let Some(number) = number {
                     self.with_pool(owner, |pool, now| {
                         let is_withheld = pool.lacks_contact();
@@ -548,15 +586,27 @@
         }
     }
 
-    /// The caller of a request leaves, which its daemon tells the owner after a time.
-    fn leave(&mut self, request: usize, told_ms: u64) {
+    /// The caller of a request decides that it has had no answer, closes its connection and sends the
+    /// request again. Its daemon tells the owner after a time.
+    fn leave(&mut self, number: usize, told_ms: u64) {
+        let request = &mut self.requests[number];
+        if request.submission.is_none() || request.is_given_up {
+            return;
+        }
+        request.is_given_up = true;
+        let sends = request.sends;
+        self.push(self.closes_after_ms, Due::Close(number, sends, told_ms));
+        self.resend(number);
+    }
+
+    fn close(&mut self, request: usize, told_ms: u64) {
+        self.requests[request].arrived_ms = None;
         let Some(link) = self.requests[request].submission.take() else { return };
         self.links[link].is_closed[SUBMITTER] = true;
         if self.now_ms < self.cancels_lost_until_ms {
             self.links[link].silent_until_ms = [self.now_ms + FOREVER_MS; 2];
         }
         self.push(told_ms, Due::Message(link, OWNER, Message::Close));
-        self.resend(request);
     }
 
     /// Whether nothing can start any more.
@@ -622,12 +672,28 @@
         let armed = self.fates.iter().find(|fate| fate.0 == kind && now_ms < fate.2);
         let fate = cut.map(|cut| cut.2).or(armed.map(|fate| fate.1));
         let waits_ms = if let Call::Poll(poll) = &call { poll.wait_ms } else { 0 };
-        let timeout_ms = target.timeout_ms + waits_ms;
-        let mut sent =
-            Sent { owner, target, call, since_ms: now_ms, process: None, has_reply: true };
+        let target_ms = target.timeout_ms;
+        let timeout_ms = target_ms + waits_ms;
+        let mut sent = Sent {
+            owner,
+            target,
+            call,
+            since_ms: now_ms,
+            process: None,
+            has_reply: true,
+            reply_ms: 1,
+        };
         let arrives_ms = match fate {
             None => Some(1),
             Some(Fate::Slow(ms)) => Some(ms),
+            Some(Fate::Unordered(seed)) => {
+                let mut hasher = DefaultHasher::new();
+                (seed, self.last_due).hash(&mut hasher);
+                let drawn = hasher.finish();
+                let arrives_ms = 1 + drawn % (target_ms - 1);
+                sent.reply_ms = 1 + (drawn >> 32) % (target_ms - arrives_ms);
+                Some(arrives_ms)
+            }
             Some(Fate::ReplyLost | Fate::Lost | Fate::Late { .. }) => {
                 sent.has_reply = false;
                 if sent.call.kind() == Kind::Start {
@@ -666,21 +732,49 @@
 
     fn reply(&mut self, sent: Sent, reply: Reply) {
         if sent.has_reply {
-            self.push(1, Due::Reply(sent, reply));
+            self.push(sent.reply_ms, Due::Reply(sent, reply));
         }
     }
 
+    /// Puts off what a worker's process does with a call until it no longer stands still. A caller whose
+    /// time-out ends before gets no reply. Returns the call if the process is not standing still.
+    fn put_off(&mut self, mut sent: Sent, again: impl FnOnce(Sent) -> Due) -> Option<Sent> {
+        let node = &self.nodes[self.node_at(&sent.target)];
+        if self.now_ms >= node.stands_until_ms {
+            return Some(sent);
+        }
+        let resumes_ms = node.stands_until_ms;
+        sent.process.get_or_insert(node.worker.started_at_ms);
+        let waits_ms = if let Call::Poll(poll) = &sent.call { poll.wait_ms } else { 0 };
+        let times_out_ms = sent.since_ms + sent.target.timeout_ms + waits_ms;
+        if sent.has_reply && resumes_ms + sent.reply_ms > times_out_ms {
+            let after_ms = times_out_ms.saturating_sub(self.now_ms);
+            self.push(after_ms, Due::Reply(sent.clone(), sent.call.lost()));
+            sent.has_reply = false;
+        }
+        self.push(resumes_ms - self.now_ms, again(sent));
+        None
+    }
+
+    /// Whether the process of an owner or of a worker stands still.
+    fn stands_still(&self) -> bool {
+        let workers = self.nodes.iter().any(|node| self.now_ms < node.stands_until_ms);
+        workers || (0..self.owners.len()).any(|owner| self.is_frozen(owner))
+    }
+
     fn arrive(&mut self, sent: Sent) {
+        let Some(sent) = self.put_off(sent, Due::Arrival) else { return };
         let number = self.node_at(&sent.target);
         let node = &mut self.nodes[number];
         let worker = &mut node.worker;
         if sent.process.is_some_and(|process| process != worker.started_at_ms) {
-            return;
+            let lost = sent.call.lost();
+            return self.reply(sent, lost);
         }
         let is_verified = match self.defect {
             Defect::LateCallsOutliveProcesses => sent.has_reply,
             Defect::UnverifiedStarts => false,
-            Defect::Nothing | Defect::ContactNotAsked => true,
+            _ => true,
         };
         let is_for_other =
             node.id != sent.target.id || is_verified && sent.is_for_other(worker.started_at_ms);
@@ -725,10 +819,18 @@
             self.starts += 1;
             self.busy = number;
             for other in (0..self.nodes.len()).filter(|other| *other != number) {
-                self.nodes[other].worker.advance_to(self.now_ms);
+                if self.now_ms >= self.nodes[other].stands_until_ms {
+                    self.nodes[other].worker.advance_to(self.now_ms);
+                }
                 if self.nodes[other].worker.active.contains_key(&call.task) {
                     let at_ms = self.now_ms;
-                    let overlap = format!("{} on {other} and {number} at {at_ms} ms", call.task);
+                    let Node { worker, stands_until_ms, .. } = &self.nodes[other];
+                    let ends_ms = worker.next_end_ms(&call.task, at_ms).max(*stands_until_ms);
+                    let overlap = format!(
+                        "{} on {other} and {number} at {at_ms} ms for {} ms",
+                        call.task,
+                        ends_ms - at_ms
+                    );
                     self.overlap.get_or_insert(overlap);
                 }
             }
@@ -752,6 +854,9 @@
             }
             Due::Arrival(sent) => self.arrive(sent),
             Due::Wait(sent, until_ms) => {
+                let Some(sent) = self.put_off(sent, |sent| Due::Wait(sent, until_ms)) else {
+                    return;
+                };
                 let number = self.node_at(&sent.target);
                 let now_ms = self.now_ms;
                 let worker = &mut self.nodes[number].worker;
@@ -798,12 +903,18 @@
                     self.leave(request, 1);
                 }
             }
+            Due::Close(request, sends, told_ms) => {
+                if self.requests[request].sends == sends {
+                    self.close(request, told_ms);
+                }
+            }
             Due::Send(number) => {
                 let request = &mut self.requests[number];
                 if request.sends > 0 && request.resends_elsewhere {
                     request.cell = (request.cell + 1) % CELLS;
                 }
                 request.sends += 1;
+                request.is_given_up = false;
                 request.arrived_ms = Some(self.now_ms);
                 request.previous_owner = PreviousOwner::None;
                 let sends = request.sends;
@@ -887,6 +998,7 @@
                     previous_owner: PreviousOwner::None,
                     submission: None,
                     is_answered: false,
+                    is_given_up: false,
                     sends: 0,
                 });
                 self.push(0, Due::Send(self.requests.len() - 1));
@@ -910,9 +1022,24 @@
             }
             Event::Stall { cell, for_ms, reads_after_ms } => {
                 let owner = self.owner_of(cell).filter(|owner| !self.is_frozen(*owner));
-                let Some(owner) = owner else { return };
+                let Some(owner) = owner.filter(|_| !self.stands_still()) else { return };
                 self.freeze(owner, for_ms, reads_after_ms);
             }
+            Event::Unordered { seed, for_ms } => {
+                let until_ms = self.now_ms + for_ms;
+                for kind in [Kind::Start, Kind::Stop, Kind::Poll] {
+                    self.fates.push((kind, Fate::Unordered(seed), until_ms));
+                }
+            }
+            Event::StandStill { pick, for_ms } => {
+                let number = self.pick(pick);
+                if self.stands_still() || self.now_ms < self.nodes[number].down_until_ms {
+                    return;
+                }
+                let longer_ms = if self.defect == Defect::LongStandstills { STALL_MS } else { 0 };
+                self.nodes[number].worker.advance_to(self.now_ms);
+                self.nodes[number].stands_until_ms = self.now_ms + for_ms + longer_ms;
+            }
             Event::Leave { noticed_ms } => {
                 let Some(request) = self.requests.len().checked_sub(1) else { return };
                 self.leave(request, noticed_ms);
@@ -955,6 +1082,7 @@
         let clock_ms = CLOCK_MS.saturating_sub(node.processes * CLOCK_STEP_MS);
         node.worker.restart(now_ms, clock_ms);
         node.down_until_ms = now_ms + down_ms;
+        node.stands_until_ms = 0;
         if matches!(next, NextProcess::OtherId) {
             node.id = Rc::from(format!("{number}.{}", node.processes));
         }
@@ -1029,6 +1157,7 @@
                 heard_ms: [self.now_ms; 2],
                 silent_until_ms: [0; 2],
                 pinged_ms: self.now_ms,
+                echoed_ms: self.now_ms,
             });
             let link = self.links.len() - 1;
             self.push(1, Due::Message(link, OWNER, Message::Submit(submission)));
@@ -1048,6 +1177,10 @@
 
     fn answer(&mut self, number: usize, outcome: &Outcome) {
         self.note(&format!("job {number} is answered: {outcome:?}"));
+        if self.requests[number].is_given_up {
+            self.requests[number].arrived_ms = None;
+            return;
+        }
         match outcome {
             Outcome::Aborted(_) | Outcome::NotRun { .. } => self.resend(number),
             _ => self.requests[number].is_answered = true,
--- a/crates/standins/src/pool_worker.rs
+++ b/crates/standins/src/pool_worker.rs
@@ -146,6 +146,15 @@
         }
     }
 
+    /// Returns when a run ends after `now_ms` if no further call arrives, in milliseconds of the external
+    /// clock.
+    pub fn next_end_ms(&self, task: &TaskName, now_ms: u64) -> u64 {
+        let Some(run) = self.active.get(task) else { return now_ms };
+        let ends_ms = run.stop_at_ms.map_or(run.ends_at_ms, |stop_ms| stop_ms.min(run.ends_at_ms));
+        let has_lapsed = |at_ms: &u64| self.clock(*at_ms) >= self.lease_until_ms;
+        (now_ms..ends_ms).find(has_lapsed).unwrap_or(ends_ms.max(now_ms))
+    }
+
     /// Restarts the worker's process: its runs, fences, unacknowledged ends, fencing token and
     /// lease are lost, and its clock is ahead by `clock_offset_ms` from now on.
     pub fn restart(&mut self, now_ms: u64, clock_offset_ms: u64) {
