--- a/crates/pool/tests/event_orders.rs
+++ b/crates/pool/tests/event_orders.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use pool::bounds::STALL_MS;
 use proptest::collection::vec;
 use proptest::option;
 use proptest::prelude::*;
@@ -10,8 +11,7 @@
 use proptest::strategy::Union;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use support::event_orders::{
-    CELLS, Change, Defect, Event, FOREVER_MS, Fate, Kind, NextProcess, Pick, STALL_MS, Script,
-    World,
+    CELLS, Change, Defect, Event, FOREVER_MS, Fate, Kind, NextProcess, Pick, Script, World,
 };
 
 /// Number of cases, unless the environment variable `PROPTEST_CASES` has another one.
@@ -223,10 +223,20 @@
 }
 
 /// Workers that stand still while nothing but time ends the runs of callers that leave, or while they
-/// are cut off.
+/// are cut off. The last one does when its lease may end.
 fn standing_workers() -> BoxedStrategy<Script> {
     let kinds = vec![standstills().boxed(), silences().boxed(), leaves().boxed(), cuts().boxed()];
-    scripts((0.7, helpless().boxed()), kinds)
+    let last =
+        (leaves(), 0_u64..1_000, 500_u64..1_300).prop_map(|(leave, leaves_ms, stands_ms)| {
+            let standstill = Event::StandStill { pick: Pick::Busy, for_ms: STALL_MS };
+            [(leaves_ms, leave), (stands_ms, standstill)]
+        });
+    (scripts((0.7, helpless().boxed()), kinds), last)
+        .prop_map(|(mut script, last)| {
+            script.events.extend(last);
+            script
+        })
+        .boxed()
 }
 
 /// Workers that stand still beside everything else.
--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -17,15 +17,13 @@
 use standins::pool_worker::{PoolWorker, Work};
 
 use super::{cores, entry, job, terms};
-use pool::bounds::{CONTACT_MS, RESEND_MS};
+use pool::bounds::{CONTACT_MS, RESEND_MS, STALL_MS};
 
 pub const CELLS: usize = 2;
 const TASK_CORES: u64 = 8;
 const WORKER_CORES: u64 = 16;
 const LIMIT_MS: u64 = 2_500;
 const MAX_SENDS: u32 = 4;
-/// Longest time for which a process of a caller or a worker stands still, in milliseconds.
-pub const STALL_MS: u64 = 300;
 /// Longest time that an owner sleeps while nothing is due, in milliseconds.
 const MAX_PAUSE_MS: u64 = 100;
 /// Longest interval at which a waiting poll looks for ends at its worker, in milliseconds.
@@ -278,10 +276,14 @@
 }
 
 impl Sent {
-    /// Whether a start is meant for another process than this one.
+    /// Whether a start, or a renewal of a lease, is meant for another process than this one.
     fn is_for_other(&self, process: u64) -> bool {
-        self.call.kind() == Kind::Start
-            && self.target.process.is_some_and(|meant_for| meant_for != process)
+        let is_verified = match &self.call {
+            Call::Start(_) => true,
+            Call::Stop(_) => false,
+            Call::Poll(call) => call.lease_until_ms.is_some(),
+        };
+        is_verified && self.target.process.is_some_and(|meant_for| meant_for != process)
     }
 }
 
@@ -776,8 +778,13 @@
             Defect::UnverifiedStarts => false,
             _ => true,
         };
-        let is_for_other =
-            node.id != sent.target.id || is_verified && sent.is_for_other(worker.started_at_ms);
+        let is_for_other = is_verified && sent.is_for_other(worker.started_at_ms);
+        if is_for_other && sent.call.kind() == Kind::Poll && self.now_ms >= node.down_until_ms {
+            // The verification has shown another process, and the poll was not sent.
+            let lost = sent.call.lost();
+            return self.reply(sent, lost);
+        }
+        let is_for_other = node.id != sent.target.id || is_for_other;
         let refusal = if self.now_ms < node.down_until_ms {
             Some(Refusal::NotListening)
         } else {
