Keep a submission that an owner has lost from concluding its successor in the model

A request that reached a frozen owner after its submitter had given the link up was concluded as "not started" at that moment, although its job was already with the next owner. Case 17,812 of the orders with standstills was two runs of such a job.

--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -558,8 +558,12 @@
         match message {
             Message::Submit(submission) => {
                 let Some(pool) = &mut self.owners[owner].pool else {
-                    self.links[link].is_closed = [true; 2];
-                    return self.conclude(request, Attempt::NotStarted);
+                    let has_given_up =
+                        std::mem::replace(&mut self.links[link].is_closed, [true; 2])[SUBMITTER];
+                    if !has_given_up {
+                        self.conclude(request, Attempt::NotStarted);
+                    }
+                    return;
                 };
                 self.links[link].number = Some(pool.submit(now, submission));
                 self.links[link].pinged_ms = 0;
