Play an installation of the users' size with processes that stand still

Callers leave at their time limit or before and send again after 1,300 ms to any zone. Workers and callers record what they see; overlapping runs of a task are printed with start, stop, end, token, the requests of their job and the log lines that name it.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod evacuations;
 pub mod faults;
 pub mod proxy;
+pub mod rig;
 pub mod runner;
--- a/crates/standins/src/pool_worker.rs
+++ b/crates/standins/src/pool_worker.rs
@@ -146,6 +146,16 @@
         }
     }
 
+    /// Returns the active runs, with their number and the time of the external clock at which they end
+    /// unless their lease is renewed or they are stopped, in milliseconds.
+    pub fn planned_ends(&self, now_ms: u64) -> impl Iterator<Item = (&TaskName, u32, u64)> {
+        let lease_left_ms = self.lease_until_ms.saturating_sub(self.clock(now_ms));
+        self.active.iter().map(move |(task, active)| {
+            let ends_at_ms = active.ends_at_ms.min(now_ms + lease_left_ms);
+            (task, active.run, active.stop_at_ms.map_or(ends_at_ms, |at| at.min(ends_at_ms)))
+        })
+    }
+
     /// Restarts the worker's process: its runs, fences, unacknowledged ends, fencing token and
     /// lease are lost, and its clock is ahead by `clock_offset_ms` from now on.
     pub fn restart(&mut self, now_ms: u64, clock_offset_ms: u64) {
--- a/crates/standins/src/pool_worker_server.rs
+++ b/crates/standins/src/pool_worker_server.rs
@@ -70,6 +70,7 @@
     accepted: Rc<Accepted>,
     start_hook: RefCell<StartHook>,
     crash_hook: RefCell<StartHook>,
+    order_hook: RefCell<OrderHook>,
     resources: Resources,
     started: Instant,
 }
@@ -77,6 +78,19 @@
 /// Callback that receives the task of each started run.
 pub type StartCallback = Box<dyn Fn(&TaskName)>;
 
+/// Callback that receives each order that has been carried out, and whether it started a run.
+pub type OrderCallback = Box<dyn Fn(&WorkerCall, bool)>;
+
+/// Holder of the optional callback, for which [`Debug`](std::fmt::Debug) can be implemented.
+#[derive(Default)]
+struct OrderHook(Option<OrderCallback>);
+
+impl std::fmt::Debug for OrderHook {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("OrderHook")
+    }
+}
+
 /// Holder of the optional callback, for which [`Debug`](std::fmt::Debug) can be implemented.
 #[derive(Default)]
 struct StartHook(Option<StartCallback>);
@@ -123,6 +137,7 @@
             accepted: Rc::default(),
             start_hook: RefCell::default(),
             crash_hook: RefCell::default(),
+            order_hook: RefCell::default(),
             resources,
             started: Instant::now(),
         });
@@ -146,6 +161,11 @@
         *self.crash_hook.borrow_mut() = StartHook(Some(crash_hook));
     }
 
+    /// Calls `order_hook` with each order that is carried out from now on.
+    pub fn set_order_hook(&self, order_hook: OrderCallback) {
+        *self.order_hook.borrow_mut() = OrderHook(Some(order_hook));
+    }
+
     /// Sets the defect that the worker has from now on.
     pub fn set_defect(&self, defect: WorkerDefect) {
         self.worker.borrow_mut().defect = defect;
@@ -189,6 +209,17 @@
         worker.active.contains_key(task)
     }
 
+    /// Ends the runs that are over, and calls `observe` with each active one: its task, its number and the
+    /// time until it ends unless its lease is renewed or it is stopped.
+    pub fn observe_active(&self, mut observe: impl FnMut(&TaskName, u32, Duration)) {
+        let now_ms = self.now_ms();
+        let mut worker = self.worker.borrow_mut();
+        worker.advance_to(now_ms);
+        for (task, run, ends_at_ms) in worker.planned_ends(now_ms) {
+            observe(task, run, Duration::from_millis(ends_at_ms.saturating_sub(now_ms)));
+        }
+    }
+
     /// Returns the number of active runs.
     pub fn active_count(&self) -> usize {
         let mut worker = self.worker.borrow_mut();
@@ -245,6 +276,12 @@
         }
     }
 
+    fn report_order(&self, order: &WorkerCall, has_started: bool) {
+        if let OrderHook(Some(order_hook)) = &*self.order_hook.borrow() {
+            order_hook(order, has_started);
+        }
+    }
+
     async fn execute(&self, order: WorkerCall) -> Response {
         let now_ms = self.now_ms();
         let clock_ms = self.worker.borrow().clock(now_ms);
@@ -252,6 +289,7 @@
             WorkerCall::Start(call) => {
                 let work = parse_work(&call, self.resources);
                 let (reply, began) = self.worker.borrow_mut().start(now_ms, &call, work);
+                self.report_order(&WorkerCall::Start(call.clone()), began);
                 if began {
                     self.started_runs.borrow_mut().push((call.task.to_string(), call.run));
                     if let StartHook(Some(start_hook)) = &*self.start_hook.borrow() {
@@ -271,10 +309,16 @@
                     StartReply::Lost => Response::truncated(),
                 }
             }
-            WorkerCall::Stop(call) => match self.worker.borrow_mut().stop(now_ms, &call) {
-                StopReply::Refused(refusal) => render_refusal(refusal, clock_ms),
-                StopReply::Stopped | StopReply::Lost => render_success(clock_ms),
-            },
+            WorkerCall::Stop(call) => {
+                let reply = self.worker.borrow_mut().stop(now_ms, &call);
+                match reply {
+                    StopReply::Refused(refusal) => render_refusal(refusal, clock_ms),
+                    StopReply::Stopped | StopReply::Lost => {
+                        self.report_order(&WorkerCall::Stop(call), false);
+                        render_success(clock_ms)
+                    }
+                }
+            }
             WorkerCall::Poll(call) => {
                 self.polls.set(self.polls.get() + 1);
                 let refused = self.worker.borrow_mut().begin_poll(now_ms, &call);
