Count a confirmed stopping run from its confirmation

The start of a cancelled job that was still in flight left its run with the time of the cancellation. A poll that was sent after that, but carried out before the start, lacked the run, which counted as proof that it had ended: the owner forgot an active run, and started the task again if the job was sent again. The order needs two connections to one worker.

The test fails before: no run is known after the report.

--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -48,7 +48,7 @@
             StartReply::Started { clock_ms } => {
                 match run.state {
                     RunState::Starting => (run.state, run.since) = (RunState::Running, now),
-                    RunState::InDoubt => run.state = RunState::Stopping,
+                    RunState::InDoubt => (run.state, run.since) = (RunState::Stopping, now),
                     RunState::Running | RunState::Stopping | RunState::Stopped => {}
                 }
                 let first_poll_ms = (run.expected_ms as f64 * FIRST_POLL_FRACTION) as u64;
--- a/crates/pool/tests/losses.rs
+++ b/crates/pool/tests/losses.rs
@@ -307,3 +307,24 @@
     let stops = pool.take_actions().into_iter().filter(|a| matches!(a, Action::Stop(..)));
     assert_eq!(stops.count(), 2);
 }
+
+/// Guards against a task that starts again beside a run whose start overtook a poll: the poll was sent after
+/// the job was cancelled, and carried out before the start.
+#[test]
+fn a_cancelled_run_is_not_absent_from_a_report_that_was_asked_for_before_its_start_was_confirmed() {
+    let mut pool = Pool::new(first_token(7));
+    let id: Rc<str> = Rc::from("0");
+    pool.set_workers(Millis(0), std::iter::once((&id, &entry(0, 64))));
+    pool.poll_reply(Millis(0), "0", Millis(0), &report(1));
+    let number = pool.submit(Millis(1), one_task());
+    let start = pool.take_actions().into_iter().find_map(|action| match action {
+        Action::Start(_, call) => Some(call),
+        _ => None,
+    });
+    pool.cancel(Millis(5), number);
+    let started = StartReply::Started { clock_ms: 5_010 };
+    pool.start_reply(Millis(10), "0", &start.unwrap(), started);
+    pool.poll_reply(Millis(12), "0", Millis(6), &report(1));
+    let runs: usize = pool.workers().map(|(_, worker)| worker.runs.len()).sum();
+    assert_eq!(runs, 1, "the run may be active");
+}
