Grant leases of 700 ms, counted from the decision again

A run whose submitter was silent for 199 ms could start under a lease that had just been renewed for its neighbour and end 1,094 ms after that submitter's last sign of life, in place of 938. With transit and a standstill of its worker that is 1,444 of 1,300 ms.

Counting from the contact is taken back. A lease is 700 ms (734 on a slow clock) from the decision, in place of 900 (938), and the inequality has the contact again: 50 + 200 + 734 + 300 = 1,284 ms. A task in doubt is confirmed as absent only at a worker that names its process.

--- a/crates/pool/src/bounds.rs
+++ b/crates/pool/src/bounds.rs
@@ -35,11 +35,12 @@
 pub const IO_INTERVAL_MS: u64 = 120;
 
 /// Latest end of a run, counted from the decision that its caller has had no answer: the departure
-/// reaches the submitter's daemon, which is then known to wait no later than that, and leases count
-/// from that time. Holds whether the owner hears of the departure or not, stalls, dies or hands the
+/// reaches the submitter's daemon, which is then known to wait no later than that, and the owner counts
+/// with that for [`CONTACT_MS`]. A lease covers all runs on its worker, also those that start after it
+/// was granted. Holds whether the owner hears of the departure or not, stalls, dies or hands the
 /// cell over, and whichever direction of the link is cut, since nothing in it is the time of a
 /// detection. A run that no job adopts is never renewed.
-const LATEST_END_MS: u64 = TRANSIT_MS + LEASE_BOUND_MS;
+const LATEST_END_MS: u64 = TRANSIT_MS + CONTACT_MS + LEASE_BOUND_MS;
 const _: () =
     assert!(LATEST_END_MS + STALL_MS < RESEND_MS, "a run outlives the next request of its caller");
 /// The same for a worker whose reports do not name its process, which may grant its longest lease from
--- a/crates/pool/src/contact.rs
+++ b/crates/pool/src/contact.rs
@@ -5,14 +5,11 @@
 //! owner: their callers send the jobs again, while the owner notices only that a link is silent. An
 //! owner that stalls itself has not read that its own callers have gone. See `docs/design/on-the-platform.md`.
 
-use std::collections::HashMap;
-
 use dispatch::clock::Millis;
 
 use crate::bounds::CONTACT_MS;
 use crate::job::Job;
 use crate::pool::{Action, Pool};
-use crate::worker::Worker;
 
 /// A change in whether all submitters of a cell's jobs are known to wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,14 +44,6 @@
     }
 }
 
-/// Returns the time from which a lease on a worker counts, which covers all of its runs: the oldest of
-/// the last signs of life of their submitters.
-pub(crate) fn oldest_contact(jobs: &HashMap<u64, Job>, worker: &Worker) -> Millis {
-    let jobs_of_runs = worker.runs.values().filter_map(|run| run.task_ref);
-    let known = jobs_of_runs.filter_map(|(number, _)| jobs.get(&number));
-    known.map(|job| job.contact_at).min().unwrap_or(Millis(u64::MAX))
-}
-
 impl Pool {
     /// Records that the submitter of a submission was known to wait at `at`: a lower bound on the time
     /// of its last sign of life, by this daemon's clock. If several submissions wait for one job, the
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -16,7 +16,7 @@
 use crate::call::{PollCall, StartCall, StopCall, Target};
 use crate::catalogue::{Terms, WorkerEntry};
 use crate::cold::ColdSlowdown;
-use crate::contact::{ContactChange, oldest_contact};
+use crate::contact::ContactChange;
 use crate::crashes::CrashHistory;
 use crate::estimate::Estimates;
 use crate::evacuation::StartLimits;
@@ -471,10 +471,9 @@
         self.update_contact(now);
         let timeout_ms = self.round_trip.timeout_ms();
         let renewal_call = |(id, worker): (&Rc<str>, &mut Worker)| {
-            let contact_at = oldest_contact(&self.jobs, worker);
             let call = PollCall {
                 token: worker.token,
-                lease_until_ms: Some(worker.renew_lease(now, contact_at)?),
+                lease_until_ms: Some(worker.renew_lease(now)?),
                 ack_cursor: worker.ack_cursor(),
                 wait_ms: 0,
             };
@@ -570,11 +569,10 @@
             return;
         }
         let cold_factor = self.cold.factor();
-        let Some(job) = self.jobs.get(&number).filter(|job| job.is_in_contact(now)) else {
+        let Some(job) = self.jobs.get_mut(&number).filter(|job| job.is_in_contact(now)) else {
             return;
         };
         for task_index in 0..job.tasks.len() {
-            let Some(job) = self.jobs.get(&number) else { return };
             let task = job.tasks[task_index].clone();
             if task.state != TaskState::Pending
                 || !job.is_step_ready(task.step)
@@ -603,8 +601,7 @@
             };
             let Some(worker) = self.workers.get_mut(&id) else { break };
             let token = worker.token;
-            let contact_at = oldest_contact(&self.jobs, worker).min(job.contact_at);
-            let Some(lease_until_ms) = worker.lease_expiry_at(now, contact_at) else { break };
+            let Some(lease_until_ms) = worker.lease_expiry_at(now) else { break };
             let name = job.name(task_index);
             let run = Run {
                 task_ref: Some((number, task_index)),
@@ -631,8 +628,7 @@
             };
             let target = worker.target(&id, self.round_trip.timeout_ms());
             self.actions.push(Action::Start(target, call));
-            worker.place(name, run, contact_at);
-            let Some(job) = self.jobs.get_mut(&number) else { return };
+            worker.place(name, run);
             job.tasks[task_index].state = TaskState::Placed;
             job.tasks[task_index].run = task.run.saturating_add(1);
             job.tasks[task_index].worker = Some(id);
@@ -647,9 +643,8 @@
             if !due || worker.poll_sent_at.is_some() {
                 continue;
             }
-            let contact_at = oldest_contact(&self.jobs, worker);
-            let lease_until_ms = worker.begin_poll(now, contact_at);
-            let wait_ms = worker.poll_wait_ms(timeout_ms, now, contact_at);
+            let lease_until_ms = worker.begin_poll(now);
+            let wait_ms = worker.poll_wait_ms(timeout_ms, now);
             let call = PollCall {
                 token: worker.token,
                 ack_cursor: worker.ack_cursor(),
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -18,9 +18,9 @@
 use crate::speed::Speed;
 use crate::worker_clock::{ClockReading, longest_span_ms, max_drift_ms};
 
-/// Duration of a lease, in milliseconds. It is short enough that every run of a daemon that died
-/// has ended before a caller resends its request (after 1,300 ms in the users' settings).
-pub const LEASE_MS: u64 = 900;
+/// Duration of a lease, in milliseconds. It is short enough that every run has ended before its
+/// caller resends its request, see [`crate::bounds`].
+pub const LEASE_MS: u64 = 700;
 /// Upper bound on a lease of [`LEASE_MS`] as measured by the owner's clock, in milliseconds: the
 /// worker's clock may run slow.
 pub const LEASE_BOUND_MS: u64 = longest_span_ms(LEASE_MS);
@@ -349,8 +349,9 @@
         self.runs.values().any(is_possible)
     }
 
-    /// Whether the worker has been asked after `since` for its runs, and has none of the task. Orders of
-    /// a previous owner have no effect any more then. If it has not been asked, it is polled soon.
+    /// Whether the worker has been asked after `since` for its runs, and has none of the task. Orders that
+    /// a previous owner sent to this process have no effect any more then. If it has not been asked, it
+    /// is polled soon. Always false for a worker whose reports do not name their process.
     pub(crate) fn confirms_absence(&mut self, task: &TaskName, since: Millis, now: Millis) -> bool {
         if self.reported_at.is_none_or(|at| at <= since) {
             if self.unanswered_polls == 0 {
@@ -358,7 +359,9 @@
             }
             return false;
         }
-        !self.runs.contains_key(task) && !self.orphaned_runs.contains_key(task)
+        self.clock_process().is_some()
+            && !self.runs.contains_key(task)
+            && !self.orphaned_runs.contains_key(task)
     }
 
     /// Returns whether a run of the task may be active on this worker, or may still begin. No other
@@ -385,23 +388,19 @@
         self.runs.keys().filter(|name| &*name.job == job && name.step == step).count() as u32
     }
 
-    /// Returns the expiry of a lease that is granted at `now` and counts from `contact_at`, in
-    /// milliseconds of the worker's clock, or `None` before its first reply. The lease ends within
-    /// [`LEASE_BOUND_MS`] after `contact_at` whatever the age of the last reply, and is at least as long
-    /// as [`Self::shortest_lease_ms`].
-    pub(crate) fn lease_expiry_at(&self, now: Millis, contact_at: Millis) -> Option<u64> {
-        let lease_ms = LEASE_MS.saturating_sub(now.since(contact_at));
-        Some(self.clock?.earliest_at(now).saturating_add(lease_ms))
+    /// Returns the expiry of a lease that begins at `now`, in milliseconds of the worker's clock, or
+    /// `None` before its first reply. The lease ends within [`LEASE_BOUND_MS`] whatever the age of the
+    /// last reply, and is at least as long as [`Self::shortest_lease_ms`].
+    pub fn lease_expiry_at(&self, now: Millis) -> Option<u64> {
+        Some(self.clock?.earliest_at(now).saturating_add(LEASE_MS))
     }
 
-    /// Returns how long a lease that is granted at `now` and counts from `contact_at` lasts if the
-    /// worker's clock is not slow, in milliseconds: less than [`LEASE_MS`] by the time since
-    /// `contact_at` and by the drift that the age of the last reply allows for, and zero before the
-    /// first reply.
-    fn shortest_lease_ms(&self, now: Millis, contact_at: Millis) -> u64 {
+    /// Returns how long a lease that begins at `now` lasts if the worker's clock is not slow, in
+    /// milliseconds: less than [`LEASE_MS`] by the drift that the age of the last reply allows for, and
+    /// zero before the first reply.
+    fn shortest_lease_ms(&self, now: Millis) -> u64 {
         let drift_ms = |clock: ClockReading| max_drift_ms(now.since(clock.read_at));
-        let lease_ms = LEASE_MS.saturating_sub(now.since(contact_at));
-        self.clock.map_or(0, |clock| lease_ms.saturating_sub(drift_ms(clock)))
+        self.clock.map_or(0, |clock| LEASE_MS.saturating_sub(drift_ms(clock)))
     }
 
     /// Returns up to which number ended runs may be acknowledged: all that were received, unless the
@@ -424,15 +423,13 @@
         self.clock.and_then(|clock| clock.process)
     }
 
-    /// Records a run that is being started with a lease that counts from `contact_at`: reserves its
-    /// resources and schedules the renewal of its lease. It takes the place of an earlier run of the
-    /// task whose end was not confirmed.
-    pub(crate) fn place(&mut self, name: TaskName, run: Run, contact_at: Millis) {
+    /// Records a run that is being started: reserves its resources and schedules the renewal of
+    /// its lease. It takes the place of an earlier run of the task whose end was not confirmed.
+    pub fn place(&mut self, name: TaskName, run: Run) {
         self.remove(&name);
         self.used = self.used.plus(run.resources);
         self.lease_bound = self.lease_bound.max(run.sent_at.plus(LEASE_BOUND_MS));
-        let lease_ms = self.shortest_lease_ms(run.sent_at, contact_at);
-        let renewed_after_ms = lease_ms.saturating_sub(RENEW_AHEAD_MS);
+        let renewed_after_ms = self.shortest_lease_ms(run.sent_at).saturating_sub(RENEW_AHEAD_MS);
         self.poll_no_later_than(run.sent_at.plus(renewed_after_ms));
         self.runs.insert(name, run);
     }
@@ -441,8 +438,7 @@
     /// so that the lease may be the longest one that a worker grants.
     pub(crate) fn place_adopted(&mut self, name: TaskName, run: Run) {
         self.lease_bound = self.lease_bound.max(run.sent_at.plus(MAX_LEASE_BOUND_MS));
-        let seen_at = run.sent_at;
-        self.place(name, run, seen_at);
+        self.place(name, run);
     }
 
     /// Removes a run and frees its resources.
@@ -458,21 +454,21 @@
     }
 
     /// Records that a poll is being sent. Returns the new lease expiry on the worker's clock, or
-    /// `None` if the lease is not to be renewed. A renewed lease counts from `contact_at`.
-    pub(crate) fn begin_poll(&mut self, now: Millis, contact_at: Millis) -> Option<u64> {
+    /// `None` if the lease is not to be renewed.
+    pub fn begin_poll(&mut self, now: Millis) -> Option<u64> {
         self.poll_sent_at = Some(now);
         self.polled_token = self.token;
         self.polled_addr = self.entry.addr;
         self.next_poll_at = None;
         self.acking = self.ack_cursor();
-        self.renew_lease(now, contact_at)
+        self.renew_lease(now)
     }
 
-    /// Renews the lease of the worker's runs, if there are any, counted from `contact_at`. Returns the
-    /// new expiry on the worker's clock. The lease of a worker that left the last poll unanswered, or whose clock may be that of
+    /// Renews the lease of the worker's runs, if there are any. Returns the new expiry on the worker's
+    /// clock. The lease of a worker that left the last poll unanswered, or whose clock may be that of
     /// another process, is not renewed, so that the time by which its runs have ended is known here.
     /// Neither is one that would keep runs alive that nobody waits for.
-    pub(crate) fn renew_lease(&mut self, now: Millis, contact_at: Millis) -> Option<u64> {
+    pub fn renew_lease(&mut self, now: Millis) -> Option<u64> {
         if self.runs.is_empty()
             || self.unanswered_polls > 0
             || self.is_clock_doubted()
@@ -480,7 +476,7 @@
         {
             return None;
         }
-        let lease_until_ms = self.lease_expiry_at(now, contact_at)?;
+        let lease_until_ms = self.lease_expiry_at(now)?;
         self.lease_bound = self.lease_bound.max(now.plus(LEASE_BOUND_MS));
         Some(lease_until_ms)
     }
@@ -497,12 +493,12 @@
     /// Returns how long a poll may wait at the worker for a run to end, in milliseconds: slightly
     /// longer than the remaining time of the run that is expected to end first. With a longer
     /// `timeout_ms` of the call it is shorter, so that the next renewal still arrives in time. A
-    /// poll that has to show the worker's process does not wait. The lease counts from `contact_at`.
-    pub(crate) fn poll_wait_ms(&self, timeout_ms: u64, now: Millis, contact_at: Millis) -> u64 {
+    /// poll that has to show the worker's process does not wait.
+    pub fn poll_wait_ms(&self, timeout_ms: u64, now: Millis) -> u64 {
         if self.is_clock_doubted() {
             return 0;
         }
-        let lease_ms = self.shortest_lease_ms(now, contact_at);
+        let lease_ms = self.shortest_lease_ms(now);
         let longest_ms = lease_ms.saturating_sub(RENEWAL_MARGIN_MS + 2 * timeout_ms);
         let longest_ms =
             if self.withholds_lease() { longest_ms.min(POLL_WAIT_SLACK_MS) } else { longest_ms };
--- a/crates/pool/tests/event_orders.rs
+++ b/crates/pool/tests/event_orders.rs
@@ -353,8 +353,8 @@
 #[test]
 fn planted_faults_are_found() {
     let families = [
-        ("leases from the decision", standing_workers(), Defect::LeasesFromDecision),
-        ("leases from the decision, callers", standing_callers(), Defect::LeasesFromDecision),
+        ("long leases", standing_workers(), Defect::LongLeases),
+        ("long leases, callers", standing_callers(), Defect::LongLeases),
         ("long standstills", standing_workers(), Defect::LongStandstills),
         ("departures", departures(), Defect::ContactNotAsked),
         ("stalled owners", stalled_owners(), Defect::ContactNotAsked),
--- a/crates/pool/tests/late_departures.rs
+++ b/crates/pool/tests/late_departures.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use dispatch::clock::Millis;
-use pool::bounds::{CONTACT_MS, LINK_TIMEOUT_MS, RESEND_MS};
+use pool::bounds::{CONTACT_MS, LEASE_BOUND_MS, LINK_TIMEOUT_MS, RESEND_MS, STALL_MS, TRANSIT_MS};
 use pool::job::{Outcome, PreviousOwner};
 use pool::pool::Pool;
 use pool::tokens::first_token;
@@ -161,3 +161,36 @@
         assert_eq!(fleet.active(), [signs], "{signs} of two jobs with a sign of life");
     }
 }
+
+/// Guards against a run that goes on by the lease of its neighbours: that lease was renewed just before the
+/// run started, for a submitter that was silent already, and no lease is ever shortened.
+#[test]
+fn a_run_ends_in_time_by_a_lease_that_was_granted_before_it_started() {
+    let (mut worst_ms, mut late_runs) = (0, 0);
+    for phase_ms in (300..660).step_by(20) {
+        for short_ms in (60..200).step_by(20) {
+            let mut fleet = Fleet::with_slow_clocks(1, 20);
+            fleet.submit_remote(TASK_MS);
+            fleet.run_for(phase_ms);
+            fleet.submit_remote(short_ms);
+            fleet.run_for(2);
+            let late = fleet.submit_remote(TASK_MS);
+            fleet.run_for(5);
+            fleet.in_contact.remove(&late);
+            let (contact_ms, mut ended_ms) = (fleet.now_ms, 0);
+            for _ in 0..RESEND_MS {
+                fleet.run_for(1);
+                let worker = &mut fleet.workers[0];
+                worker.advance_to(fleet.now_ms);
+                if worker.active.keys().any(|task| task.job.ends_with('3')) {
+                    ended_ms = fleet.now_ms - contact_ms;
+                }
+            }
+            late_runs += usize::from(ended_ms > 0);
+            worst_ms = worst_ms.max(ended_ms);
+        }
+    }
+    assert!(late_runs > 3, "only {late_runs} runs started after the last sign of life");
+    assert!(worst_ms <= CONTACT_MS + LEASE_BOUND_MS, "a run ends {worst_ms} ms after it");
+    assert!(TRANSIT_MS + worst_ms + STALL_MS < RESEND_MS, "a run ends {worst_ms} ms after it");
+}
--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -172,10 +172,11 @@
     LateCallsOutliveProcesses,
     /// Starts go to any process that accepts their connection.
     UnverifiedStarts,
-    /// Owners count all submitters as waiting until their link is broken.
+    /// Owners count all submitters as waiting until their link is broken, with long leases. With short
+    /// ones, no run outlives the next request of its caller all the same.
     ContactNotAsked,
-    /// Leases count from the decision to send them, and not from the submitter's last sign of life.
-    LeasesFromDecision,
+    /// Workers grant leases that are longer than asked for by [`CONTACT_MS`].
+    LongLeases,
     /// Workers stand still for longer than owners count with.
     LongStandstills,
 }
@@ -478,7 +479,6 @@
         for Link { owner, number, echoed_ms, .. } in &self.links {
             let counts_with = match self.defect {
                 Defect::ContactNotAsked => true,
-                Defect::LeasesFromDecision => self.now_ms < echoed_ms + CONTACT_MS,
                 _ => false,
             };
             if let (true, Some(pool), Some(number)) =
@@ -768,7 +768,14 @@
         workers || (0..self.owners.len()).any(|owner| self.is_frozen(owner))
     }
 
-    fn arrive(&mut self, sent: Sent) {
+    fn arrive(&mut self, mut sent: Sent) {
+        if matches!(self.defect, Defect::LongLeases | Defect::ContactNotAsked) {
+            match &mut sent.call {
+                Call::Start(call) => call.lease_until_ms += CONTACT_MS,
+                Call::Poll(PollCall { lease_until_ms: Some(at_ms), .. }) => *at_ms += CONTACT_MS,
+                Call::Poll(_) | Call::Stop(_) => {}
+            }
+        }
         let Some(sent) = self.put_off(sent, Due::Arrival) else { return };
         let number = self.node_at(&sent.target);
         let node = &mut self.nodes[number];
