--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -476,14 +476,11 @@
                 pool.record_io(now);
             }
         }
-        for Link { owner, number, echoed_ms, .. } in &self.links {
-            let counts_with = match self.defect {
-                Defect::ContactNotAsked => true,
-                _ => false,
-            };
-            if let (true, Some(pool), Some(number)) =
-                (counts_with, &mut self.owners[*owner].pool, number)
-            {
+        if self.defect != Defect::ContactNotAsked {
+            return;
+        }
+        for Link { owner, number, .. } in &self.links {
+            if let (Some(pool), Some(number)) = (&mut self.owners[*owner].pool, number) {
                 pool.record_contact(*number, now);
             }
         }
