--- a/crates/pool/tests/owners_in_succession.rs
+++ b/crates/pool/tests/owners_in_succession.rs
@@ -132,7 +132,7 @@
 }
 
 /// Guards against a next owner that counts with a previous one that handed its cell over, although the
-/// runs that it was told of are those of one that stopped responding.
+/// reported runs are those of an earlier owner that stopped responding.
 #[test]
 fn a_handover_shortens_no_wait_for_the_runs_of_an_owner_that_stopped_responding() {
     for age_ms in (60..460).step_by(10) {
@@ -158,7 +158,7 @@
     }
 }
 
-/// Guards against a handover that tells nothing of an earlier run of a task, whose stop the worker has not
+/// Guards against a handover that does not report an earlier run of a task whose stop the worker has not
 /// confirmed.
 #[test]
 fn a_handover_names_the_run_that_a_waiting_task_waits_for() {
--- a/crates/pool/tests/support/event_orders.rs
+++ b/crates/pool/tests/support/event_orders.rs
@@ -298,7 +298,7 @@
     Reply(Sent, Reply),
     Message(usize, usize, Message),
     GiveUp(usize, u32),
-    /// A caller that has decided to leave closes its connection, which the owner is told after a time.
+    /// A caller that has decided to leave closes its connection. The owner learns of it later.
     Close(usize, u32, u64),
     Send(usize),
     TakeOver(usize, usize),
@@ -590,7 +590,7 @@
     }
 
     /// The caller of a request decides that it has had no answer, closes its connection and sends the
-    /// request again. Its daemon tells the owner after a time.
+    /// request again. Its daemon notifies the owner later.
     fn leave(&mut self, number: usize, told_ms: u64) {
         let request = &mut self.requests[number];
         if request.submission.is_none() || request.is_given_up {
