--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -8,6 +8,7 @@
 mod record;
 mod rich;
 mod silent;
+mod uneven;
 
 use std::process::ExitCode;
 
@@ -40,6 +41,7 @@
             "label" => label::play(setup, has_trouble).await,
             "rich" => rich::play(setup, has_trouble).await,
             "silent" => silent::play(setup, has_trouble).await,
+            "uneven" => uneven::play(setup).await,
             "cancel" => cancel::play(setup, has_trouble).await,
             _ => Ok(Verdict::CouldNotRun),
         }
