--- a/review/rig/src/installation.rs
+++ b/review/rig/src/installation.rs
@@ -277,7 +277,8 @@
         let quiet =
             [GenerationProxy::start(peers.addr).await?, GenerationProxy::start(store.addr).await?];
         let shares = std::env::var("RIG_SHARES").unwrap_or_default();
-        let share = shares.split(',').nth(number - 1).filter(|share| !share.is_empty()).unwrap_or("0.25");
+        let share =
+            shares.split(',').nth(number - 1).filter(|share| !share.is_empty()).unwrap_or("0.25");
         // deploy/entry.ini with the values of a small deployment.
         let text = format!(
             "[daemon]\nname = {name}\nzone = {zone}\nzones = {}\n\n[callers]\nlisten = {callers}\n\n\
--- a/review/rig/src/uneven.rs
+++ b/review/rig/src/uneven.rs
@@ -61,12 +61,24 @@
         for _ in 0..24 {
             for (at, served) in served.iter().enumerate() {
                 number = number.wrapping_add(1);
-                let step = Step { count: 1, task_resources: task_resources(), estimate_ms: 50, ..Step::default() };
-                let job = JobSpec { id: Rc::from(format!("{number:016x}")), payload: Rc::from("50"), steps: vec![step] };
-                let answer = installation.submit(installation.daemons[at].callers, PREFIX, &job, 1_500);
+                let step = Step {
+                    count: 1,
+                    task_resources: task_resources(),
+                    estimate_ms: 50,
+                    ..Step::default()
+                };
+                let job = JobSpec {
+                    id: Rc::from(format!("{number:016x}")),
+                    payload: Rc::from("50"),
+                    steps: vec![step],
+                };
+                let answer =
+                    installation.submit(installation.daemons[at].callers, PREFIX, &job, 1_500);
                 let served = Rc::clone(served);
                 actix_rt::spawn(async move {
-                    if matches!(answer.await, Ok((200, _))) { served.set(served.get() + 1); }
+                    if matches!(answer.await, Ok((200, _))) {
+                        served.set(served.get() + 1);
+                    }
                 });
             }
             actix_rt::time::sleep(Duration::from_millis(100)).await;
